--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections to the backend server and its announcements.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benches, the slope tool and stand-ins for the outside systems.
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP listener for callers and checks of their requests.
--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration state machine.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log of the control processes.
--- /dev/null
+++ b/crates/control-client/src/lib.rs
@@ -0,0 +1,1 @@
+//! A control process as a node sees it.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control role: the process on an instance with a disk.
--- /dev/null
+++ b/crates/disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: checksummed log, snapshots and disk identity.
--- /dev/null
+++ b/crates/language/src/lib.rs
@@ -0,0 +1,1 @@
+//! Grammar of the operators' statements.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission at the target and the probe budget.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements, incarnations, leases and expiry of targets.
--- /dev/null
+++ b/crates/model/src/partner.rs
@@ -0,0 +1,7 @@
+//! Partners: customers whose software is the caller.
+
+use crate::name::name;
+
+name! {
+    /// Name of a partner.
+}
--- /dev/null
+++ b/crates/model/src/region.rs
@@ -0,0 +1,7 @@
+//! Regions: groups of availability zones near each other.
+
+use crate::name::name;
+
+name! {
+    /// Name of a region.
+}
--- /dev/null
+++ b/crates/model/src/zone.rs
@@ -0,0 +1,7 @@
+//! Availability zones.
+
+use crate::name::name;
+
+name! {
+    /// Name of an availability zone.
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node role: the process beside each backend server.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' HTTP interface and its client.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings, signals, logs, metrics and facts about the process.
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! Another control process as a control process sees it.
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry budget, hedging, joining of copies and crash containment.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a target from aged load reports.
--- /dev/null
+++ b/crates/shallotctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallotrill/src/main.rs
@@ -0,0 +1,3 @@
+//! The process that runs everywhere.
+
+fn main() {}
