Add the wire, caller, peer and backend packages

The data path needs its three peers: the caller's HTTP/1.1 listener with checks of the request, HTTP/2 connections between nodes, and the pool of connections to the backend server with its announcement interface.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,1 +1,9 @@
-//! Connections to the backend server and its announcements.
+//! The backend server as a peer: its announcements and the connections to it.
+//!
+//! Only the node beside a backend server talks to it, so requests in flight,
+//! latency and failures are known here exactly and without a probe.
+
+pub mod announce;
+pub mod answer;
+pub mod failure;
+pub mod pool;
--- /dev/null
+++ b/crates/caller/src/call.rs
@@ -0,0 +1,122 @@
+//! A checked request of a caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::header;
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use shallotrill_model::service;
+use shallotrill_wire::body;
+use shallotrill_wire::context::DEPTH_MAX;
+use shallotrill_wire::context::Given;
+use shallotrill_wire::hop;
+use shallotrill_wire::refusal::Code;
+use shallotrill_wire::refusal::Refusal;
+
+/// Limits on what a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest body in bytes. Bodies are held in memory, so that a retry can repeat them.
+    pub body_bytes: usize,
+    /// Longest time from the head of a request to the end of its body.
+    pub body: Duration,
+}
+
+/// A request that passed all checks which need no configuration.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Service that the caller asks for.
+    pub service: service::Name,
+    /// What the caller states in the headers of this protocol.
+    pub given: Given,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query, as sent.
+    pub path: PathAndQuery,
+    /// Headers to forward.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Checks a request and reads its body.
+///
+/// # Errors
+///
+/// Returns a [`Refusal`] with `run` at not-run: nothing was forwarded.
+pub async fn read<B>(request: Request<B>, limits: &Limits) -> Result<Call, Refusal>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (parts, body) = request.into_parts();
+    let (given, service) = check_head(&parts)?;
+    let body = body::collect(body, limits.body_bytes, limits.body)
+        .await
+        .map_err(|error| {
+            let code = match error {
+                body::Error::Large(_) => Code::BodyLarge,
+                body::Error::Timeout(_) => Code::BodyTimeout,
+                body::Error::Cut(_) => Code::BodyIncomplete,
+            };
+            Refusal::not_run(code, error.to_string())
+        })?;
+    let path = parts
+        .uri
+        .path_and_query()
+        .cloned()
+        .unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let mut headers = parts.headers;
+    hop::strip(&mut headers);
+    hop::strip_own(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    Ok(Call {
+        service,
+        given,
+        method: parts.method,
+        path,
+        headers,
+        body,
+    })
+}
+
+fn check_head(parts: &Parts) -> Result<(Given, service::Name), Refusal> {
+    hop::check(&parts.method, &parts.headers)
+        .map_err(|error| Refusal::not_run(Code::HeadUnsafe, error.to_string()))?;
+    let given = Given::read(&parts.headers)
+        .map_err(|error| Refusal::not_run(Code::HeaderInvalid, error.to_string()))?;
+    if given.depth > DEPTH_MAX {
+        let message = format!("{} calls are nested, at most {DEPTH_MAX}", given.depth);
+        return Err(Refusal::not_run(Code::DepthExceeded, message));
+    }
+    let service = match &given.service {
+        Some(service) => service.clone(),
+        None => service_of_host(parts)?,
+    };
+    Ok((given, service))
+}
+
+/// Reads the service from the first label of `Host`, or of the URI's authority when the URI is absolute.
+fn service_of_host(parts: &Parts) -> Result<service::Name, Refusal> {
+    let missing = |message: &str| Refusal::not_run(Code::ServiceMissing, message.to_owned());
+    let mut hosts = parts.headers.get_all(header::HOST).iter();
+    let host = match (parts.uri.host(), hosts.next(), hosts.next()) {
+        (_, _, Some(_)) => return Err(missing("Host is stated more than once")),
+        (Some(host), _, None) => host,
+        (None, Some(host), None) => host
+            .to_str()
+            .or(Err(missing("the value of Host is not text")))?,
+        (None, None, None) => return Err(missing("the request has no Host")),
+    };
+    let label = host.split(['.', ':']).next().unwrap_or_default();
+    service::Name::new(&label.to_ascii_lowercase()).map_err(|error| {
+        missing(&format!(
+            "the first label of Host is not a service: {error}"
+        ))
+    })
+}
--- /dev/null
+++ b/crates/peer/src/listener.rs
@@ -0,0 +1,78 @@
+//! The HTTP/2 listener for other nodes.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::debug;
+use shallotrill_wire::body::Body;
+use shallotrill_wire::listen;
+use shallotrill_wire::listen::Listener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Unacknowledged bytes to another node close its connection after this time.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A connection without traffic is pinged after this time, so that dead nodes leave no connections behind.
+const PING_INTERVAL: Duration = Duration::from_secs(20);
+
+/// An unanswered ping closes the connection after this time.
+const PING_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Most requests of one other node in flight on one connection.
+const STREAMS_MAX: u32 = 1_000;
+
+/// The future of one answer.
+pub type Answer = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// The function that answers one forwarded request.
+pub type Handler = Arc<dyn Fn(Request<Incoming>) -> Answer + Send + Sync>;
+
+/// Serves other nodes until `stop` becomes true and every request in flight is answered.
+pub async fn run(
+    listener: Listener,
+    connections_max: usize,
+    stop: watch::Receiver<bool>,
+    handler: Handler,
+) {
+    let watched = stop.clone();
+    let serve = move |stream, _| connection(stream, watched.clone(), Arc::clone(&handler));
+    listener.run(connections_max, stop, serve).await;
+}
+
+async fn connection(stream: TcpStream, mut stop: watch::Receiver<bool>, handler: Handler) {
+    if let Err(error) = listen::tune(&stream, USER_TIMEOUT) {
+        debug!(event = "socket-option-failed"; "{error}");
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .max_concurrent_streams(STREAMS_MAX)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = listen::stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(event = "peer-connection-lost"; "{error}");
+    }
+}
