Add settings, logs, signals, metrics and process facts

Every process needs its settings and its logs before anything else can run. Settings are TOML with unknown keys refused; faults in values are collected and reported together with line, column and key. Logs are one JSON object per line. Label sets of metrics are bounded.

--- /dev/null
+++ b/crates/platform/src/log.rs
@@ -0,0 +1,137 @@
+//! Logs: one JSON object per line with stable keys.
+
+use std::fmt;
+use std::io::Write;
+
+use log::kv;
+
+use crate::calendar;
+use crate::clock;
+use shallotrill_model::time::Wall;
+
+/// Keys that each line has; a pair with one of these keys is written with the prefix `field_`.
+const KEYS: [&str; 4] = ["time", "level", "module", "event"];
+
+/// Sends records of `level` and above to standard error. `RUST_LOG` takes precedence when it is set.
+///
+/// # Errors
+///
+/// Returns an error when a logger is already set.
+pub fn start(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+    let mut builder = env_logger::Builder::new();
+    builder.filter_level(level).parse_default_env();
+    builder.format(|out, record| writeln!(out, "{}", line(clock::wall(), record)));
+    builder.try_init()
+}
+
+/// The line of a record, without the line break.
+pub fn line(time: Wall, record: &log::Record<'_>) -> String {
+    let module = record.module_path().unwrap_or(record.target());
+    let mut text = format!(
+        "{{\"time\":\"{}\",\"level\":\"{}\",\"module\":{},\"event\":{}",
+        calendar::format(time),
+        record.level().as_str().to_ascii_lowercase(),
+        quote(module),
+        quote(&record.args().to_string()),
+    );
+    // A value that cannot be shown ends the pairs; the stable keys are written already.
+    let _ = record.key_values().visit(&mut Pairs { text: &mut text });
+    text.push('}');
+    text
+}
+
+fn quote(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
+
+/// Appends key-value pairs to a line.
+struct Pairs<'line> {
+    text: &'line mut String,
+}
+
+impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let key = match key.as_str() {
+            reserved if KEYS.contains(&reserved) => format!("field_{reserved}"),
+            other => other.to_owned(),
+        };
+        let value = encode(&value);
+        self.text.push(',');
+        self.text.push_str(&quote(&key));
+        self.text.push(':');
+        self.text.push_str(&value);
+        Ok(())
+    }
+}
+
+fn encode(value: &kv::Value<'_>) -> String {
+    if let Some(number) = value.to_u64() {
+        return number.to_string();
+    }
+    if let Some(number) = value.to_i64() {
+        return number.to_string();
+    }
+    if let Some(flag) = value.to_bool() {
+        return flag.to_string();
+    }
+    quote(&value.to_string())
+}
+
+/// A logger for libraries that use `slog`; it forwards to `log`.
+pub fn slog_logger() -> slog::Logger {
+    slog::Logger::root(Forward, slog::o!())
+}
+
+struct Forward;
+
+impl slog::Drain for Forward {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        let level = level(record.level());
+        let metadata = log::Metadata::builder()
+            .level(level)
+            .target(record.module())
+            .build();
+        if !log::log_enabled!(target: record.module(), level) {
+            return Ok(());
+        }
+        let mut pairs = Collected(Vec::new());
+        // Collecting cannot fail: the serializer only formats values into strings.
+        let _ = slog::KV::serialize(values, record, &mut pairs);
+        let _ = slog::KV::serialize(&record.kv(), record, &mut pairs);
+        log::logger().log(
+            &log::Record::builder()
+                .metadata(metadata)
+                .module_path(Some(record.module()))
+                .key_values(&pairs.0)
+                .args(*record.msg())
+                .build(),
+        );
+        Ok(())
+    }
+}
+
+const fn level(level: slog::Level) -> log::Level {
+    match level {
+        slog::Level::Critical | slog::Level::Error => log::Level::Error,
+        slog::Level::Warning => log::Level::Warn,
+        slog::Level::Info => log::Level::Info,
+        slog::Level::Debug => log::Level::Debug,
+        slog::Level::Trace => log::Level::Trace,
+    }
+}
+
+struct Collected(Vec<(String, String)>);
+
+impl slog::Serializer for Collected {
+    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
+        self.0.push((key.to_owned(), value.to_string()));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/metrics.rs
@@ -0,0 +1,232 @@
+//! Metrics with label sets of bounded size, in the text format of Prometheus.
+
+use std::error;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::TextEncoder;
+
+/// The label value that stands for all values beyond the limit of a set.
+pub const OTHER: &str = "other";
+
+/// Why a metric could not be registered or encoded.
+#[derive(Debug)]
+pub enum Error {
+    /// The name is in use or not valid.
+    Register {
+        /// Name of the metric.
+        name: String,
+        /// What the library says.
+        source: prometheus::Error,
+    },
+    /// The metrics could not be encoded.
+    Encode(prometheus::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Register { name, source } => {
+                write!(f, "metric {name} could not be registered: {source}")
+            }
+            Self::Encode(source) => write!(f, "metrics could not be encoded: {source}"),
+        }
+    }
+}
+
+impl error::Error for Error {
+    fn source(&self) -> Option<&(dyn error::Error + 'static)> {
+        match self {
+            Self::Register { source, .. } | Self::Encode(source) => Some(source),
+        }
+    }
+}
+
+/// The metrics of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Registry(prometheus::Registry);
+
+impl Registry {
+    /// Makes an empty registry.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Registers a counter.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Register`] when the name is in use or not valid.
+    pub fn counter(&self, name: &str, help: &str) -> Result<IntCounter, Error> {
+        self.add(name, IntCounter::new(name, help))
+    }
+
+    /// Registers a gauge.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Register`] when the name is in use or not valid.
+    pub fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, Error> {
+        self.add(name, IntGauge::new(name, help))
+    }
+
+    /// Registers a histogram with these upper bounds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Register`] when the name is in use or not valid.
+    pub fn histogram(&self, name: &str, help: &str, bounds: &[f64]) -> Result<Histogram, Error> {
+        let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        self.add(name, Histogram::with_opts(options))
+    }
+
+    /// Registers counters with one label.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Register`] when the name is in use or not valid.
+    pub fn counters(&self, name: &str, help: &str, set: Set) -> Result<Counters, Error> {
+        let made = IntCounterVec::new(Opts::new(name, help), &[set.label]);
+        let family = self.add(name, made)?;
+        Ok(Counters { family, set })
+    }
+
+    /// Registers gauges with one label.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Register`] when the name is in use or not valid.
+    pub fn gauges(&self, name: &str, help: &str, set: Set) -> Result<Gauges, Error> {
+        let made = IntGaugeVec::new(Opts::new(name, help), &[set.label]);
+        let family = self.add(name, made)?;
+        Ok(Gauges { family, set })
+    }
+
+    /// Registers histograms with one label.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Register`] when the name is in use or not valid.
+    pub fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        bounds: &[f64],
+        set: Set,
+    ) -> Result<Histograms, Error> {
+        let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        let family = self.add(name, HistogramVec::new(options, &[set.label]))?;
+        Ok(Histograms { family, set })
+    }
+
+    /// Encodes all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Encode`] when the library cannot encode them.
+    pub fn text(&self) -> Result<String, Error> {
+        let mut bytes = Vec::new();
+        TextEncoder::new()
+            .encode(&self.0.gather(), &mut bytes)
+            .map_err(Error::Encode)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    fn add<M>(&self, name: &str, made: prometheus::Result<M>) -> Result<M, Error>
+    where
+        M: prometheus::core::Collector + Clone + 'static,
+    {
+        let error = |source| Error::Register {
+            name: name.to_owned(),
+            source,
+        };
+        let metric = made.map_err(error)?;
+        self.0.register(Box::new(metric.clone())).map_err(error)?;
+        Ok(metric)
+    }
+}
+
+/// The values of one label. Values beyond the limit become [`OTHER`], so callers cannot grow the memory of the process.
+#[derive(Debug)]
+pub struct Set {
+    label: &'static str,
+    limit: usize,
+    values: Mutex<Vec<Arc<str>>>,
+}
+
+impl Set {
+    /// Makes the set of a label with at most `limit` values besides [`OTHER`].
+    pub const fn new(label: &'static str, limit: usize) -> Self {
+        Self {
+            label,
+            limit,
+            values: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// The value to use for `value`.
+    fn admit<'value>(&self, value: &'value str) -> &'value str {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        match values.binary_search_by(|known| (**known).cmp(value)) {
+            Ok(_) => value,
+            Err(_) if values.len() >= self.limit => OTHER,
+            Err(index) => {
+                values.insert(index, Arc::from(value));
+                value
+            }
+        }
+    }
+}
+
+/// Counters with one label.
+#[derive(Debug)]
+pub struct Counters {
+    family: IntCounterVec,
+    set: Set,
+}
+
+impl Counters {
+    /// The counter of a label value.
+    pub fn of(&self, value: &str) -> IntCounter {
+        self.family.with_label_values(&[self.set.admit(value)])
+    }
+}
+
+/// Gauges with one label.
+#[derive(Debug)]
+pub struct Gauges {
+    family: IntGaugeVec,
+    set: Set,
+}
+
+impl Gauges {
+    /// The gauge of a label value.
+    pub fn of(&self, value: &str) -> IntGauge {
+        self.family.with_label_values(&[self.set.admit(value)])
+    }
+}
+
+/// Histograms with one label.
+#[derive(Debug)]
+pub struct Histograms {
+    family: HistogramVec,
+    set: Set,
+}
+
+impl Histograms {
+    /// The histogram of a label value.
+    pub fn of(&self, value: &str) -> Histogram {
+        self.family.with_label_values(&[self.set.admit(value)])
+    }
+}
--- /dev/null
+++ b/crates/platform/src/process.rs
@@ -0,0 +1,121 @@
+//! Facts about this process for state dumps.
+
+use std::error;
+use std::fmt;
+use std::fs;
+use std::io;
+
+use serde::Serialize;
+
+use crate::calendar;
+use crate::clock;
+use shallotrill_model::time::Wall;
+
+/// Why the facts could not be read.
+#[derive(Debug)]
+pub enum Error {
+    /// A file of the process file system could not be read.
+    Read {
+        /// The file.
+        file: &'static str,
+        /// The error of the system.
+        source: io::Error,
+    },
+    /// A file of the process file system has an unknown form.
+    Form {
+        /// The file.
+        file: &'static str,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read { file, source } => write!(f, "{file} could not be read: {source}"),
+            Self::Form { file } => write!(f, "{file} has an unknown form"),
+        }
+    }
+}
+
+impl error::Error for Error {
+    fn source(&self) -> Option<&(dyn error::Error + 'static)> {
+        match self {
+            Self::Read { source, .. } => Some(source),
+            Self::Form { .. } => None,
+        }
+    }
+}
+
+/// What stays the same while the process runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Process {
+    started: Wall,
+    version: &'static str,
+}
+
+/// Facts at one time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Facts {
+    /// Id of the process.
+    pub pid: u32,
+    /// Calendar time of the start, RFC 3339.
+    pub started: String,
+    /// Version of the program.
+    pub version: &'static str,
+    /// Resident memory.
+    pub rss_bytes: u64,
+    /// Processor time used in user and system mode.
+    pub cpu_ms: u64,
+}
+
+impl Process {
+    /// Notes the start of a process of this version.
+    pub fn start(version: &'static str) -> Self {
+        Self {
+            started: clock::wall(),
+            version,
+        }
+    }
+
+    /// Reads the facts from `/proc/self`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the process file system cannot be read.
+    pub fn facts(&self) -> Result<Facts, Error> {
+        Ok(Facts {
+            pid: std::process::id(),
+            started: calendar::format(self.started),
+            version: self.version,
+            rss_bytes: rss_bytes()?,
+            cpu_ms: cpu_ms()?,
+        })
+    }
+}
+
+fn read(file: &'static str) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|source| Error::Read { file, source })
+}
+
+fn rss_bytes() -> Result<u64, Error> {
+    const FILE: &str = "/proc/self/statm";
+    let text = read(FILE)?;
+    let pages = number(text.split_whitespace().nth(1), FILE)?;
+    Ok(pages * rustix::param::page_size() as u64)
+}
+
+fn cpu_ms() -> Result<u64, Error> {
+    const FILE: &str = "/proc/self/stat";
+    let text = read(FILE)?;
+    // The second field is the program's name in parentheses and may hold spaces.
+    let rest = text.rsplit(')').next().unwrap_or_default();
+    let mut fields = rest.split_whitespace().skip(11);
+    let ticks = number(fields.next(), FILE)? + number(fields.next(), FILE)?;
+    Ok(ticks * 1_000 / rustix::param::clock_ticks_per_second().max(1))
+}
+
+fn number(field: Option<&str>, file: &'static str) -> Result<u64, Error> {
+    field
+        .and_then(|field| field.parse().ok())
+        .ok_or(Error::Form { file })
+}
--- /dev/null
+++ b/crates/platform/src/settings/check.rs
@@ -0,0 +1,196 @@
+//! Checks of single values that collect faults instead of stopping at the first.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use toml::Spanned;
+
+use super::fault::Fault;
+use super::fault::Kind;
+use shallotrill_model::Invalid;
+
+/// Default and range of a number.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Number {
+    default: u64,
+    lowest: u64,
+    highest: u64,
+}
+
+impl Number {
+    pub(super) const fn new(default: u64, lowest: u64, highest: u64) -> Self {
+        Self {
+            default,
+            lowest,
+            highest,
+        }
+    }
+}
+
+pub(super) struct Check<'text> {
+    text: &'text str,
+    listen: Vec<(&'static str, SocketAddr)>,
+    faults: Vec<Fault>,
+}
+
+impl<'text> Check<'text> {
+    pub(super) const fn new(text: &'text str) -> Self {
+        Self {
+            text,
+            listen: Vec::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    pub(super) const fn failed(&self) -> bool {
+        !self.faults.is_empty()
+    }
+
+    /// The faults in the order of the file.
+    pub(super) fn finish(mut self) -> Vec<Fault> {
+        self.faults.sort_by_key(|fault| (fault.line, fault.column));
+        self.faults
+    }
+
+    pub(super) fn fault(&mut self, key: &str, span: Range<usize>, kind: Kind) {
+        self.faults.push(fault(self.text, key, span.start, kind));
+    }
+
+    pub(super) fn roles(&mut self, both: bool) {
+        self.fault("node", 0..0, Kind::Role { both });
+    }
+
+    pub(super) fn name<N>(
+        &mut self,
+        key: &str,
+        value: &Spanned<String>,
+        make: fn(&str) -> Result<N, Invalid>,
+    ) -> Option<N> {
+        match make(value.get_ref()) {
+            Ok(name) => Some(name),
+            Err(invalid) => {
+                self.fault(key, value.span(), Kind::Name(invalid));
+                None
+            }
+        }
+    }
+
+    pub(super) fn level(&mut self, key: &str, value: &Spanned<String>) -> Option<log::LevelFilter> {
+        let level = value.get_ref().parse().ok();
+        if level.is_none() {
+            let found = value.get_ref().clone();
+            self.fault(key, value.span(), Kind::Level { found });
+        }
+        level
+    }
+
+    /// An address that another process listens on.
+    pub(super) fn connect(&mut self, key: &str, value: &Spanned<String>) -> Option<SocketAddr> {
+        let address = self.address(key, value)?;
+        if address.port() == 0 || address.ip().is_unspecified() {
+            self.fault(key, value.span(), Kind::NotReachable { found: address });
+            return None;
+        }
+        Some(address)
+    }
+
+    /// An address that this process listens on. Port 0 lets the system choose.
+    pub(super) fn listen(
+        &mut self,
+        key: &'static str,
+        value: &Spanned<String>,
+    ) -> Option<SocketAddr> {
+        let address = self.address(key, value)?;
+        let used = self.listen.iter().find(|(_, used)| overlap(*used, address));
+        if let Some((other, _)) = used {
+            let kind = Kind::PortUsed {
+                port: address.port(),
+                other,
+            };
+            self.fault(key, value.span(), kind);
+        }
+        self.listen.push((key, address));
+        Some(address)
+    }
+
+    fn address(&mut self, key: &str, value: &Spanned<String>) -> Option<SocketAddr> {
+        let address = value.get_ref().parse().ok();
+        if address.is_none() {
+            let found = value.get_ref().clone();
+            self.fault(key, value.span(), Kind::Address { found });
+        }
+        address
+    }
+
+    pub(super) fn number(&mut self, key: &str, value: Option<&Spanned<u64>>, range: Number) -> u64 {
+        let Some(value) = value else {
+            return range.default;
+        };
+        let found = *value.get_ref();
+        if !(range.lowest..=range.highest).contains(&found) {
+            let kind = Kind::Range {
+                found,
+                lowest: range.lowest,
+                highest: range.highest,
+            };
+            self.fault(key, value.span(), kind);
+        }
+        found
+    }
+
+    pub(super) fn not_empty<T>(&mut self, key: &str, list: &Spanned<Vec<T>>) {
+        if list.get_ref().is_empty() {
+            self.fault(key, list.span(), Kind::Empty);
+        }
+    }
+}
+
+/// Whether two listeners cannot both be opened.
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    let any = |ip: IpAddr| ip.is_unspecified();
+    let same_ip = one.ip() == other.ip() || any(one.ip()) || any(other.ip());
+    one.port() != 0 && one.port() == other.port() && same_ip
+}
+
+/// The fault of a text that does not have the form of a settings file.
+pub(super) fn syntax(text: &str, error: &toml::de::Error) -> Fault {
+    let offset = error.span().map_or(0, |span| span.start);
+    let key = key_at(text, offset);
+    let message = error.message().to_owned();
+    fault(text, &key, offset, Kind::Form { message })
+}
+
+fn fault(text: &str, key: &str, offset: usize, kind: Kind) -> Fault {
+    let (line, column) = position(text, offset);
+    Fault {
+        line,
+        column,
+        key: key.to_owned(),
+        kind,
+    }
+}
+
+/// Line and column of a byte offset, both from 1; the column counts characters.
+fn position(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let start = before.rfind('\n').map_or(0, |index| index + 1);
+    let line = before.matches('\n').count() + 1;
+    (line, before[start..].chars().count() + 1)
+}
+
+/// The key on the line of a byte offset, with the table above it.
+fn key_at(text: &str, offset: usize) -> String {
+    let before = text.get(..offset).unwrap_or(text);
+    let start = before.rfind('\n').map_or(0, |index| index + 1);
+    let line = text[start..].lines().next().unwrap_or_default();
+    let table = before[..start].lines().rev().find_map(|line| {
+        let line = line.trim();
+        line.strip_prefix('[')?.strip_suffix(']')
+    });
+    match (table, line.split_once('=')) {
+        (Some(table), Some((key, _))) => format!("{table}.{}", key.trim()),
+        (None, Some((key, _))) => key.trim().to_owned(),
+        (_, None) => line.trim().trim_matches(['[', ']']).to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/log.rs
@@ -0,0 +1,90 @@
+//! The form of log lines and calendar times.
+
+use log::kv;
+
+use shallotrill_model::time::Wall;
+use shallotrill_platform::calendar;
+use shallotrill_platform::log::line;
+
+struct Time {
+    name: &'static str,
+    ms: u64,
+    expected: &'static str,
+}
+
+/// Guards against wrong dates around leap days.
+const TIMES: &[Time] = &[
+    Time {
+        name: "epoch",
+        ms: 0,
+        expected: "1970-01-01T00:00:00.000Z",
+    },
+    Time {
+        name: "leap day of a century divisible by 400",
+        ms: 951_782_400_123,
+        expected: "2000-02-29T00:00:00.123Z",
+    },
+    Time {
+        name: "last millisecond of a year",
+        ms: 1_798_761_599_999,
+        expected: "2026-12-31T23:59:59.999Z",
+    },
+];
+
+#[test]
+fn calendar_times() {
+    for case in TIMES {
+        assert_eq!(
+            calendar::format(Wall(case.ms)),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
+struct Line {
+    name: &'static str,
+    event: &'static str,
+    pairs: &'static [(&'static str, i64)],
+    expected: &'static str,
+}
+
+/// Guards against lines that JSON readers refuse or whose stable keys are overwritten.
+const LINES: &[Line] = &[
+    Line {
+        name: "pairs",
+        event: "started",
+        pairs: &[("port", 8080), ("delta", -1)],
+        expected: r#"{"time":"1970-01-01T00:00:00.000Z","level":"info","module":"m","event":"started","port":8080,"delta":-1}"#,
+    },
+    Line {
+        name: "quotes and line breaks",
+        event: "a \"b\"\n",
+        pairs: &[],
+        expected: r#"{"time":"1970-01-01T00:00:00.000Z","level":"info","module":"m","event":"a \"b\"\n"}"#,
+    },
+    Line {
+        name: "stable key as pair",
+        event: "e",
+        pairs: &[("time", 1)],
+        expected: r#"{"time":"1970-01-01T00:00:00.000Z","level":"info","module":"m","event":"e","field_time":1}"#,
+    },
+];
+
+#[test]
+fn lines_are_json() {
+    for case in LINES {
+        let pairs: &dyn kv::Source = &case.pairs;
+        let text = line(
+            Wall(0),
+            &log::Record::builder()
+                .level(log::Level::Info)
+                .module_path(Some("m"))
+                .key_values(pairs)
+                .args(format_args!("{}", case.event))
+                .build(),
+        );
+        assert_eq!(text, case.expected, "{}", case.name);
+    }
+}
