Add the replicated log

Cause: the control processes need one agreed configuration log. Conclusion: others can build on the interface.

--- /dev/null
+++ b/crates/consensus/src/member.rs
@@ -0,0 +1,110 @@
+//! Members of the group: who votes, who only holds the log.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::disk;
+
+/// Number of a member.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Id(pub u64);
+
+/// A member on a particular disk.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Peer {
+    /// Number of the member.
+    pub id: Id,
+    /// The disk that holds its state.
+    pub disk: disk::Identity,
+}
+
+/// What a member does in the group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Counts towards a majority.
+    Voter,
+    /// Holds the log and does not count.
+    Learner,
+}
+
+/// A peer and its role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The peer.
+    pub peer: Peer,
+    /// Its role.
+    pub role: Role,
+}
+
+/// The members, sorted by id.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Set(Vec<Member>);
+
+impl Set {
+    /// A group of voters.
+    pub fn voters(peers: &[Peer]) -> Self {
+        let mut set = Self::default();
+        for peer in peers {
+            set.insert(Member {
+                peer: *peer,
+                role: Role::Voter,
+            });
+        }
+        set
+    }
+
+    /// Adds a member or replaces the one with the same id.
+    pub fn insert(&mut self, member: Member) {
+        match self.find(member.peer.id) {
+            Ok(at) => self.0[at] = member,
+            Err(at) => self.0.insert(at, member),
+        }
+    }
+
+    /// Removes a member, if there is one with this id.
+    pub fn remove(&mut self, id: Id) {
+        if let Ok(at) = self.find(id) {
+            self.0.remove(at);
+        }
+    }
+
+    /// The member with this id.
+    pub fn get(&self, id: Id) -> Option<&Member> {
+        self.find(id).ok().map(|at| &self.0[at])
+    }
+
+    /// Whether this peer, on this disk, is a member.
+    pub fn holds(&self, peer: Peer) -> bool {
+        self.get(peer.id).is_some_and(|member| member.peer == peer)
+    }
+
+    /// Whether this peer, on this disk, votes.
+    pub fn votes(&self, peer: Peer) -> bool {
+        self.get(peer.id)
+            .is_some_and(|member| member.peer == peer && member.role == Role::Voter)
+    }
+
+    /// All members in order of id.
+    pub fn all(&self) -> &[Member] {
+        &self.0
+    }
+
+    /// Number of voters in a majority; one for an empty group, so that nothing is ever agreed by nobody.
+    pub fn quorum(&self) -> usize {
+        self.0
+            .iter()
+            .filter(|member| member.role == Role::Voter)
+            .count()
+            / 2
+            + 1
+    }
+
+    fn find(&self, id: Id) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&id, |member| member.peer.id)
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica.rs
@@ -0,0 +1,297 @@
+//! The replica: its state and entry points.
+
+use std::mem;
+use std::sync::Arc;
+
+use shallotrill_model::time::Instant;
+
+use crate::config::Config;
+use crate::entry::Content;
+use crate::entry::Hard;
+use crate::entry::Index;
+use crate::entry::Position;
+use crate::entry::Snapshot;
+use crate::entry::Term;
+use crate::failure::Corrupt;
+use crate::failure::Ignored;
+use crate::failure::Refusal;
+use crate::leader::Lead;
+use crate::log::Log;
+use crate::member::Id;
+use crate::member::Peer;
+use crate::message::Body;
+use crate::message::Message;
+use crate::read;
+use crate::ready::Persisted;
+use crate::ready::Ready;
+use crate::ready::Write;
+use crate::restored::Restored;
+use crate::snapshots::Incoming;
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct Replica {
+    pub(crate) config: Config,
+    pub(crate) hard: Hard,
+    pub(crate) hard_changed: bool,
+    pub(crate) log: Log,
+    pub(crate) state: State,
+    pub(crate) leader: Option<Peer>,
+    pub(crate) commit: Index,
+    pub(crate) applied: Index,
+    /// Last entry confirmed to be on the own disk.
+    pub(crate) durable: Index,
+    /// Last entry handed out to be written.
+    pub(crate) written: Index,
+    pub(crate) truncate: Option<Index>,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) snapshot_changed: bool,
+    pub(crate) incoming: Option<Incoming>,
+    pub(crate) install: Option<Snapshot>,
+    pub(crate) deadline: Instant,
+    pub(crate) leader_heard: Option<Instant>,
+    pub(crate) random: u64,
+    pub(crate) next_token: u64,
+    pub(crate) messages: Vec<Message>,
+    pub(crate) reads: Vec<read::Outcome>,
+}
+
+#[derive(Debug)]
+pub(crate) enum State {
+    Follower,
+    PreCandidate(Vec<Peer>),
+    Candidate(Vec<Peer>),
+    Leader(Box<Lead>),
+}
+
+impl Replica {
+    /// A replica with the state found on its disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entries do not follow each other or the snapshot.
+    pub fn new(config: Config, restored: Restored, now: Instant) -> Result<Self, Corrupt> {
+        let (base, members) = match &restored.snapshot {
+            Some(snapshot) => (snapshot.position, snapshot.members.clone()),
+            None => (Position::default(), config.members.clone()),
+        };
+        let mut log = Log::new(base, members);
+        fill(&mut log, &restored)?;
+        let last = log.last().index;
+        let mut replica = Self {
+            random: config.seed,
+            config,
+            hard: restored.hard,
+            hard_changed: false,
+            log,
+            state: State::Follower,
+            leader: None,
+            commit: base.index,
+            applied: base.index,
+            durable: last,
+            written: last,
+            truncate: None,
+            snapshot: restored.snapshot,
+            snapshot_changed: false,
+            incoming: None,
+            install: None,
+            deadline: now,
+            leader_heard: None,
+            next_token: 0,
+            messages: Vec::new(),
+            reads: Vec::new(),
+        };
+        replica.reset_deadline(now);
+        Ok(replica)
+    }
+
+    /// Lets time pass: elections, heartbeats and the check that a quorum still answers.
+    pub fn tick(&mut self, now: Instant) {
+        if self.lead().is_some() {
+            self.check_quorum(now);
+            self.beat(now);
+            self.retire(now);
+        } else if now >= self.deadline {
+            self.reset_deadline(now);
+            self.campaign(now);
+        }
+    }
+
+    /// When `tick` next has something to do.
+    pub fn wake(&self) -> Instant {
+        self.lead()
+            .map_or(self.deadline, |lead| lead.beat.min(self.deadline))
+    }
+
+    /// Takes a message that came from member `from`.
+    ///
+    /// # Errors
+    ///
+    /// Says why a message was ignored; the replica is unchanged then.
+    pub fn step(&mut self, now: Instant, from: Id, message: Message) -> Result<(), Ignored> {
+        if message.from.id != from {
+            return Err(Ignored::WrongSender {
+                connection: from,
+                message: message.from.id,
+            });
+        }
+        if message.to != self.config.own {
+            return Err(Ignored::NotAddressee(message.to));
+        }
+        let peer = message.from;
+        let term = message.term;
+        match message.body {
+            Body::PreVote(last) => self.on_pre_vote(now, peer, term, last),
+            Body::Vote(last) => self.on_vote(now, peer, term, last),
+            Body::Append(append) => self.on_append(now, peer, term, append),
+            Body::Chunk(chunk) => self.on_chunk(now, peer, term, chunk),
+            answer => {
+                if !self.log.members().holds(peer) {
+                    return Err(Ignored::NotMember(peer));
+                }
+                self.on_answer(now, peer, term, &answer);
+            }
+        }
+        Ok(())
+    }
+
+    /// Appends bytes of the state machine to the log; they are accepted once applied at this position and term.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when this replica does not lead or too much is uncommitted.
+    pub fn propose(&mut self, now: Instant, bytes: Vec<u8>) -> Result<Position, Refusal> {
+        self.check_quorum(now);
+        let Some(lead) = self.lead() else {
+            return Err(Refusal::NotLeader(self.leader));
+        };
+        let pending_bytes = lead.pending_bytes;
+        if pending_bytes + bytes.len() > self.config.pending_bytes {
+            return Err(Refusal::Overloaded { pending_bytes });
+        }
+        Ok(self.append(Content::Data(Arc::from(bytes))))
+    }
+
+    /// Starts a read, answered in a later [`Ready`] after a quorum round.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when this replica does not lead.
+    pub fn read(&mut self, now: Instant) -> Result<read::Token, Refusal> {
+        self.check_quorum(now);
+        let commit = self.commit;
+        let token = read::Token(self.next_token);
+        let leader = self.leader;
+        let Some(lead) = self.lead_mut() else {
+            return Err(Refusal::NotLeader(leader));
+        };
+        lead.start_read(token, commit);
+        self.next_token += 1;
+        Ok(token)
+    }
+
+    /// Takes note that the writes of a [`Ready`] are synced.
+    pub fn persisted(&mut self, persisted: Persisted) {
+        let last = persisted.last;
+        if self.log.term_at(last.index) == Some(last.term) {
+            self.durable = self.durable.max(last.index);
+        }
+        self.advance_commit();
+    }
+
+    /// Replaces the log up to `index` by a snapshot of the state machine at `index`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an index that is not applied yet; one that is already compacted changes nothing.
+    pub fn compact(&mut self, index: Index, bytes: Arc<[u8]>) -> Result<(), Refusal> {
+        if index > self.applied {
+            return Err(Refusal::NotApplied {
+                index,
+                applied: self.applied,
+            });
+        }
+        if let Some((position, members)) = self.log.compact(index) {
+            self.snapshot = Some(Snapshot {
+                position,
+                members,
+                bytes,
+            });
+            self.snapshot_changed = true;
+        }
+        Ok(())
+    }
+
+    /// Takes the work to be done; the driver finishes it before it asks again.
+    pub fn ready(&mut self) -> Ready {
+        self.replicate();
+        self.confirm_reads();
+        let last = self.log.last();
+        let write = Write {
+            hard: mem::take(&mut self.hard_changed).then_some(self.hard),
+            snapshot: if mem::take(&mut self.snapshot_changed) {
+                self.snapshot.clone()
+            } else {
+                None
+            },
+            truncate: self.truncate.take(),
+            entries: self.log.range(self.written, last.index).to_vec(),
+        };
+        let committed = self.log.range(self.applied, self.commit).to_vec();
+        self.written = last.index;
+        self.applied = self.commit;
+        Ready {
+            write,
+            persisted: Persisted { last },
+            messages: mem::take(&mut self.messages),
+            install: self.install.take(),
+            committed,
+            reads: mem::take(&mut self.reads),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: Peer, term: Term, body: Body) {
+        self.messages.push(Message {
+            from: self.config.own,
+            to,
+            term,
+            body,
+        });
+    }
+
+    /// Discards entries from `index` on, also those already handed out.
+    pub(crate) fn discard(&mut self, index: Index) {
+        self.log.truncate(index);
+        self.durable = self.durable.min(index.previous());
+        if self.written >= index {
+            self.written = index.previous();
+            self.truncate = Some(self.truncate.map_or(index, |earlier| earlier.min(index)));
+        }
+    }
+}
+
+fn fill(log: &mut Log, restored: &Restored) -> Result<(), Corrupt> {
+    let base = log.base();
+    for entry in &restored.entries {
+        let position = entry.position;
+        if position.index <= base.index {
+            if position.index == base.index && position.term != base.term {
+                // The snapshot replaced this branch and the crash came before it was cut off.
+                return Ok(());
+            }
+            continue;
+        }
+        let last = log.last();
+        if position.index != last.index.next() {
+            return Err(Corrupt::Gap {
+                expected: last.index.next(),
+                found: position.index,
+            });
+        }
+        if position.term < last.term || position.term > restored.hard.term {
+            return Err(Corrupt::Term(position.index));
+        }
+        log.push(entry.clone());
+    }
+    Ok(())
+}
