--- /dev/null
+++ b/crates/claim/src/acceptor.rs
@@ -0,0 +1,372 @@
+//! One member's replicas of the registers.
+//!
+//! Every positive answer comes with a [`Write`] that is synced before the
+//! answer is sent, also when the register does not change: the write that
+//! changed it may not be synced yet.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ballot::Ballot;
+use crate::epoch::Disk;
+use crate::epoch::Group;
+use crate::epoch::Member;
+use crate::epoch::Number;
+use crate::epoch::Standing;
+use crate::journal::Accepted;
+use crate::journal::Register;
+use crate::journal::Write;
+use crate::key::Key;
+use crate::message::Message;
+use crate::message::Refusal;
+use crate::message::Reply;
+use crate::record::Record;
+use crate::table::Table;
+use crate::table::hour;
+use shallotrill_model::time;
+
+/// Epoch in which a group is formed, the only one in which a member votes without having copied.
+pub const FIRST_EPOCH: Number = Number(1);
+
+/// Parameters of an acceptor.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Its identifier.
+    pub member: Member,
+    /// Its disk.
+    pub disk: Disk,
+    /// Memory beyond which no new key is taken.
+    pub limit_bytes: usize,
+    /// Further memory for known keys, so that responses are stored when new keys are refused.
+    pub reserve_bytes: usize,
+}
+
+/// A promise to accept no lower ballot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Promise {
+    /// The accepted record of the highest ballot.
+    pub accepted: Option<Accepted>,
+    /// What to sync before the promise is sent.
+    pub write: Write,
+}
+
+/// A part of the registers, for a member that copies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Page {
+    /// Epoch in which the page was read.
+    pub epoch: Number,
+    /// Member that the page comes from.
+    pub from: Member,
+    /// Horizon of that member.
+    pub horizon: time::Wall,
+    /// Registers in the order of keys.
+    pub registers: Vec<Register>,
+    /// Whether no register follows.
+    pub last: bool,
+}
+
+/// The registers of one member.
+#[derive(Clone, Debug)]
+pub struct Acceptor {
+    config: Config,
+    group: Option<Group>,
+    horizon: time::Wall,
+    /// Survivors from which everything has been copied in the present epoch.
+    copied: Vec<Member>,
+    table: Table,
+}
+
+impl Acceptor {
+    /// Makes an acceptor that holds nothing and is in no group.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            group: None,
+            horizon: time::Wall(0),
+            copied: Vec::new(),
+            table: Table::default(),
+        }
+    }
+
+    /// Replays a write after a restart.
+    pub fn restore(&mut self, write: Write) {
+        match write {
+            Write::Enter(group) => {
+                self.copied.clear();
+                self.group = Some(group);
+            }
+            Write::Promise(key, ballot) => {
+                let mut register = self.register(&key);
+                register.promised = register.promised.max(ballot);
+                self.put(register);
+            }
+            Write::Accept(key, ballot, record) => {
+                let mut register = self.register(&key);
+                register.promised = register.promised.max(ballot);
+                register.accepted = Some(Accepted { ballot, record });
+                self.put(register);
+            }
+            Write::Copy(register) => self.put(register),
+            Write::Copied(member) => {
+                if let Err(index) = self.copied.binary_search(&member) {
+                    self.copied.insert(index, member);
+                }
+            }
+            Write::Retire(horizon) => {
+                self.horizon = self.horizon.max(horizon);
+                self.table.retire(self.horizon);
+            }
+        }
+    }
+
+    /// Enters an epoch; messages of all other epochs are refused from then on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when the epoch is not higher than the present one,
+    /// when the group does not list this member with this disk, or when it
+    /// would vote without having copied from every survivor.
+    pub fn enter(&mut self, group: &Group) -> Result<Write, Refusal> {
+        let seat = group
+            .seat(self.config.member)
+            .filter(|seat| seat.disk == self.config.disk)
+            .ok_or(Refusal::Stranger(self.config.member))?;
+        if let Some(own) = &self.group
+            && own.epoch >= group.epoch
+            && own != group
+        {
+            return Err(Refusal::Epoch(own.epoch));
+        }
+        if seat.standing == Standing::Voting && !self.may_vote(group.epoch) {
+            return Err(Refusal::NotCopied);
+        }
+        let write = Write::Enter(group.clone());
+        if self.group.as_ref() != Some(group) {
+            self.restore(write.clone());
+        }
+        Ok(write)
+    }
+
+    /// Promises to accept no ballot of the key below `ballot`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when the ballot is too low or of another epoch, the
+    /// key is expired, the table is full or this member is copying.
+    pub fn prepare(&mut self, key: &Key, ballot: Ballot) -> Result<Promise, Refusal> {
+        if self.check(key, ballot)? == Standing::Copying {
+            return Err(Refusal::Copying);
+        }
+        let register = self.register(key);
+        if register.promised > ballot {
+            return Err(Refusal::Promised(register.promised));
+        }
+        self.check_space(key, register.bytes())?;
+        let accepted = register.accepted;
+        let write = Write::Promise(key.clone(), ballot);
+        self.restore(write.clone());
+        Ok(Promise { accepted, write })
+    }
+
+    /// Accepts a record under `ballot`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] as [`Acceptor::prepare`] does, but a copying member accepts too.
+    pub fn accept(&mut self, key: &Key, ballot: Ballot, record: &Record) -> Result<Write, Refusal> {
+        self.check(key, ballot)?;
+        let register = self.register(key);
+        if register.promised > ballot {
+            return Err(Refusal::Promised(register.promised));
+        }
+        self.check_space(key, register.bytes() + record.bytes())?;
+        let write = Write::Accept(key.clone(), ballot, record.clone());
+        self.restore(write.clone());
+        Ok(write)
+    }
+
+    /// Answers a message; the write, if any, is synced before the reply is sent.
+    pub fn step(&mut self, message: &Message) -> (Reply, Option<Write>) {
+        let result = match message {
+            Message::Prepare { key, ballot } => self
+                .prepare(key, *ballot)
+                .map(|promise| (Reply::Promised(promise.accepted), promise.write)),
+            Message::Accept {
+                key,
+                ballot,
+                record,
+            } => self
+                .accept(key, *ballot, record)
+                .map(|write| (Reply::Accepted, write)),
+        };
+        match result {
+            Ok((reply, write)) => (reply, Some(write)),
+            Err(refusal) => (Reply::Refused(refusal), None),
+        }
+    }
+
+    /// Raises the horizon, rounded down to a whole bucket, and drops the registers below it.
+    pub fn retire(&mut self, horizon: time::Wall) -> Option<Write> {
+        let floor = time::Wall(hour(horizon) * crate::table::BUCKET_MS);
+        if floor <= self.horizon {
+            return None;
+        }
+        let write = Write::Retire(floor);
+        self.restore(write.clone());
+        Some(write)
+    }
+
+    /// Reads registers after a key, at least one and then up to `limit_bytes`, for a copying member.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when this member is in another epoch, since it could
+    /// still accept ballots of that epoch, or when it is itself copying.
+    pub fn page(
+        &self,
+        epoch: Number,
+        after: Option<&Key>,
+        limit_bytes: usize,
+    ) -> Result<Page, Refusal> {
+        if self.standing(epoch)? == Standing::Copying {
+            return Err(Refusal::Copying);
+        }
+        let mut registers = Vec::new();
+        let mut bytes = 0;
+        let mut last = true;
+        for register in self.table.after(after) {
+            bytes += register.bytes();
+            if bytes > limit_bytes && !registers.is_empty() {
+                last = false;
+                break;
+            }
+            registers.push(register.clone());
+        }
+        Ok(Page {
+            epoch,
+            from: self.config.member,
+            horizon: self.horizon,
+            registers,
+            last,
+        })
+    }
+
+    /// Takes over a page. All pages of a survivor are merged in order before its last one counts.
+    ///
+    /// The horizon of the survivor is taken over too: a key that a survivor has
+    /// deleted must not look absent here.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when the page is of another epoch or this member is not copying.
+    pub fn merge(&mut self, page: &Page) -> Result<Vec<Write>, Refusal> {
+        if self.standing(page.epoch)? == Standing::Voting {
+            return Err(Refusal::Epoch(page.epoch));
+        }
+        let mut writes: Vec<Write> = self.retire(page.horizon).into_iter().collect();
+        for theirs in &page.registers {
+            if self.is_expired(&theirs.key) {
+                continue;
+            }
+            let mut register = self.register(&theirs.key);
+            let ballot = |r: &Register| r.accepted.as_ref().map(|a| a.ballot);
+            if ballot(theirs) > ballot(&register) {
+                register.accepted.clone_from(&theirs.accepted);
+            }
+            register.promised = register.promised.max(theirs.promised);
+            writes.push(Write::Copy(register));
+            self.restore(writes[writes.len() - 1].clone());
+        }
+        if page.last {
+            writes.push(Write::Copied(page.from));
+            self.restore(Write::Copied(page.from));
+        }
+        Ok(writes)
+    }
+
+    /// The writes that rebuild this acceptor, for the start of a new journal file.
+    pub fn snapshot(&self) -> impl Iterator<Item = Write> {
+        let group = self.group.iter().cloned().map(Write::Enter);
+        let copied = self.copied.iter().copied().map(Write::Copied);
+        let horizon = [Write::Retire(self.horizon)];
+        let registers = self.table.after(None).cloned().map(Write::Copy);
+        group.chain(copied).chain(horizon).chain(registers)
+    }
+
+    /// The group in the present epoch.
+    pub const fn group(&self) -> Option<&Group> {
+        self.group.as_ref()
+    }
+
+    /// The registers.
+    pub const fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Keys issued before this time are refused.
+    pub const fn horizon(&self) -> time::Wall {
+        self.horizon
+    }
+
+    fn register(&self, key: &Key) -> Register {
+        let register = self.table.get(key).cloned();
+        register.unwrap_or_else(|| Register::new(key.clone()))
+    }
+
+    fn put(&mut self, register: Register) {
+        if !self.is_expired(&register.key) {
+            self.table.put(register);
+        }
+    }
+
+    fn is_expired(&self, key: &Key) -> bool {
+        hour(key.time()) < hour(self.horizon)
+    }
+
+    fn standing(&self, epoch: Number) -> Result<Standing, Refusal> {
+        let group = self
+            .group
+            .as_ref()
+            .ok_or(Refusal::Stranger(self.config.member))?;
+        if group.epoch != epoch {
+            return Err(Refusal::Epoch(group.epoch));
+        }
+        let seat = group.seat(self.config.member);
+        seat.map(|seat| seat.standing)
+            .ok_or(Refusal::Stranger(self.config.member))
+    }
+
+    fn check(&self, key: &Key, ballot: Ballot) -> Result<Standing, Refusal> {
+        let standing = self.standing(ballot.epoch)?;
+        if self.is_expired(key) {
+            return Err(Refusal::Expired(self.horizon));
+        }
+        Ok(standing)
+    }
+
+    fn check_space(&self, key: &Key, need: usize) -> Result<(), Refusal> {
+        let known = self.table.get(key).map(Register::bytes);
+        let reserve = known.map_or(0, |_| self.config.reserve_bytes);
+        let limit_bytes = self.config.limit_bytes + reserve;
+        let bytes = self.table.bytes();
+        let grows = known.is_none_or(|known| need > known);
+        if grows && bytes - known.unwrap_or(0) + need > limit_bytes {
+            return Err(Refusal::Full { bytes, limit_bytes });
+        }
+        Ok(())
+    }
+
+    fn may_vote(&self, epoch: Number) -> bool {
+        let Some(own) = &self.group else {
+            return epoch == FIRST_EPOCH;
+        };
+        match own.seat(self.config.member).map(|seat| seat.standing) {
+            Some(Standing::Voting) => true,
+            Some(Standing::Copying) => own
+                .voters()
+                .all(|voter| self.copied.binary_search(&voter).is_ok()),
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/claim/src/ballot.rs
@@ -0,0 +1,61 @@
+//! Ballots: the order of all attempts to change a register.
+//!
+//! The epoch of the group is the highest part. Two rounds of different epochs
+//! can have quorums that do not meet in a promise, so a value accepted in an
+//! earlier epoch must never win over one accepted in a later epoch, whatever
+//! its counter.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::epoch;
+
+/// Number of one round of prepare and accept.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Ballot {
+    /// Epoch of the group in which the whole round takes place.
+    pub epoch: epoch::Number,
+    /// Rises with each round.
+    pub counter: u64,
+    /// Member that runs the round.
+    pub member: epoch::Member,
+    /// Start count of that member, synced once at each start.
+    pub start: u64,
+}
+
+/// Source of the ballots of one start of one member.
+///
+/// Two rounds with the same ballot could both be accepted with different
+/// records, so one process has exactly one sequence, shared by all keys.
+#[derive(Clone, Debug)]
+pub struct Sequence {
+    member: epoch::Member,
+    start: u64,
+    last: u64,
+}
+
+impl Sequence {
+    /// Makes the sequence of a start whose count has been synced.
+    pub const fn new(member: epoch::Member, start: u64) -> Self {
+        Self {
+            member,
+            start,
+            last: 0,
+        }
+    }
+
+    /// The next ballot, higher than all earlier ones and than `above` when that is of the same epoch.
+    pub fn next(&mut self, epoch: epoch::Number, above: Option<Ballot>) -> Ballot {
+        let floor = above.filter(|ballot| ballot.epoch == epoch);
+        self.last = self.last.max(floor.map_or(0, |ballot| ballot.counter)) + 1;
+        Ballot {
+            epoch,
+            counter: self.last,
+            member: self.member,
+            start: self.start,
+        }
+    }
+}
--- /dev/null
+++ b/crates/claim/src/change.rs
@@ -0,0 +1,88 @@
+//! Changes that a register can be asked for.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::grant;
+use shallotrill_model::attempt;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
+use shallotrill_model::outcome::Answer;
+use shallotrill_model::outcome::Reason;
+
+/// The process that may dispatch an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holder {
+    /// Instance of the target's node.
+    pub instance: instance::Name,
+    /// Life of the target.
+    pub incarnation: Incarnation,
+}
+
+/// What an operator found out about an unknown attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Decision {
+    /// It ran; resent requests get this answer.
+    Done(Answer),
+    /// It did not run; a later attempt may.
+    NotRun,
+}
+
+/// A change of one register.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Change {
+    /// Asks for a grant.
+    Open {
+        /// Digest of the content of the request.
+        digest: Digest,
+        /// Attempt to be granted.
+        attempt: attempt::Number,
+        /// Process that will dispatch it.
+        holder: Holder,
+        /// Identifier of the grant.
+        grant: grant::Id,
+    },
+    /// Records the response.
+    Finish {
+        /// Attempt that ran.
+        attempt: attempt::Number,
+        /// Process that dispatched it.
+        holder: Holder,
+        /// The response.
+        answer: Answer,
+    },
+    /// States that the holder never dispatched the attempt and never will.
+    NotRun {
+        /// Digest of the content of the request.
+        digest: Digest,
+        /// Attempt that did not run.
+        attempt: attempt::Number,
+        /// Process that would have dispatched it.
+        holder: Holder,
+        /// Why it did not.
+        reason: Reason,
+    },
+    /// Forbids an attempt, and all lower ones, that has no grant.
+    Fence {
+        /// Digest of the content of the request.
+        digest: Digest,
+        /// Highest attempt that is forbidden.
+        attempt: attempt::Number,
+    },
+    /// States that the grant expired by elapsed time and that its holder does not answer.
+    Lapse {
+        /// Attempt whose grant expired.
+        attempt: attempt::Number,
+    },
+    /// An operator's decision on an unknown attempt.
+    Settle {
+        /// Attempt that is decided; a late copy must not decide a later attempt.
+        attempt: attempt::Number,
+        /// The decision.
+        decision: Decision,
+    },
+}
--- /dev/null
+++ b/crates/claim/src/epoch.rs
@@ -0,0 +1,146 @@
+//! Epochs of a claim group: who its members are and what a quorum is.
+//!
+//! A member whose disk is lost returns in a new epoch as [`Standing::Copying`].
+//! Every record chosen before is at one of the remaining voters, though perhaps
+//! at one only, so all of them form the quorum until the copy is complete.
+
+use std::error;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of an epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Number(pub u64);
+
+/// Identifier of a member.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Member(pub u32);
+
+/// Identity of a disk. A replaced disk has another one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Disk(pub u64);
+
+/// Whether the acceptances of a member count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// It counts towards a quorum.
+    Voting,
+    /// It receives acceptances and copies records, and does not count.
+    Copying,
+}
+
+/// A member in one epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seat {
+    /// Identifier of the member.
+    pub member: Member,
+    /// Disk that holds its registers.
+    pub disk: Disk,
+    /// Whether it counts.
+    pub standing: Standing,
+}
+
+/// Members that do not form a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invalid {
+    /// The group has no member.
+    Empty,
+    /// A member is listed twice.
+    Repeated(Member),
+    /// The voting members are not a majority, so records may have been lost.
+    Voters {
+        /// Number of voting members.
+        voting: usize,
+        /// Number of all members.
+        members: usize,
+    },
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => f.write_str("a claim group has no member"),
+            Self::Repeated(member) => write!(f, "member {} is listed twice", member.0),
+            Self::Voters { voting, members } => {
+                write!(f, "{voting} voting of {members} members are not a majority")
+            }
+        }
+    }
+}
+
+impl error::Error for Invalid {}
+
+/// A claim group in one epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// Number of the epoch.
+    pub epoch: Number,
+    /// Members, ordered by identifier.
+    pub seats: Vec<Seat>,
+}
+
+impl Group {
+    /// Checks `seats` and makes a group of them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] when a member is listed twice or the voting members
+    /// are not a majority of all.
+    pub fn new(epoch: Number, mut seats: Vec<Seat>) -> Result<Self, Invalid> {
+        seats.sort_by_key(|seat| seat.member);
+        if seats.is_empty() {
+            return Err(Invalid::Empty);
+        }
+        if let Some(pair) = seats.windows(2).find(|p| p[0].member == p[1].member) {
+            return Err(Invalid::Repeated(pair[0].member));
+        }
+        let group = Self { epoch, seats };
+        let voting = group.voters().count();
+        let members = group.seats.len();
+        if voting <= members / 2 {
+            return Err(Invalid::Voters { voting, members });
+        }
+        Ok(group)
+    }
+
+    /// The seat of a member.
+    pub fn seat(&self, member: Member) -> Option<&Seat> {
+        let index = self
+            .seats
+            .binary_search_by_key(&member, |seat| seat.member)
+            .ok()?;
+        self.seats.get(index)
+    }
+
+    /// The members that count.
+    pub fn voters(&self) -> impl Iterator<Item = Member> {
+        self.seats
+            .iter()
+            .filter(|seat| seat.standing == Standing::Voting)
+            .map(|seat| seat.member)
+    }
+
+    /// Number of voting members that form a quorum: a majority, or all of them while a member copies.
+    pub fn quorum(&self) -> usize {
+        let voting = self.voters().count();
+        if voting < self.seats.len() {
+            voting
+        } else {
+            voting / 2 + 1
+        }
+    }
+}
--- /dev/null
+++ b/crates/claim/src/key.rs
@@ -0,0 +1,178 @@
+//! Idempotency keys, which carry their time of issue.
+//!
+//! The time in a UUID of version 7 bounds how long a record is kept: a key
+//! whose age cannot be known could be forgotten and then run again.
+
+use std::error;
+use std::fmt;
+use std::str;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use shallotrill_model::partner;
+use shallotrill_model::service;
+use shallotrill_model::time;
+
+/// Length of the canonical text of a UUID.
+const TEXT_LENGTH: usize = 36;
+
+/// A text that is not a UUID of version 7 (RFC 9562).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invalid {
+    /// The text does not have 36 bytes; holds its length.
+    Length(usize),
+    /// The byte at this offset is neither the expected digit nor the expected hyphen.
+    Character(usize),
+    /// The version is another one.
+    Version(u8),
+    /// The variant bits, which RFC 9562 sets to binary 10, have another value.
+    Variant(u8),
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Length(length) => {
+                write!(f, "a UUID has {TEXT_LENGTH} characters, found {length}")
+            }
+            Self::Character(offset) => write!(f, "unexpected character at byte {offset} of a UUID"),
+            Self::Version(version) => write!(f, "expected a UUID of version 7, found {version}"),
+            Self::Variant(bits) => write!(f, "expected UUID variant bits 10, found {bits:02b}"),
+        }
+    }
+}
+
+impl error::Error for Invalid {}
+
+/// A UUID of version 7.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Id(u128);
+
+impl Id {
+    /// Checks the version and the variant of `bits`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] when the bits are not those of a UUID of version 7.
+    pub const fn new(bits: u128) -> Result<Self, Invalid> {
+        let version = (bits >> 76) as u8 & 0xf;
+        let variant = (bits >> 62) as u8 & 0b11;
+        if version != 7 {
+            return Err(Invalid::Version(version));
+        }
+        if variant != 0b10 {
+            return Err(Invalid::Variant(variant));
+        }
+        Ok(Self(bits))
+    }
+
+    /// All 128 bits.
+    pub const fn bits(self) -> u128 {
+        self.0
+    }
+
+    /// Time of issue.
+    pub const fn time(self) -> time::Wall {
+        time::Wall((self.0 >> 80) as u64)
+    }
+}
+
+impl str::FromStr for Id {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != TEXT_LENGTH {
+            return Err(Invalid::Length(text.len()));
+        }
+        let mut bits = 0;
+        for (offset, byte) in text.bytes().enumerate() {
+            let hyphen = matches!(offset, 8 | 13 | 18 | 23);
+            match char::from(byte).to_digit(16) {
+                Some(digit) if !hyphen => bits = bits << 4 | u128::from(digit),
+                None if hyphen && byte == b'-' => {}
+                _ => return Err(Invalid::Character(offset)),
+            }
+        }
+        Self::new(bits)
+    }
+}
+
+impl TryFrom<String> for Id {
+    type Error = Invalid;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<Id> for String {
+    fn from(id: Id) -> Self {
+        id.to_string()
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bits = self.0;
+        write!(
+            f,
+            "{:08x}-{:04x}-{:04x}-{:04x}-{:012x}",
+            bits >> 96,
+            bits >> 80 & 0xffff,
+            bits >> 64 & 0xffff,
+            bits >> 48 & 0xffff,
+            bits & 0xffff_ffff_ffff
+        )
+    }
+}
+
+impl fmt::Debug for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Name of a register. Keys are ordered by their time of issue.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// The idempotency key that the caller chose.
+    pub id: Id,
+    /// Partner whose software called.
+    pub partner: partner::Name,
+    /// Service that was called.
+    pub service: service::Name,
+}
+
+impl Key {
+    /// Makes a key of the text of an `Idempotency-Key` header.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] when the text is not a UUID of version 7.
+    pub fn parse(
+        partner: partner::Name,
+        service: service::Name,
+        text: &str,
+    ) -> Result<Self, Invalid> {
+        let id = text.parse()?;
+        Ok(Self {
+            id,
+            partner,
+            service,
+        })
+    }
+
+    /// Time of issue.
+    pub const fn time(&self) -> time::Wall {
+        self.id.time()
+    }
+
+    /// Estimate of the memory that the key takes.
+    pub fn bytes(&self) -> usize {
+        // Two shared strings, each with two reference counts.
+        size_of::<Self>() + self.partner.as_str().len() + self.service.as_str().len() + 32
+    }
+}
--- /dev/null
+++ b/crates/claim/src/lapse.rs
@@ -0,0 +1,92 @@
+//! When a grant may be treated as expired, by this process's own elapsed time.
+//!
+//! The holder counts from before it asked, this member from when it accepted
+//! or first saw the open record, so this side always expires last. The count
+//! is not durable and starts again in each process life, because the time
+//! that passed while the process was down is not known.
+
+use std::time::Duration;
+
+use crate::grant::VALIDITY;
+use crate::key::Key;
+use crate::record::Record;
+use crate::record::State;
+use shallotrill_model::attempt;
+use shallotrill_model::time;
+
+/// Time after which a grant is expired: its validity and 5% for clocks that run at different rates.
+pub const EXPIRY: Duration = Duration::from_millis(VALIDITY.as_millis() as u64 * 105 / 100);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    key: Key,
+    attempt: attempt::Number,
+    seen: time::Instant,
+}
+
+/// The open records that this process has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Clock {
+    entries: Vec<Entry>,
+}
+
+impl Clock {
+    /// Makes a clock that has seen nothing.
+    pub const fn new() -> Self {
+        Self {
+            entries: Vec::new(),
+        }
+    }
+
+    /// Notes the record of a key that this member accepted, read or restored.
+    ///
+    /// The first sight of an attempt starts its count; a record that is no longer open ends it.
+    pub fn observe(&mut self, key: &Key, record: &Record, now: time::Instant) {
+        let open = matches!(record.state, State::Open { .. });
+        let attempt = record.attempt;
+        match self.find(key) {
+            Ok(index) if !open && attempt >= self.entries[index].attempt => {
+                self.entries.remove(index);
+            }
+            Ok(index) if open && attempt > self.entries[index].attempt => {
+                self.entries[index].attempt = attempt;
+                self.entries[index].seen = now;
+            }
+            Err(index) if open => {
+                let key = key.clone();
+                let seen = now;
+                self.entries.insert(index, Entry { key, attempt, seen });
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the grant of an attempt may be treated as expired. An attempt that was never seen is not.
+    pub fn is_expired(&self, key: &Key, attempt: attempt::Number, now: time::Instant) -> bool {
+        let Ok(index) = self.find(key) else {
+            return false;
+        };
+        let entry = &self.entries[index];
+        entry.attempt == attempt && now.since(entry.seen) >= EXPIRY
+    }
+
+    /// The keys and attempts whose grants may be treated as expired.
+    pub fn expired(&self, now: time::Instant) -> Vec<(Key, attempt::Number)> {
+        let due = |entry: &&Entry| now.since(entry.seen) >= EXPIRY;
+        self.entries
+            .iter()
+            .filter(due)
+            .map(|entry| (entry.key.clone(), entry.attempt))
+            .collect()
+    }
+
+    /// Drops the entries of keys issued before the horizon.
+    pub fn retire(&mut self, horizon: time::Wall) {
+        let keep = self.entries.partition_point(|e| e.key.time() < horizon);
+        self.entries.drain(..keep);
+    }
+
+    fn find(&self, key: &Key) -> Result<usize, usize> {
+        self.entries.binary_search_by(|entry| entry.key.cmp(key))
+    }
+}
--- /dev/null
+++ b/crates/claim/src/proposer.rs
@@ -0,0 +1,337 @@
+//! One round after another for one key and one change.
+//!
+//! A round collects promises from a quorum, applies the change to the record of
+//! the highest ballot and collects acceptances. There is no fast path that
+//! skips the promises for a new key. A lowest ballot owned by one member would
+//! be safe only in the first epoch of a group, because a later one has to read
+//! what earlier epochs accepted; the owner would have to sync its own
+//! acceptance before it sends any, so that a restart cannot use the ballot for
+//! a second record; and a request that arrives at another member would have to
+//! be forwarded. What remains saved is less than one round trip.
+
+use std::error;
+use std::fmt;
+use std::time::Duration;
+
+use crate::ballot::Ballot;
+use crate::ballot::Sequence;
+use crate::change::Change;
+use crate::epoch::Group;
+use crate::epoch::Member;
+use crate::epoch::Number;
+use crate::epoch::Standing;
+use crate::journal::Accepted;
+use crate::key::Key;
+use crate::message;
+use crate::message::Message;
+use crate::message::Reply;
+use crate::record;
+use crate::record::Record;
+use crate::record::Report;
+use shallotrill_model::time;
+
+/// Longest wait before the second round; the limit doubles with each further one.
+pub const BACKOFF: Duration = Duration::from_millis(4);
+
+/// Longest wait before any round.
+pub const BACKOFF_MAX: Duration = Duration::from_millis(128);
+
+/// What is asked of a register.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// Reads the record; written back when replicas disagree.
+    Look,
+    /// Changes the record.
+    Change(Change),
+}
+
+/// A message and the member that it goes to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    /// Member that the message goes to.
+    pub to: Member,
+    /// The message.
+    pub message: Message,
+}
+
+/// Why a round ends without a chosen record. The change may still take effect
+/// later, except after [`Failure::Refused`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The record does not allow the change.
+    Refused(record::Refusal),
+    /// Another round with a higher ballot runs; the round may be retried.
+    Conflict {
+        /// That ballot.
+        higher: Ballot,
+    },
+    /// A member is in another epoch; holds that epoch.
+    Epoch(Number),
+    /// The key is expired for good; holds the horizon.
+    Expired(time::Wall),
+    /// The members have no space.
+    Full,
+    /// Too few members answered.
+    NoQuorum {
+        /// Members that agreed in the phase that was reached.
+        agreed: usize,
+        /// Members that have to agree.
+        quorum: usize,
+    },
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(refusal) => refusal.fmt(f),
+            Self::Conflict { higher } => {
+                write!(f, "a round with counter {} is in progress", higher.counter)
+            }
+            Self::Epoch(epoch) => write!(f, "a member is in epoch {}", epoch.0),
+            Self::Expired(horizon) => write!(f, "keys issued before {horizon} are expired"),
+            Self::Full => f.write_str("the claim group has no space for new records"),
+            Self::NoQuorum { agreed, quorum } => {
+                write!(f, "{agreed} members agreed and {quorum} are needed")
+            }
+        }
+    }
+}
+
+impl error::Error for Failure {}
+
+/// What to do after a reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Wait for further replies.
+    Wait,
+    /// Send these messages.
+    Send(Vec<Envelope>),
+    /// The round has ended.
+    Finished(Result<Report, Failure>),
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Prepare {
+        promises: Vec<(Member, Option<Accepted>)>,
+    },
+    Accept {
+        outcome: Result<Report, record::Refusal>,
+        accepted: Vec<Member>,
+    },
+    Finished,
+}
+
+/// The rounds for one key and one task.
+#[derive(Clone, Debug)]
+pub struct Proposer {
+    group: Group,
+    key: Key,
+    task: Task,
+    ballot: Ballot,
+    rounds: u32,
+    higher: Option<Ballot>,
+    phase: Phase,
+    refusals: Vec<(Member, message::Refusal)>,
+}
+
+impl Proposer {
+    /// Prepares a task; [`Proposer::start`] begins its first round.
+    pub fn new(group: Group, key: Key, task: Task) -> Self {
+        Self {
+            group,
+            key,
+            task,
+            ballot: Ballot::default(),
+            rounds: 0,
+            higher: None,
+            phase: Phase::Finished,
+            refusals: Vec::new(),
+        }
+    }
+
+    /// Begins a round with the next ballot of this start.
+    pub fn start(&mut self, sequence: &mut Sequence) -> Vec<Envelope> {
+        self.ballot = sequence.next(self.group.epoch, self.higher);
+        self.rounds += 1;
+        self.refusals.clear();
+        self.phase = Phase::Prepare {
+            promises: Vec::new(),
+        };
+        let prepare = Message::Prepare {
+            key: self.key.clone(),
+            ballot: self.ballot,
+        };
+        let send = |to| Envelope {
+            to,
+            message: prepare.clone(),
+        };
+        self.group.voters().map(send).collect()
+    }
+
+    /// Time to wait before the next round, from a uniformly random number.
+    pub fn backoff(&self, random: u64) -> Duration {
+        let doublings = self.rounds.saturating_sub(1).min(16);
+        let limit = (BACKOFF * (1 << doublings)).min(BACKOFF_MAX);
+        let micros = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(random % micros)
+    }
+
+    /// Ballot of the present round; replies are matched to it.
+    pub const fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
+    /// Takes the reply of a member to a message with this ballot.
+    pub fn step(&mut self, from: Member, ballot: Ballot, reply: &Reply) -> Step {
+        let voting = self
+            .group
+            .seat(from)
+            .is_some_and(|seat| seat.standing == Standing::Voting);
+        if ballot != self.ballot || !voting {
+            return Step::Wait;
+        }
+        match (reply, &mut self.phase) {
+            (Reply::Promised(accepted), Phase::Prepare { promises }) => {
+                if promises.iter().all(|(member, _)| *member != from) {
+                    promises.push((from, accepted.clone()));
+                }
+                self.promised()
+            }
+            (Reply::Accepted, Phase::Accept { accepted, .. }) => {
+                if !accepted.contains(&from) {
+                    accepted.push(from);
+                }
+                self.accepted()
+            }
+            (Reply::Refused(refusal), Phase::Prepare { .. } | Phase::Accept { .. }) => {
+                self.refused(from, *refusal)
+            }
+            _ => Step::Wait,
+        }
+    }
+
+    /// Ends the round when no further reply is awaited.
+    pub fn expire(&mut self) -> Failure {
+        let failure = self.failure();
+        self.phase = Phase::Finished;
+        failure
+    }
+
+    fn promised(&mut self) -> Step {
+        let Phase::Prepare { promises } = &self.phase else {
+            return Step::Wait;
+        };
+        if promises.len() < self.group.quorum() {
+            return Step::Wait;
+        }
+        let ballot = |accepted: &Option<Accepted>| accepted.as_ref().map(|a| a.ballot);
+        let highest = promises.iter().max_by_key(|(_, a)| ballot(a));
+        let latest = highest.and_then(|(_, accepted)| accepted.as_ref());
+        let current = latest.map(|accepted| &accepted.record);
+        let agree = promises
+            .iter()
+            .all(|(_, a)| ballot(a) == latest.map(|l| l.ballot));
+        let (record, outcome) = self.apply(current);
+        // A record that a whole quorum has accepted under one ballot is chosen already.
+        let chosen = agree && record.as_ref() == current;
+        match record {
+            Some(record) if !chosen => {
+                let accepted = Vec::new();
+                self.phase = Phase::Accept { outcome, accepted };
+                self.refusals.clear();
+                Step::Send(self.accepts(&record))
+            }
+            _ => self.finish(outcome.map_err(Failure::Refused)),
+        }
+    }
+
+    fn apply(&self, current: Option<&Record>) -> (Option<Record>, Result<Report, record::Refusal>) {
+        match &self.task {
+            Task::Change(change) => {
+                let applied = Record::apply(current, change);
+                (applied.record, applied.outcome)
+            }
+            Task::Look => {
+                let report = current.map_or(Report::Absent, |r| Report::Outcome(r.outcome()));
+                (current.cloned(), Ok(report))
+            }
+        }
+    }
+
+    fn accepts(&self, record: &Record) -> Vec<Envelope> {
+        let send = |to| Envelope {
+            to,
+            message: Message::Accept {
+                key: self.key.clone(),
+                ballot: self.ballot,
+                record: record.clone(),
+            },
+        };
+        self.group
+            .seats
+            .iter()
+            .map(|seat| send(seat.member))
+            .collect()
+    }
+
+    fn accepted(&mut self) -> Step {
+        let Phase::Accept { outcome, accepted } = &self.phase else {
+            return Step::Wait;
+        };
+        if accepted.len() < self.group.quorum() {
+            return Step::Wait;
+        }
+        let outcome = outcome.clone();
+        self.finish(outcome.map_err(Failure::Refused))
+    }
+
+    fn refused(&mut self, from: Member, refusal: message::Refusal) -> Step {
+        if self.refusals.iter().all(|(member, _)| *member != from) {
+            self.refusals.push((from, refusal));
+        }
+        if let message::Refusal::Promised(ballot) = refusal {
+            self.higher = self.higher.max(Some(ballot));
+        }
+        let possible = self.group.voters().count() - self.refusals.len();
+        if possible >= self.group.quorum() {
+            return Step::Wait;
+        }
+        let failure = self.failure();
+        self.finish(Err(failure))
+    }
+
+    fn finish(&mut self, result: Result<Report, Failure>) -> Step {
+        self.phase = Phase::Finished;
+        Step::Finished(result)
+    }
+
+    /// The reason that says most about what to do next.
+    fn failure(&self) -> Failure {
+        let agreed = match &self.phase {
+            Phase::Prepare { promises } => promises.len(),
+            Phase::Accept { accepted, .. } => accepted.len(),
+            Phase::Finished => 0,
+        };
+        let quorum = self.group.quorum();
+        let refusals = || self.refusals.iter().map(|(_, refusal)| *refusal);
+        let mut expired = Vec::new();
+        let mut failure = Failure::NoQuorum { agreed, quorum };
+        for refusal in refusals() {
+            match refusal {
+                message::Refusal::Epoch(epoch) => return Failure::Epoch(epoch),
+                message::Refusal::Promised(higher) => failure = Failure::Conflict { higher },
+                message::Refusal::Expired(horizon) => expired.push(horizon),
+                message::Refusal::Full { .. } => failure = Failure::Full,
+                message::Refusal::Stranger(_)
+                | message::Refusal::Copying
+                | message::Refusal::NotCopied => {}
+            }
+        }
+        let majority = self.group.seats.len() / 2 + 1;
+        match expired.iter().min() {
+            Some(horizon) if expired.len() >= majority => Failure::Expired(*horizon),
+            _ => failure,
+        }
+    }
+}
--- /dev/null
+++ b/crates/claim/src/record.rs
@@ -0,0 +1,374 @@
+//! The record of one key and the rules of its changes.
+//!
+//! Two rules make a request run at most once. An attempt is opened only from
+//! an absent record or from [`State::NotRun`] of a lower attempt, so at most
+//! one grant exists that may still be dispatched. [`State::Done`] is final, and
+//! [`State::Unknown`] leaves only by proof of its holder or by an operator.
+
+use std::error;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::change::Change;
+use crate::change::Decision;
+use crate::change::Holder;
+use crate::grant;
+use shallotrill_model::attempt;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::outcome::Answer;
+use shallotrill_model::outcome::Outcome;
+use shallotrill_model::outcome::Reason;
+
+/// What is known of the latest attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// A grant exists; its holder may dispatch or has dispatched.
+    Open {
+        /// Process that holds the grant.
+        holder: Holder,
+        /// Identifier of the grant.
+        grant: grant::Id,
+    },
+    /// It ran.
+    Done {
+        /// The response.
+        answer: Answer,
+    },
+    /// This attempt and all lower ones did not run and never will.
+    NotRun {
+        /// Why it did not run.
+        reason: Reason,
+    },
+    /// It may have run.
+    Unknown {
+        /// Process that held the grant.
+        holder: Holder,
+    },
+}
+
+/// The value of a register.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Digest of the content of the request.
+    pub digest: Digest,
+    /// Attempt that the state is about.
+    pub attempt: attempt::Number,
+    /// What is known of it.
+    pub state: State,
+}
+
+/// Why a change is refused. A refusal leaves the record as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The key belongs to a request with another content; holds the digest of that content.
+    KeyReused(Digest),
+    /// The attempt and all up to this one never run.
+    Fenced(attempt::Number),
+    /// Another grant is open.
+    Open {
+        /// Attempt that holds it.
+        attempt: attempt::Number,
+        /// Process that holds it.
+        holder: Holder,
+    },
+    /// The request ran; holds the response.
+    Done(Answer),
+    /// The attempt may have run.
+    Unknown(attempt::Number),
+    /// The change is about a grant that does not exist.
+    NoGrant,
+    /// Attempts start at 1.
+    Attempt(attempt::Number),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::KeyReused(digest) => {
+                write!(f, "the key belongs to a request with digest {digest}")
+            }
+            Self::Fenced(attempt) => write!(f, "attempts up to {attempt} are fenced"),
+            Self::Open { attempt, holder } => {
+                write!(f, "attempt {attempt} is open at {}", holder.instance)
+            }
+            Self::Done(answer) => write!(f, "the request ran, status {}", answer.status),
+            Self::Unknown(attempt) => write!(f, "attempt {attempt} may have run"),
+            Self::NoGrant => f.write_str("the attempt has no grant"),
+            Self::Attempt(attempt) => write!(f, "attempt {attempt} is not in the range from 1"),
+        }
+    }
+}
+
+impl error::Error for Refusal {}
+
+/// What a change or a read reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// The holder may dispatch the attempt while its grant is current.
+    Granted {
+        /// Attempt that is granted.
+        attempt: attempt::Number,
+        /// Identifier of the grant.
+        grant: grant::Id,
+    },
+    /// The state of the request.
+    Outcome(Outcome),
+    /// Nothing is recorded for the key.
+    Absent,
+}
+
+/// Result of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// The record after the change; equal to the one before when the change is refused or resent.
+    pub record: Option<Record>,
+    /// What to report.
+    pub outcome: Result<Report, Refusal>,
+}
+
+impl Record {
+    /// Applies a change to the record of a key, absent or not.
+    pub fn apply(current: Option<&Self>, change: &Change) -> Applied {
+        let result = match change {
+            Change::Open {
+                digest,
+                attempt,
+                holder,
+                grant,
+            } => open(current, *digest, *attempt, holder, *grant),
+            Change::Finish {
+                attempt,
+                holder,
+                answer,
+            } => finish(current, *attempt, holder, answer),
+            Change::NotRun {
+                digest,
+                attempt,
+                holder,
+                reason,
+            } => not_run(current, *digest, *attempt, holder, *reason),
+            Change::Fence { digest, attempt } => fence(current, *digest, *attempt),
+            Change::Lapse { attempt } => lapse(current, *attempt),
+            Change::Settle { attempt, decision } => settle(current, *attempt, decision),
+        };
+        match result {
+            Ok(record) => {
+                let outcome = Ok(report(&record, change));
+                Applied {
+                    record: Some(record),
+                    outcome,
+                }
+            }
+            Err(refusal) => Applied {
+                record: current.cloned(),
+                outcome: Err(refusal),
+            },
+        }
+    }
+
+    /// What is known of the request.
+    pub fn outcome(&self) -> Outcome {
+        match &self.state {
+            State::Open { .. } => Outcome::Running,
+            State::Done { answer } => Outcome::Answer(answer.clone()),
+            State::NotRun { reason } => Outcome::NotRun(*reason),
+            State::Unknown { .. } => Outcome::Unknown,
+        }
+    }
+
+    /// Estimate of the memory that the record takes.
+    pub fn bytes(&self) -> usize {
+        let heap = match &self.state {
+            State::Open { holder, .. } | State::Unknown { holder } => {
+                holder.instance.as_str().len() + 16
+            }
+            State::Done { answer } => {
+                answer.content_type.len() + answer.body.as_ref().map_or(0, Vec::len)
+            }
+            State::NotRun { .. } => 0,
+        };
+        size_of::<Self>() + heap
+    }
+
+    fn with(&self, state: State) -> Self {
+        Self {
+            digest: self.digest,
+            attempt: self.attempt,
+            state,
+        }
+    }
+
+    fn check_digest(&self, digest: Digest) -> Result<(), Refusal> {
+        if self.digest == digest {
+            Ok(())
+        } else {
+            Err(Refusal::KeyReused(self.digest))
+        }
+    }
+
+    /// The refusal that says what stands in the way of any further change.
+    fn refusal(&self) -> Refusal {
+        match &self.state {
+            State::Open { holder, .. } => Refusal::Open {
+                attempt: self.attempt,
+                holder: holder.clone(),
+            },
+            State::Done { answer } => Refusal::Done(answer.clone()),
+            State::NotRun { .. } => Refusal::Fenced(self.attempt),
+            State::Unknown { .. } => Refusal::Unknown(self.attempt),
+        }
+    }
+
+    /// Whether `holder` has or had the grant of `attempt`, and the attempt is not decided.
+    fn is_held(&self, attempt: attempt::Number, holder: &Holder) -> bool {
+        match &self.state {
+            State::Open { holder: own, .. } | State::Unknown { holder: own } => {
+                self.attempt == attempt && own == holder
+            }
+            State::Done { .. } | State::NotRun { .. } => false,
+        }
+    }
+}
+
+fn report(record: &Record, change: &Change) -> Report {
+    match (&record.state, change) {
+        (State::Open { grant, .. }, Change::Open { .. }) => Report::Granted {
+            attempt: record.attempt,
+            grant: *grant,
+        },
+        _ => Report::Outcome(record.outcome()),
+    }
+}
+
+fn open(
+    current: Option<&Record>,
+    digest: Digest,
+    attempt: attempt::Number,
+    holder: &Holder,
+    grant: grant::Id,
+) -> Result<Record, Refusal> {
+    if attempt < attempt::Number::FIRST {
+        return Err(Refusal::Attempt(attempt));
+    }
+    let state = State::Open {
+        holder: holder.clone(),
+        grant,
+    };
+    let opened = Record {
+        digest,
+        attempt,
+        state,
+    };
+    let Some(record) = current else {
+        return Ok(opened);
+    };
+    record.check_digest(digest)?;
+    match record.state {
+        State::NotRun { .. } if attempt > record.attempt => Ok(opened),
+        // The same question, resent: the holder gets the grant that it has.
+        State::Open { .. } if *record == opened => Ok(opened),
+        _ => Err(record.refusal()),
+    }
+}
+
+fn finish(
+    current: Option<&Record>,
+    attempt: attempt::Number,
+    holder: &Holder,
+    answer: &Answer,
+) -> Result<Record, Refusal> {
+    let record = current.ok_or(Refusal::NoGrant)?;
+    let done = record.with(State::Done {
+        answer: answer.clone(),
+    });
+    if record.is_held(attempt, holder) || (*record == done && record.attempt == attempt) {
+        return Ok(done);
+    }
+    Err(record.refusal())
+}
+
+fn not_run(
+    current: Option<&Record>,
+    digest: Digest,
+    attempt: attempt::Number,
+    holder: &Holder,
+    reason: Reason,
+) -> Result<Record, Refusal> {
+    let Some(record) = current else {
+        return fenced(digest, attempt, reason);
+    };
+    record.check_digest(digest)?;
+    if record.is_held(attempt, holder) {
+        return Ok(record.with(State::NotRun { reason }));
+    }
+    match record.state {
+        State::NotRun { .. } if attempt <= record.attempt => Ok(record.clone()),
+        State::NotRun { .. } => fenced(digest, attempt, reason),
+        _ => Err(record.refusal()),
+    }
+}
+
+fn fence(
+    current: Option<&Record>,
+    digest: Digest,
+    attempt: attempt::Number,
+) -> Result<Record, Refusal> {
+    let Some(record) = current else {
+        return fenced(digest, attempt, Reason::Fenced);
+    };
+    record.check_digest(digest)?;
+    match record.state {
+        State::NotRun { .. } if attempt > record.attempt => fenced(digest, attempt, Reason::Fenced),
+        // Whoever fences wants the outcome, so what is known is an answer and no refusal.
+        _ => Ok(record.clone()),
+    }
+}
+
+fn fenced(digest: Digest, attempt: attempt::Number, reason: Reason) -> Result<Record, Refusal> {
+    if attempt < attempt::Number::FIRST {
+        return Err(Refusal::Attempt(attempt));
+    }
+    Ok(Record {
+        digest,
+        attempt,
+        state: State::NotRun { reason },
+    })
+}
+
+fn lapse(current: Option<&Record>, attempt: attempt::Number) -> Result<Record, Refusal> {
+    let record = current.ok_or(Refusal::NoGrant)?;
+    match &record.state {
+        State::Open { holder, .. } if record.attempt == attempt => {
+            let holder = holder.clone();
+            Ok(record.with(State::Unknown { holder }))
+        }
+        State::Unknown { .. } if record.attempt == attempt => Ok(record.clone()),
+        _ => Err(record.refusal()),
+    }
+}
+
+fn settle(
+    current: Option<&Record>,
+    attempt: attempt::Number,
+    decision: &Decision,
+) -> Result<Record, Refusal> {
+    let record = current.ok_or(Refusal::NoGrant)?;
+    let state = match decision {
+        Decision::Done(answer) => State::Done {
+            answer: answer.clone(),
+        },
+        Decision::NotRun => State::NotRun {
+            reason: Reason::Fenced,
+        },
+    };
+    let settled = record.with(state);
+    let unknown = matches!(record.state, State::Unknown { .. });
+    if record.attempt == attempt && (unknown || *record == settled) {
+        return Ok(settled);
+    }
+    Err(record.refusal())
+}
--- /dev/null
+++ b/crates/claim/src/table.rs
@@ -0,0 +1,107 @@
+//! Registers in sorted vectors, one for each hour of issue.
+//!
+//! Keys are issued in the order of time, so insertions fall near the end of the
+//! last buckets, and a whole bucket is dropped when its hour is retired.
+
+use crate::journal::Register;
+use crate::key::Key;
+use shallotrill_model::time;
+
+/// Length of a bucket in milliseconds.
+pub const BUCKET_MS: u64 = 3_600_000;
+
+/// Number of the bucket of a time.
+pub const fn hour(time: time::Wall) -> u64 {
+    time.0 / BUCKET_MS
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    hour: u64,
+    registers: Vec<Register>,
+}
+
+impl Bucket {
+    fn find(&self, key: &Key) -> Result<usize, usize> {
+        self.registers.binary_search_by(|r| r.key.cmp(key))
+    }
+}
+
+/// All registers of an acceptor.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    buckets: Vec<Bucket>,
+    bytes: usize,
+}
+
+impl Table {
+    /// The register of a key.
+    pub fn get(&self, key: &Key) -> Option<&Register> {
+        let bucket = &self.buckets[self.find(hour(key.time())).ok()?];
+        bucket.registers.get(bucket.find(key).ok()?)
+    }
+
+    /// Inserts a register or replaces the one of the same key.
+    pub fn put(&mut self, register: Register) {
+        let hour = hour(register.key.time());
+        let index = match self.find(hour) {
+            Ok(index) => index,
+            Err(index) => {
+                let registers = Vec::new();
+                self.buckets.insert(index, Bucket { hour, registers });
+                index
+            }
+        };
+        let bucket = &mut self.buckets[index];
+        self.bytes += register.bytes();
+        match bucket.find(&register.key) {
+            Ok(place) => {
+                self.bytes -= bucket.registers[place].bytes();
+                bucket.registers[place] = register;
+            }
+            Err(place) => bucket.registers.insert(place, register),
+        }
+    }
+
+    /// Drops all buckets that end at or before `horizon`.
+    pub fn retire(&mut self, horizon: time::Wall) {
+        let keep = self.buckets.partition_point(|b| b.hour < hour(horizon));
+        for bucket in self.buckets.drain(..keep) {
+            self.bytes -= bucket.registers.iter().map(Register::bytes).sum::<usize>();
+        }
+    }
+
+    /// The registers after `key` in the order of keys, or all.
+    pub fn after<'table>(
+        &'table self,
+        key: Option<&'table Key>,
+    ) -> impl Iterator<Item = &'table Register> {
+        let first = key.map_or(0, |key| {
+            let hour = hour(key.time());
+            self.buckets.partition_point(|bucket| bucket.hour < hour)
+        });
+        self.buckets[first..].iter().flat_map(move |bucket| {
+            let skip = key.map_or(0, |key| bucket.registers.partition_point(|r| r.key <= *key));
+            &bucket.registers[skip..]
+        })
+    }
+
+    /// Number of registers.
+    pub fn len(&self) -> usize {
+        self.buckets.iter().map(|b| b.registers.len()).sum()
+    }
+
+    /// Whether there is no register.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Estimate of the memory that the registers take.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn find(&self, hour: u64) -> Result<usize, usize> {
+        self.buckets.binary_search_by_key(&hour, |b| b.hour)
+    }
+}
