Choose targets from aged load reports

Nodes see each load late and choose at once, so a plain minimum of the reports herds. Add the table of targets, the scored choice with decay towards the median of the service, and three baselines of the same signature.

--- /dev/null
+++ b/crates/routing/src/config.rs
@@ -0,0 +1,109 @@
+//! Parameters of the choice of a target.
+
+use std::time::Duration;
+
+use shallotrill_model::region;
+use shallotrill_model::zone;
+
+/// Parameters of a [`crate::Table`].
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub(crate) region: region::Name,
+    pub(crate) zone: zone::Name,
+    pub(crate) half_life: Duration,
+    pub(crate) old: Duration,
+    pub(crate) warm_up: Duration,
+    pub(crate) recovery_interval: Duration,
+    pub(crate) failing: f64,
+    pub(crate) trickle: f64,
+    pub(crate) cross_zone: f64,
+    pub(crate) same_zone: Duration,
+    pub(crate) same_region: Duration,
+    pub(crate) other_region: Duration,
+    pub(crate) latency: Duration,
+}
+
+impl Config {
+    /// Default parameters for a node in `zone` of `region`.
+    pub fn new(region: region::Name, zone: zone::Name) -> Self {
+        Self {
+            region,
+            zone,
+            half_life: Duration::from_millis(50),
+            old: Duration::from_millis(50),
+            warm_up: Duration::from_secs(10),
+            recovery_interval: Duration::from_millis(100),
+            failing: 0.5,
+            trickle: 0.02,
+            cross_zone: 0.25,
+            same_zone: Duration::from_micros(100),
+            same_region: Duration::from_millis(1),
+            other_region: Duration::from_millis(60),
+            latency: Duration::from_millis(5),
+        }
+    }
+
+    /// Time in which the weight of a load report against the median of its service halves.
+    #[must_use]
+    pub fn half_life(mut self, half_life: Duration) -> Self {
+        self.half_life = half_life.max(Duration::from_micros(1));
+        self
+    }
+
+    /// Age from which an estimate is old, so that a third candidate is drawn.
+    #[must_use]
+    pub fn old(mut self, age: Duration) -> Self {
+        self.old = age;
+        self
+    }
+
+    /// Time over which the share of a cold target grows to the full share.
+    #[must_use]
+    pub fn warm_up(mut self, time: Duration) -> Self {
+        self.warm_up = time.max(Duration::from_micros(1));
+        self
+    }
+
+    /// Shortest time between two requests that this node sends to a failing target.
+    #[must_use]
+    pub fn recovery_interval(mut self, interval: Duration) -> Self {
+        self.recovery_interval = interval;
+        self
+    }
+
+    /// Failure rate from which a target counts as failing, and the chance that a draw of one is used.
+    #[must_use]
+    pub fn failing(mut self, rate: f64, trickle: f64) -> Self {
+        self.failing = rate.clamp(0.01, 1.0);
+        self.trickle = trickle.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Proportion of choices that also consider a target of another availability zone.
+    #[must_use]
+    pub fn cross_zone(mut self, proportion: f64) -> Self {
+        self.cross_zone = proportion.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Round trips assumed until they are measured.
+    #[must_use]
+    pub fn distances(
+        mut self,
+        same_zone: Duration,
+        same_region: Duration,
+        other_region: Duration,
+    ) -> Self {
+        self.same_zone = same_zone;
+        self.same_region = same_region;
+        self.other_region = other_region;
+        self
+    }
+
+    /// Latency assumed for a service of which no success is known.
+    #[must_use]
+    pub fn latency(mut self, latency: Duration) -> Self {
+        self.latency = latency;
+        self
+    }
+}
--- /dev/null
+++ b/crates/routing/src/entry.rs
@@ -0,0 +1,143 @@
+//! What is known of one target.
+
+use std::time::Duration;
+
+use shallotrill_model::load::Report;
+use shallotrill_model::target::State;
+use shallotrill_model::target::Target;
+use shallotrill_model::time::Instant;
+
+use crate::config::Config;
+use crate::sample::Outcome;
+use crate::sample::Sample;
+
+/// Weight of one own sample in the failure rate; three failures in a row pass the default threshold.
+const FAILURE_WEIGHT: f64 = 0.3;
+
+/// Weight of one own success in the latency.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Send times kept; more unreported requests than this are beyond any target's slots.
+const SENT_MAX: usize = 256;
+
+/// Smallest share of a cold target, so that it warms up at all.
+const COLD_SHARE_MIN: f64 = 0.02;
+
+/// One target with its load report and own observations.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) target: Target,
+    pub(crate) report: Option<Report>,
+    /// When the report was true, in this node's time.
+    pub(crate) reported: Instant,
+    pub(crate) own_in_flight: u32,
+    /// Send times of own requests that the report cannot include.
+    pub(crate) sent: Vec<Instant>,
+    pub(crate) failures: f64,
+    pub(crate) latency_us: f64,
+    /// Since when the target is ready; nothing while it starts.
+    pub(crate) ready: Option<Instant>,
+    pub(crate) recovery: Option<Instant>,
+}
+
+impl Entry {
+    pub(crate) fn new(target: Target, now: Instant) -> Self {
+        let ready = (target.state != State::Starting).then_some(now);
+        Self {
+            target,
+            report: None,
+            reported: now,
+            own_in_flight: 0,
+            sent: Vec::new(),
+            failures: 0.0,
+            latency_us: 0.0,
+            ready,
+            recovery: None,
+        }
+    }
+
+    /// Takes a newer description of the target. A new incarnation starts from nothing.
+    pub(crate) fn update(&mut self, target: &Target, now: Instant) {
+        if target.incarnation < self.target.incarnation {
+            return;
+        }
+        if target.incarnation > self.target.incarnation {
+            *self = Self::new(target.clone(), now);
+            return;
+        }
+        if target.state == State::Starting {
+            self.ready = None;
+        } else if self.ready.is_none() {
+            self.ready = Some(now);
+        }
+        self.target = target.clone();
+    }
+
+    /// Takes a report unless a newer one is known; says whether it was taken.
+    pub(crate) fn observe(&mut self, report: Report, now: Instant, round_trip: Duration) -> bool {
+        if report.incarnation != self.target.incarnation {
+            return false;
+        }
+        if self.report.is_some_and(|r| r.sequence >= report.sequence) {
+            return false;
+        }
+        let age = Duration::from_micros(u64::from(report.age_us)) + round_trip / 2;
+        self.reported = Instant(now.0.saturating_sub(age.as_micros() as u64));
+        // A request sent within half a round trip before the report had not arrived when it was made.
+        let seen = Instant(
+            self.reported
+                .0
+                .saturating_sub((round_trip / 2).as_micros() as u64),
+        );
+        self.sent.retain(|at| *at > seen);
+        self.report = Some(report);
+        true
+    }
+
+    pub(crate) fn started(&mut self, now: Instant) {
+        self.own_in_flight += 1;
+        if self.sent.len() < SENT_MAX {
+            self.sent.push(now);
+        }
+    }
+
+    pub(crate) fn finished(&mut self, sample: &Sample) {
+        if sample.incarnation != self.target.incarnation {
+            return;
+        }
+        self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        self.sent.truncate(self.own_in_flight.max(1) as usize);
+        let failed = match sample.outcome {
+            Outcome::Success => 0.0,
+            Outcome::Failure => 1.0,
+            Outcome::Refused | Outcome::Cancelled => return,
+        };
+        self.failures += FAILURE_WEIGHT * (failed - self.failures);
+        if sample.outcome == Outcome::Success {
+            let latency = sample.latency.as_micros() as f64;
+            let weight = if self.latency_us == 0.0 {
+                1.0
+            } else {
+                LATENCY_WEIGHT
+            };
+            self.latency_us += weight * (latency - self.latency_us);
+        }
+    }
+
+    /// Failure rate, the worse of the own one and the reported one.
+    pub(crate) fn failure_rate(&self) -> f64 {
+        let reported = self
+            .report
+            .map_or(0.0, |r| f64::from(r.failure_permille) / 1_000.0);
+        self.failures.max(reported).min(1.0)
+    }
+
+    /// Share of a fully warm target's load that this one may get.
+    pub(crate) fn warmth(&self, config: &Config, now: Instant) -> f64 {
+        let Some(ready) = self.ready else {
+            return COLD_SHARE_MIN;
+        };
+        let share = now.since(ready).as_secs_f64() / config.warm_up.as_secs_f64();
+        share.clamp(COLD_SHARE_MIN, 1.0)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/policy.rs
@@ -0,0 +1,228 @@
+//! Policies of the choice: the scored one, and baselines that the bench compares it with.
+
+use shallotrill_model::time::Instant;
+
+use crate::choice::Choice;
+use crate::choice::Considered;
+use crate::choice::Query;
+use crate::choice::Reason;
+use crate::choice::Refusal;
+use crate::draw;
+use crate::draw::Draw;
+use crate::draw::below;
+use crate::draw::excluded;
+use crate::member::Index;
+use crate::member::Service;
+use crate::score;
+use crate::table::Table;
+
+/// The function of a policy.
+pub type Choose =
+    fn(&mut Table, &Query<'_>, Instant, &mut dyn FnMut() -> u64) -> Result<Choice, Refusal>;
+
+/// A policy of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Name for printing.
+    pub name: &'static str,
+    /// Its function.
+    pub choose: Choose,
+}
+
+/// Best score of a few random candidates; what nodes use.
+pub const SCORED: Policy = Policy {
+    name: "scored",
+    choose: scored,
+};
+
+/// Any eligible target.
+pub const RANDOM: Policy = Policy {
+    name: "random",
+    choose: random,
+};
+
+/// Eligible targets in turn.
+pub const ROUND_ROBIN: Policy = Policy {
+    name: "round-robin",
+    choose: round_robin,
+};
+
+/// The eligible target with the fewest own requests in flight.
+pub const LEAST_IN_FLIGHT: Policy = Policy {
+    name: "least-in-flight",
+    choose: least_in_flight,
+};
+
+fn scored(
+    table: &mut Table,
+    query: &Query<'_>,
+    now: Instant,
+    random: &mut dyn FnMut() -> u64,
+) -> Result<Choice, Refusal> {
+    let service = find(table, query)?;
+    let mut draw = Draw {
+        table,
+        service,
+        query,
+        now,
+        picks: Vec::with_capacity(draw::CANDIDATES_OLD + 1),
+        recovery: None,
+    };
+    draw.fill(random);
+    if let Some(index) = draw.recovery {
+        let Draw { mut picks, .. } = draw;
+        picks.clear();
+        let chosen = considered(table, service, index, now, Reason::Recovery);
+        if let Some(entry) = table.entries[index.0].as_mut() {
+            entry.recovery = Some(now);
+        }
+        return finish(table, index, chosen.into_iter().collect());
+    }
+    let picks = draw.picks;
+    if picks.is_empty() {
+        return Err(refusal(table, service, query));
+    }
+    best(table, service, &picks, now)
+}
+
+/// The candidate of the lowest score.
+fn best(
+    table: &Table,
+    service: usize,
+    picks: &[(Index, f64)],
+    now: Instant,
+) -> Result<Choice, Refusal> {
+    let lowest = picks.iter().min_by(|a, b| a.1.total_cmp(&b.1));
+    let Some((winner, _)) = lowest else {
+        return Err(Refusal::NoTargets);
+    };
+    let mut candidates = Vec::with_capacity(picks.len());
+    for (index, _) in picks {
+        let reason = if index == winner {
+            Reason::Lowest
+        } else {
+            Reason::Higher
+        };
+        candidates.extend(considered(table, service, *index, now, reason));
+    }
+    finish(table, *winner, candidates)
+}
+
+fn random(
+    table: &mut Table,
+    query: &Query<'_>,
+    now: Instant,
+    random: &mut dyn FnMut() -> u64,
+) -> Result<Choice, Refusal> {
+    let service = find(table, query)?;
+    let start = below(table.services[service].len().max(1), random);
+    first_from(table, service, query, start, now)
+}
+
+fn round_robin(
+    table: &mut Table,
+    query: &Query<'_>,
+    now: Instant,
+    _random: &mut dyn FnMut() -> u64,
+) -> Result<Choice, Refusal> {
+    let service = find(table, query)?;
+    let length = table.services[service].len().max(1);
+    let start = table.services[service].cursor % length;
+    table.services[service].cursor = start + 1;
+    first_from(table, service, query, start, now)
+}
+
+fn least_in_flight(
+    table: &mut Table,
+    query: &Query<'_>,
+    now: Instant,
+    random: &mut dyn FnMut() -> u64,
+) -> Result<Choice, Refusal> {
+    let service = find(table, query)?;
+    let start = below(table.services[service].len().max(1), random);
+    let lowest = table.services[service]
+        .members_from(start)
+        .filter(|index| table.entry(*index).is_some_and(|e| !excluded(e, query)))
+        .min_by_key(|index| table.entry(*index).map_or(u32::MAX, |e| e.own_in_flight));
+    let Some(index) = lowest else {
+        return Err(refusal(table, service, query));
+    };
+    let chosen = considered(table, service, index, now, Reason::Baseline);
+    finish(table, index, chosen.into_iter().collect())
+}
+
+/// The first target from `start` on that the query does not exclude.
+fn first_from(
+    table: &Table,
+    service: usize,
+    query: &Query<'_>,
+    start: usize,
+    now: Instant,
+) -> Result<Choice, Refusal> {
+    let mut turn = table.services[service].members_from(start);
+    let first = turn.find(|index| table.entry(*index).is_some_and(|e| !excluded(e, query)));
+    let Some(index) = first else {
+        return Err(refusal(table, service, query));
+    };
+    let chosen = considered(table, service, index, now, Reason::Baseline);
+    finish(table, index, chosen.into_iter().collect())
+}
+
+fn find(table: &Table, query: &Query<'_>) -> Result<usize, Refusal> {
+    let unknown = || Refusal::UnknownService(query.service.clone());
+    table.service_index(query.service).ok_or_else(unknown)
+}
+
+/// Says why no target of the service may be used.
+fn refusal(table: &Table, service: usize, query: &Query<'_>) -> Refusal {
+    let Service { draining, .. } = &table.services[service];
+    let draining = draining.len();
+    let members = table.services[service].members();
+    let (mut excluded_count, mut failing) = (0, 0);
+    for entry in members.filter_map(|index| table.entry(index)) {
+        if excluded(entry, query) {
+            excluded_count += 1;
+        } else {
+            failing += 1;
+        }
+    }
+    match (failing, excluded_count, draining) {
+        (0, 0, 0) => Refusal::NoTargets,
+        (0, 0, draining) => Refusal::AllDraining { draining },
+        (0, excluded, draining) => Refusal::AllExcluded { excluded, draining },
+        (failing, excluded, draining) => Refusal::AllFailing {
+            failing,
+            excluded,
+            draining,
+        },
+    }
+}
+
+fn considered(
+    table: &Table,
+    service: usize,
+    index: Index,
+    now: Instant,
+    reason: Reason,
+) -> Option<Considered> {
+    let entry = table.entry(index)?;
+    let estimate = score::estimate(entry, &table.services[service], &table.config, now);
+    let warmth = entry.warmth(&table.config, now);
+    Some(Considered {
+        instance: entry.target.instance.clone(),
+        estimate,
+        age: score::age(entry, now),
+        score: score::score(&estimate, entry, table.round_trip_us(entry), warmth),
+        reason,
+    })
+}
+
+fn finish(table: &Table, index: Index, candidates: Vec<Considered>) -> Result<Choice, Refusal> {
+    let entry = table.entry(index).ok_or(Refusal::NoTargets)?;
+    Ok(Choice {
+        instance: entry.target.instance.clone(),
+        address: entry.target.address,
+        incarnation: entry.target.incarnation,
+        candidates,
+    })
+}
