Add the decisions of retry, join and crash containment

Callers resend without pause, so copies have to be bounded, shared and kept away from backend servers that they crash. The package gains the budget, the tokens of nested calls, the decision with typed stop reasons, the latency window, the join table and the containment table.

--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -1,1 +1,11 @@
 //! Retry budget, hedging, joining of copies and crash containment.
+//!
+//! Each module decides from its arguments alone. The node keeps the tables,
+//! sends the requests and reports what became of them.
+
+pub mod budget;
+pub mod call;
+pub mod containment;
+pub mod decision;
+pub mod join;
+pub mod latency;
