--- a/crates/backend/src/announce.rs
+++ b/crates/backend/src/announce.rs
@@ -98,6 +98,9 @@
 /// Takes an announcement.
 pub type Announce = Box<dyn Fn(Announcement) -> Result<Accepted, Refusal> + Send + Sync>;
 
+/// Explains the request of the given identifier, if it is still known.
+pub type Explain = Box<dyn Fn(&str) -> Option<serde_json::Value> + Send + Sync>;
+
 /// What the interface calls.
 pub struct Handlers {
     /// Takes an announcement.
@@ -105,7 +108,7 @@
     /// Makes the state dump.
     pub state: Box<dyn Fn() -> serde_json::Value + Send + Sync>,
     /// Explains a recent request, if it is still known.
-    pub explain: Box<dyn Fn(&str) -> Option<serde_json::Value> + Send + Sync>,
+    pub explain: Explain,
     /// Makes the text of the metrics.
     pub metrics: Box<dyn Fn() -> String + Send + Sync>,
 }
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -131,7 +131,7 @@
 
 impl slog::Serializer for Collected {
     fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
-        self.0.push((key.to_owned(), value.to_string()));
+        self.0.push((key.to_string(), value.to_string()));
         Ok(())
     }
 }
