catalog: add the configuration state machine

Cause: control processes must reach the same configuration from the same log, and nodes follow it cheaply.

--- /dev/null
+++ b/crates/catalog/src/entry.rs
@@ -0,0 +1,46 @@
+//! Objects of the configuration with the origin of their present form.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::Origin;
+use shallotrill_model::revision::Revision;
+
+/// An object and the origin of its present form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry<T> {
+    /// The object.
+    pub value: T,
+    /// Its last change.
+    pub origin: Origin,
+}
+
+/// The values that changed after `since`.
+pub(crate) fn changed<T: Clone>(entries: &[Entry<T>], since: Revision) -> Vec<T> {
+    entries
+        .iter()
+        .filter(|entry| entry.origin.revision > since)
+        .map(|entry| entry.value.clone())
+        .collect()
+}
+
+/// Inserts an object in the order of `key`, or replaces the one with the same key.
+pub(crate) fn put<T, K: Ord>(
+    entries: &mut Vec<Entry<T>>,
+    value: T,
+    origin: Origin,
+    key: impl Fn(&T) -> K,
+) {
+    let place = entries.binary_search_by(|entry| key(&entry.value).cmp(&key(&value)));
+    let entry = Entry { value, origin };
+    match place {
+        Ok(index) => entries[index] = entry,
+        Err(index) => entries.insert(index, entry),
+    }
+}
+
+/// Whether the objects are in the order of `key`, each once.
+pub(crate) fn is_sorted<T, K: Ord>(entries: &[Entry<T>], key: impl Fn(&T) -> K) -> bool {
+    entries.is_sorted_by(|a, b| key(&a.value) < key(&b.value))
+}
--- /dev/null
+++ b/crates/catalog/src/removal.rs
@@ -0,0 +1,88 @@
+//! Removed objects, kept so that differences can name them.
+
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::Origin;
+use crate::member;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::instance;
+use shallotrill_model::revision::Revision;
+use shallotrill_model::service;
+
+/// Removals that are kept. Each is a change, so at least this many changes can be told as a difference.
+pub const RETAINED: usize = 20_000;
+
+/// An object that was removed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Object {
+    /// A service.
+    Service(service::Name),
+    /// The drain of an instance.
+    Drain(instance::Name),
+    /// The release of a request.
+    Release(service::Name, Digest),
+    /// A listed control process.
+    Member(member::Id),
+}
+
+/// The removal of an object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Removal {
+    /// The object.
+    pub object: Object,
+    /// The change that removed it.
+    pub origin: Origin,
+}
+
+/// The latest removals in the order of their revisions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    removals: VecDeque<Removal>,
+    /// Revision of the latest removal that is no longer kept.
+    floor: Revision,
+}
+
+impl Log {
+    /// Adds a removal and drops the oldest one beyond [`RETAINED`].
+    pub fn push(&mut self, object: Object, origin: Origin) {
+        self.removals.push_back(Removal { object, origin });
+        if self.removals.len() > RETAINED
+            && let Some(oldest) = self.removals.pop_front()
+        {
+            self.floor = oldest.origin.revision;
+        }
+    }
+
+    /// The oldest revision from which all removals are known.
+    pub const fn floor(&self) -> Revision {
+        self.floor
+    }
+
+    /// The objects removed after `since`, sorted and each once.
+    pub fn since(&self, since: Revision) -> Vec<Object> {
+        let first = self
+            .removals
+            .partition_point(|removal| removal.origin.revision <= since);
+        let objects = self.removals.range(first..).map(|r| r.object.clone());
+        let mut objects: Vec<Object> = objects.collect();
+        objects.sort_unstable();
+        objects.dedup();
+        objects
+    }
+
+    /// The latest removal of an object.
+    pub fn find(&self, object: &Object) -> Option<&Removal> {
+        self.removals.iter().rev().find(|r| r.object == *object)
+    }
+
+    /// Estimate of the memory that the removals take.
+    pub fn bytes(&self) -> usize {
+        self.removals.capacity() * size_of::<Removal>()
+    }
+}
