Add the table of targets, its exchange and the view of nodes

Backend servers announce themselves and several control processes hold the same soft state. Rows get a stamp that orders them the same way everywhere; leases, expiry with self-suspicion, differences and the view of a node build on it.

--- /dev/null
+++ b/crates/membership/src/announcement.rs
@@ -0,0 +1,28 @@
+//! What a node sends about its backend server.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use shallotrill_model::target::Target;
+
+/// Orders the announcements of one incarnation, so that a delayed one does not undo a drain.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Session {
+    /// Rises with each start of the node process.
+    pub node: u64,
+    /// Rises with each changed announcement of one node process.
+    pub sequence: u64,
+}
+
+/// A target as announced by its node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// The target.
+    pub target: Target,
+    /// Place among the announcements of this incarnation.
+    pub session: Session,
+}
--- /dev/null
+++ b/crates/membership/src/lease.rs
@@ -0,0 +1,56 @@
+//! The leases that are renewed at this process.
+
+use shallotrill_model::instance;
+use shallotrill_model::time::Instant;
+
+/// A lease that is renewed here.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    pub(crate) instance: instance::Name,
+    pub(crate) renewed: Instant,
+}
+
+/// Leases sorted by instance.
+///
+/// They are apart from the rows, because each heartbeat changes a lease and
+/// only few rows are renewed at any one control process.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    leases: Vec<Lease>,
+}
+
+impl Table {
+    pub(crate) fn get(&self, instance: &instance::Name) -> Option<Instant> {
+        let index = self.position(instance).ok()?;
+        Some(self.leases[index].renewed)
+    }
+
+    pub(crate) fn set(&mut self, instance: &instance::Name, renewed: Instant) {
+        match self.position(instance) {
+            Ok(index) => self.leases[index].renewed = renewed,
+            Err(index) => {
+                let instance = instance.clone();
+                self.leases.insert(index, Lease { instance, renewed });
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, instance: &instance::Name) {
+        if let Ok(index) = self.position(instance) {
+            self.leases.remove(index);
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Lease> {
+        self.leases.iter()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.leases.len()
+    }
+
+    fn position(&self, instance: &instance::Name) -> Result<usize, usize> {
+        self.leases
+            .binary_search_by(|lease| lease.instance.cmp(instance))
+    }
+}
--- /dev/null
+++ b/crates/membership/src/select.rs
@@ -0,0 +1,101 @@
+//! Selection of the rows that a reader lacks.
+
+use std::sync::Arc;
+
+use shallotrill_model::instance;
+use shallotrill_model::service;
+use shallotrill_model::time::Instant;
+
+use crate::difference::Difference;
+use crate::difference::Heard;
+use crate::owner::Owner;
+use crate::table::Entry;
+use crate::table::Status;
+use crate::table::Table;
+use crate::version::Version;
+
+impl Table {
+    /// The rows of the named services that changed since a version of this table.
+    ///
+    /// A reader whose version is of another source, or older than the kept
+    /// tombstones, or that starts to read a further service (and so passes no
+    /// version), gets a snapshot. `interest` is sorted.
+    pub fn difference(&self, since: Option<&Version>, interest: &[service::Name]) -> Difference {
+        let wanted = |name: &service::Name| interest.binary_search(name).is_ok();
+        self.select(since, &wanted)
+    }
+
+    /// The rows of all services that changed since a version, for another control process.
+    pub fn export(&self, since: Option<&Version>, now: Instant) -> Difference {
+        let mut difference = self.select(since, &|_| true);
+        difference.heard = self
+            .owners
+            .iter()
+            .map(|(owner, at)| heard(owner, *at, now))
+            .collect();
+        difference
+    }
+
+    fn select(
+        &self,
+        since: Option<&Version>,
+        wanted: &dyn Fn(&service::Name) -> bool,
+    ) -> Difference {
+        let usable =
+            |version: &&Version| version.source == self.own && version.number >= self.floor;
+        let since = since.filter(usable).map(|version| version.number);
+        let mut entries = match since {
+            None => self.entries.iter().collect(),
+            Some(number) => self.changed_since(number),
+        };
+        if since.is_some() {
+            entries.sort_unstable_by(|a, b| a.row.target.instance.cmp(&b.row.target.instance));
+        }
+        self.divide(since, &entries, wanted)
+    }
+
+    fn changed_since(&self, number: u64) -> Vec<&Arc<Entry>> {
+        let start = self
+            .changes
+            .partition_point(|(changed, _)| *changed <= number);
+        let current = |(changed, instance): &(u64, instance::Name)| {
+            let entry = &self.entries[self.position(instance).ok()?];
+            (entry.changed == *changed).then_some(entry)
+        };
+        self.changes[start..].iter().filter_map(current).collect()
+    }
+
+    fn divide(
+        &self,
+        since: Option<u64>,
+        entries: &[&Arc<Entry>],
+        wanted: &dyn Fn(&service::Name) -> bool,
+    ) -> Difference {
+        let mut rows = Vec::new();
+        let mut removed = Vec::new();
+        for entry in entries {
+            let present = wanted(&entry.row.target.service);
+            if present && entry.row.is_live() {
+                rows.push(Arc::clone(&entry.row));
+            } else if present || entry.past.as_ref().is_some_and(wanted) {
+                removed.push(Arc::clone(&entry.row));
+            }
+        }
+        Difference {
+            since,
+            version: self.version(),
+            rows,
+            removed,
+            suspect: matches!(self.status, Status::Suspect { .. }),
+            heard: Vec::new(),
+        }
+    }
+}
+
+fn heard(owner: &Owner, at: Instant, now: Instant) -> Heard {
+    let age = now.since(at);
+    Heard {
+        owner: owner.clone(),
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+    }
+}
