--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+
 use shallotrill_model::time::Instant;
 
 use crate::entry::Index;
--- /dev/null
+++ b/crates/disk/src/calls.rs
@@ -0,0 +1,61 @@
+//! Calls to the operating system that tests replace to inject faults.
+
+use std::fmt;
+use std::fs::File;
+use std::io;
+use std::marker;
+use std::os::unix::fs::FileExt;
+
+use rustix::fs::FallocateFlags;
+use rustix::fs::fallocate;
+
+/// Writes bytes at an offset and returns how many were written.
+pub type Write = Box<dyn Fn(&File, &[u8], u64) -> io::Result<usize> + Send + marker::Sync>;
+/// Syncs a file or directory.
+pub type Sync = Box<dyn Fn(&File) -> io::Result<()> + Send + marker::Sync>;
+/// Reserves space for a file up to a size.
+pub type Reserve = Box<dyn Fn(&File, u64) -> io::Result<()> + Send + marker::Sync>;
+
+/// The calls of a journal.
+pub struct Calls {
+    /// Writes.
+    pub write: Write,
+    /// Syncs.
+    pub sync: Sync,
+    /// Reserves space.
+    pub reserve: Reserve,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            write: Box::new(File::write_at),
+            sync: Box::new(File::sync_data),
+            reserve: Box::new(|file, size| {
+                fallocate(file, FallocateFlags::empty(), 0, size).map_err(io::Error::from)
+            }),
+        }
+    }
+}
+
+impl Calls {
+    /// Writes all bytes, also when the system takes them in parts.
+    pub(crate) fn write_all(&self, file: &File, bytes: &[u8], offset: u64) -> io::Result<()> {
+        let mut done = 0;
+        while done < bytes.len() {
+            match (self.write)(file, &bytes[done..], offset + done as u64) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => done += count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for Calls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Calls").finish_non_exhaustive()
+    }
+}
