--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -75,9 +75,15 @@
 
     /// Takes a report unless a newer one is known; says whether it was taken.
     pub(crate) fn observe(&mut self, report: Report, now: Instant, round_trip: Duration) -> bool {
-        if report.incarnation != self.target.incarnation {
+        if report.incarnation < self.target.incarnation {
             return false;
         }
+        if report.incarnation > self.target.incarnation {
+            // The target's own node knows of a restart before the membership does.
+            let mut target = self.target.clone();
+            target.incarnation = report.incarnation;
+            *self = Self::new(target, now);
+        }
         if self.report.is_some_and(|r| r.sequence >= report.sequence) {
             return false;
         }
@@ -106,7 +112,9 @@
             return;
         }
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
-        self.sent.truncate(self.own_in_flight.max(1) as usize);
+        // What has ended is no longer ahead; the oldest unreported request is the likeliest to be it.
+        let ended = self.sent.len().saturating_sub(self.own_in_flight as usize);
+        self.sent.drain(..ended);
         let failed = match sample.outcome {
             Outcome::Success => 0.0,
             Outcome::Failure => 1.0,
