Decay latency estimates towards the median of the service

A target that is avoided for its past latency gets no traffic, so its latency is never measured again. Let the reported latency lose weight with a half-life of 1 s.

--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -11,6 +11,7 @@
     pub(crate) region: region::Name,
     pub(crate) zone: zone::Name,
     pub(crate) half_life: Duration,
+    pub(crate) latency_half_life: Duration,
     pub(crate) old: Duration,
     pub(crate) warm_up: Duration,
     pub(crate) recovery_interval: Duration,
@@ -30,6 +31,7 @@
             region,
             zone,
             half_life: Duration::from_millis(50),
+            latency_half_life: Duration::from_secs(1),
             old: Duration::from_millis(50),
             warm_up: Duration::from_secs(10),
             recovery_interval: Duration::from_millis(100),
@@ -50,6 +52,16 @@
         self
     }
 
+    /// Time in which the weight of a reported latency against the median of its service halves.
+    ///
+    /// It is longer than that of the load, so that a straggler is not forgotten at once, and
+    /// finite, so that a target which is avoided for its past latency is tried again.
+    #[must_use]
+    pub fn latency_half_life(mut self, half_life: Duration) -> Self {
+        self.latency_half_life = half_life.max(Duration::from_micros(1));
+        self
+    }
+
     /// Age from which an estimate is old, so that a third candidate is drawn.
     #[must_use]
     pub fn old(mut self, age: Duration) -> Self {
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -44,23 +44,28 @@
     Estimate {
         ahead: ahead.max(f64::from(entry.own_in_flight)),
         limit,
-        latency_us: latency(entry, service, config),
+        latency_us: latency(entry, service, config, age),
         failures: entry.failure_rate(),
     }
 }
 
-/// Latency from the report, else from own successes, else the median of the service.
-fn latency(entry: &Entry, service: &Service, config: &Config) -> f64 {
+/// Latency from the report, else from own successes, decayed towards the median of the service.
+fn latency(entry: &Entry, service: &Service, config: &Config, age: f64) -> f64 {
+    let median = if service.latency.value > 0.0 {
+        service.latency.value
+    } else {
+        config.latency.as_micros() as f64
+    };
     let reported = entry.report.map_or(0, |r| r.latency_us);
-    if reported > 0 {
+    let known = if reported > 0 {
         f64::from(reported)
     } else if entry.latency_us > 0.0 {
         entry.latency_us
-    } else if service.latency.value > 0.0 {
-        service.latency.value
     } else {
-        config.latency.as_micros() as f64
-    }
+        median
+    };
+    let fresh = (-age / config.latency_half_life.as_secs_f64()).exp2();
+    known * fresh + median * (1.0 - fresh)
 }
 
 /// Expected response time with penalties, in microseconds.
