Bound the latency from below by own requests in flight

Latency is learned when a request ends, so a target that just became slow looks fast for as long as its slow requests run. Keep the send times of own requests, and take the age of the oldest as a lower bound of the latency.

--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -17,9 +17,6 @@
 /// Weight of one own success in the latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
-/// Send times kept; more unreported requests than this are beyond any target's slots.
-const SENT_MAX: usize = 256;
-
 /// Smallest share of a cold target, so that it warms up at all.
 const COLD_SHARE_MIN: f64 = 0.02;
 
@@ -30,9 +27,10 @@
     pub(crate) report: Option<Report>,
     /// When the report was true, in this node's time.
     pub(crate) reported: Instant,
-    pub(crate) own_in_flight: u32,
-    /// Send times of own requests that the report cannot include.
-    pub(crate) sent: Vec<Instant>,
+    /// Send times of own requests in flight, in order.
+    pub(crate) flight: Vec<Instant>,
+    /// Own requests sent later than this cannot be in the report.
+    seen: Instant,
     pub(crate) failures: f64,
     pub(crate) latency_us: f64,
     /// Since when the target is ready; nothing while it starts.
@@ -47,8 +45,8 @@
             target,
             report: None,
             reported: now,
-            own_in_flight: 0,
-            sent: Vec::new(),
+            flight: Vec::new(),
+            seen: Instant(0),
             failures: 0.0,
             latency_us: 0.0,
             ready,
@@ -90,31 +88,44 @@
         let age = Duration::from_micros(u64::from(report.age_us)) + round_trip / 2;
         self.reported = Instant(now.0.saturating_sub(age.as_micros() as u64));
         // A request sent within half a round trip before the report had not arrived when it was made.
-        let seen = Instant(
+        self.seen = Instant(
             self.reported
                 .0
                 .saturating_sub((round_trip / 2).as_micros() as u64),
         );
-        self.sent.retain(|at| *at > seen);
         self.report = Some(report);
         true
     }
 
     pub(crate) fn started(&mut self, now: Instant) {
-        self.own_in_flight += 1;
-        if self.sent.len() < SENT_MAX {
-            self.sent.push(now);
-        }
+        self.flight.push(now);
+    }
+
+    /// Own requests in flight that the report cannot include.
+    pub(crate) fn unreported(&self) -> usize {
+        self.flight.len() - self.flight.partition_point(|at| *at <= self.seen)
     }
 
-    pub(crate) fn finished(&mut self, sample: &Sample) {
+    /// Age of the oldest own request in flight: a lower bound of the target's latency.
+    pub(crate) fn oldest(&self, now: Instant) -> Duration {
+        self.flight
+            .first()
+            .map_or(Duration::ZERO, |at| now.since(*at))
+    }
+
+    pub(crate) fn finished(&mut self, sample: &Sample, now: Instant) {
         if sample.incarnation != self.target.incarnation {
             return;
         }
-        self.own_in_flight = self.own_in_flight.saturating_sub(1);
-        // What has ended is no longer ahead; the oldest unreported request is the likeliest to be it.
-        let ended = self.sent.len().saturating_sub(self.own_in_flight as usize);
-        self.sent.drain(..ended);
+        let start = Instant(now.0.saturating_sub(sample.latency.as_micros() as u64));
+        // The last one that was sent by then; the first when rounding puts the start before all.
+        let at = self
+            .flight
+            .partition_point(|at| *at <= start)
+            .saturating_sub(1);
+        if at < self.flight.len() {
+            self.flight.remove(at);
+        }
         let failed = match sample.outcome {
             Outcome::Success => 0.0,
             Outcome::Failure => 1.0,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -143,7 +143,7 @@
     let lowest = table.services[service]
         .members_from(start)
         .filter(|index| table.entry(*index).is_some_and(|e| !excluded(e, query)))
-        .min_by_key(|index| table.entry(*index).map_or(u32::MAX, |e| e.own_in_flight));
+        .min_by_key(|index| table.entry(*index).map_or(usize::MAX, |e| e.flight.len()));
     let Some(index) = lowest else {
         return Err(refusal(table, service, query));
     };
--- a/crates/routing/src/sample.rs
+++ b/crates/routing/src/sample.rs
@@ -24,6 +24,6 @@
     pub incarnation: Incarnation,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time from sending to the response; used for successes only.
+    /// Time from [`crate::Table::started`] to the end. Only that of a success is learned as latency.
     pub latency: Duration,
 }
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -40,11 +40,13 @@
     };
     let reported = f64::from(report.in_flight) + f64::from(report.queued);
     let usual = service.load.value * f64::from(limit);
-    let ahead = reported * fresh + usual * (1.0 - fresh) + entry.sent.len() as f64;
+    let ahead = reported * fresh + usual * (1.0 - fresh) + entry.unreported() as f64;
+    let latency = latency(entry, service, config, age);
+    let oldest_us = entry.oldest(now).as_micros() as f64;
     Estimate {
-        ahead: ahead.max(f64::from(entry.own_in_flight)),
+        ahead: ahead.max(entry.flight.len() as f64),
         limit,
-        latency_us: latency(entry, service, config, age),
+        latency_us: latency.max(oldest_us),
         failures: entry.failure_rate(),
     }
 }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -119,9 +119,9 @@
     }
 
     /// Notes that a request to `instance` ended. A report that came with it goes to [`Table::observe`].
-    pub fn finished(&mut self, instance: &instance::Name, sample: Sample, _now: Instant) {
+    pub fn finished(&mut self, instance: &instance::Name, sample: Sample, now: Instant) {
         if let Some(entry) = self.entry_mut(instance) {
-            entry.finished(&sample);
+            entry.finished(&sample, now);
         }
     }
 
