Compare latencies only outside a band around the median

Under noisy neighbours a reported latency describes a past that ended some milliseconds ago, and following it moves the herd from one target to the next. Count a latency up to twice the median of the service as the median, so that requests ahead decide, and a straggler still scores in proportion.

--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -12,6 +12,9 @@
 /// Factor on the score of a target that fails always; a partial failure rate counts in proportion.
 const FAILURE_PENALTY: f64 = 20.0;
 
+/// Ratio to the median of the service up to which a latency counts as the median.
+const LATENCY_BAND: f64 = 2.0;
+
 /// Factor on the score of a target that reports shedding.
 const SHEDDING_PENALTY: f64 = 4.0;
 
@@ -67,7 +70,9 @@
         median
     };
     let fresh = (-age / config.latency_half_life.as_secs_f64()).exp2();
-    known * fresh + median * (1.0 - fresh)
+    let known = known * fresh + median * (1.0 - fresh);
+    // Within the band a difference says more of the past than of the next request.
+    median.max(known / LATENCY_BAND)
 }
 
 /// Expected response time with penalties, in microseconds.
