Check the bounds of copies, and keep the tokens of nested calls at the node

A backend server copies its inbound header into each nested call, which would create tokens. The node keeps what arrived in a ledger, from which nested calls draw. A suspect that was never alone at a crash and then ends without one is released as a bystander. The first retry pauses when no other target is left.

The property test runs random trees down to depth 13 in which every service below the entry has budget to spare; the copies stay within what the entry node spent.

--- a/crates/retry/src/call.rs
+++ b/crates/retry/src/call.rs
@@ -12,7 +12,9 @@
 //! makes at most `hi` copies. A call at the greatest depth hands on nothing.
 //! Tokens come back only for an attempt that is proven not to have run, whose
 //! subtree is empty. The copies of the whole tree are therefore at most the
-//! tokens that the entry node took from its own budget.
+//! tokens that the entry node took from its own budget. A backend server that
+//! copies its header value into several nested calls does not add tokens,
+//! because its node keeps them in a [`Ledger`](crate::ledger::Ledger).
 
 use std::error;
 use std::fmt;
@@ -147,10 +149,15 @@
         self.tokens = self.tokens.saturating_add(attempt.tokens);
     }
 
-    /// Ends the call and returns unspent tokens to the budget that they came from.
-    pub fn finish(self, budget: &mut Budget) {
-        if self.origin == Origin::Entry {
-            budget.refund(self.tokens);
+    /// Ends the call. Unspent tokens go back to the budget that they came from,
+    /// or are returned for the [`Ledger`](crate::ledger::Ledger) when the call is nested.
+    pub fn finish(self, budget: &mut Budget) -> u32 {
+        match self.origin {
+            Origin::Entry => {
+                budget.refund(self.tokens);
+                0
+            }
+            Origin::Nested => self.tokens,
         }
     }
 
--- a/crates/retry/src/containment.rs
+++ b/crates/retry/src/containment.rs
@@ -48,6 +48,15 @@
     Quarantined(Instant),
 }
 
+/// How a suspect ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The backend server answered.
+    Survived,
+    /// The backend server died, or nothing is known.
+    Unknown,
+}
+
 /// Facts that a reader does not have yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Difference {
@@ -212,10 +221,17 @@
     }
 
     /// Notes the end of a suspect that [`Admission::Isolate`] let run.
-    pub fn finished(&mut self, digest: Digest) {
+    ///
+    /// A suspect that was never alone at a crash and now ended without one was
+    /// a bystander, and its facts are released.
+    pub fn finished(&mut self, digest: Digest, ending: Ending) {
         if let Ok(index) = self.running.binary_search(&digest) {
             self.running.remove(index);
         }
+        let bystander = self.live(digest).all(|row| row.fact.in_flight > 1);
+        if ending == Ending::Survived && bystander {
+            self.release(digest);
+        }
     }
 
     /// Releases a digest by order of an operator. Returns whether it was suspected.
@@ -237,9 +253,14 @@
     /// Drops facts that are older than the quarantine.
     pub fn expire(&mut self, now: Instant) {
         self.rows.retain(|row| now < row.expires);
+        let rows = &self.rows;
+        let suspected = |digest: &Digest| rows.binary_search_by(|row| row.fact.digest.cmp(digest));
+        self.running.retain(|digest| suspected(digest).is_ok());
     }
 
     /// The facts that changed after `since`.
+    ///
+    /// Versions of different tables are not comparable: a reader passes zero after a switch of source.
     pub fn difference(&self, since: u64, now: Instant) -> Difference {
         let mut changed: Vec<&Row> = self.rows.iter().filter(|row| row.version > since).collect();
         changed.sort_unstable_by_key(|row| row.version);
--- a/crates/retry/src/decision.rs
+++ b/crates/retry/src/decision.rs
@@ -81,7 +81,7 @@
         self
     }
 
-    /// Sets the pause before the second retry; the first is immediate and each further pause doubles.
+    /// Sets the shortest pause before a retry; the first retry at another target has none, and each further pause doubles.
     #[must_use]
     pub const fn backoff(mut self, backoff: Duration) -> Self {
         self.backoff = backoff;
@@ -253,10 +253,12 @@
     Ok(())
 }
 
+/// The first retry is immediate if it goes to another target.
+///
 /// A target that sheds load is avoided while another one is left; else its `Retry-After` is kept.
 fn pause(state: &State, kind: Kind) -> Duration {
     let doublings = state.attempts.saturating_sub(2).min(10);
-    let backoff = if state.attempts <= 1 {
+    let backoff = if state.attempts <= 1 && state.untried > 0 {
         Duration::ZERO
     } else {
         state.config.backoff * (1 << doublings)
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod decision;
 pub mod join;
 pub mod latency;
+pub mod ledger;
--- /dev/null
+++ b/crates/retry/tests/tree.rs
@@ -0,0 +1,157 @@
+//! The bound on copies in a tree of nested calls.
+
+use std::time::Duration;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+
+use shallotrill_model::request;
+use shallotrill_model::time::Instant;
+use shallotrill_retry::budget;
+use shallotrill_retry::budget::Budget;
+use shallotrill_retry::call::Call;
+use shallotrill_retry::call::DEPTH_MAX;
+use shallotrill_retry::call::Refusal;
+use shallotrill_retry::ledger::Ledger;
+
+const NOW: Instant = Instant(1_000_000);
+const ID: request::Id = request::Id(7);
+
+/// Runs one tree and counts its copies.
+struct Tree {
+    seed: u64,
+    copies: u32,
+    calls: u32,
+    deepest: u8,
+}
+
+impl Tree {
+    fn random(&mut self, below: u64) -> u64 {
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.seed >> 33) % below
+    }
+
+    /// Every service below the entry has budget to spare, so only the tokens bound the copies.
+    fn rich() -> Budget {
+        let config = budget::Config::default().floor_per_second(1_000);
+        Budget::new(config, NOW)
+    }
+
+    fn run(&mut self, call: &mut Call, budget: &mut Budget) {
+        self.calls += 1;
+        self.deepest = self.deepest.max(call.depth());
+        for attempt in 0..4 {
+            if attempt > 0 {
+                if call.copy(budget, NOW).is_err() {
+                    return;
+                }
+                self.copies += 1;
+            }
+            let Ok(outgoing) = call.outgoing() else {
+                return;
+            };
+            if self.random(8) == 0 {
+                call.restore(outgoing);
+            } else {
+                self.backend(outgoing.tokens, outgoing.depth);
+            }
+        }
+    }
+
+    /// A backend server copies its header value into up to three nested calls.
+    fn backend(&mut self, tokens: u32, depth: u8) {
+        let mut ledger = Ledger::new(1);
+        ledger.open(ID, tokens, NOW + Duration::from_secs(1));
+        for _ in 0..=self.random(3) {
+            if self.calls > 20_000 {
+                return;
+            }
+            let Ok(mut call) = Call::nested(ledger.draw(ID, tokens), depth) else {
+                return;
+            };
+            let mut budget = Self::rich();
+            self.run(&mut call, &mut budget);
+            ledger.refund(ID, call.finish(&mut budget));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Guards against copies that multiply by level: 3 copies at 13 levels would be 1.6 million.
+    #[test]
+    fn copies_are_bounded_by_the_entry(seed in any::<u64>(), earned in 0_u32..200, handed in 0_u32..20) {
+        let config = budget::Config::default().permille(1_000).burst(100);
+        let mut budget = Budget::new(config, NOW);
+        (0..earned).for_each(|_| budget.earn());
+        let left = budget.left();
+        let mut call = Call::entry(&mut budget, handed);
+        let mut tree = Tree { seed, copies: 0, calls: 0, deepest: 0 };
+        tree.run(&mut call, &mut budget);
+        call.finish(&mut budget);
+        prop_assert!(u64::from(tree.copies) <= left - budget.left());
+        prop_assert!(tree.deepest <= DEPTH_MAX);
+    }
+}
+
+struct Depth {
+    depth: u8,
+    tokens: Result<u32, Refusal>,
+}
+
+/// Guards against a call chain without end, and against tokens handed to a call that cannot use them.
+#[rustfmt::skip]
+const DEPTHS: &[Depth] = &[
+    Depth { depth: 0, tokens: Ok(4) },
+    Depth { depth: 12, tokens: Ok(0) },
+    Depth { depth: 13, tokens: Err(Refusal::Deep(14)) },
+    Depth { depth: 15, tokens: Err(Refusal::Deep(15)) },
+];
+
+#[test]
+fn depth_is_limited() {
+    for case in DEPTHS {
+        let call = Call::nested(8, case.depth);
+        let outgoing = call.and_then(|mut call| call.outgoing());
+        let tokens = outgoing.map(|outgoing| outgoing.tokens);
+        assert_eq!(tokens, case.tokens, "depth {}", case.depth);
+    }
+}
+
+struct Spending {
+    name: &'static str,
+    firsts: u32,
+    seconds: u64,
+    copies: usize,
+}
+
+#[rustfmt::skip]
+const fn spending(name: &'static str, firsts: u32, seconds: u64, copies: usize) -> Spending {
+    Spending { name, firsts, seconds, copies }
+}
+
+/// Guards against copies beyond the share of first attempts, and against a service with few calls that never retries.
+#[rustfmt::skip]
+const SPENDING: &[Spending] = &[
+    spending("floor at the start", 0, 0, 1),
+    spending("floor is not saved up", 0, 60, 1),
+    spending("a tenth and the floor", 100, 0, 11),
+    spending("burst is bounded", 100_000, 0, 101),
+];
+
+#[test]
+fn budget_is_a_share_of_first_attempts() {
+    for case in SPENDING {
+        let mut budget = Budget::new(budget::Config::default(), NOW);
+        (0..case.firsts).for_each(|_| budget.earn());
+        let now = NOW + Duration::from_secs(case.seconds);
+        let copies = (0..1_000).filter(|_| budget.spend(now).is_ok()).count();
+        assert_eq!(copies, case.copies, "{}", case.name);
+    }
+}
