--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -12,6 +12,9 @@
 /// Factor on the score of a target that fails always; a partial failure rate counts in proportion.
 const FAILURE_PENALTY: f64 = 20.0;
 
+/// Ratio to the median of the service up to which a latency counts as the median.
+const LATENCY_BAND: f64 = 2.0;
+
 /// Factor on the score of a target that reports shedding.
 const SHEDDING_PENALTY: f64 = 4.0;
 
@@ -40,27 +43,36 @@
     };
     let reported = f64::from(report.in_flight) + f64::from(report.queued);
     let usual = service.load.value * f64::from(limit);
-    let ahead = reported * fresh + usual * (1.0 - fresh) + entry.sent.len() as f64;
+    let ahead = reported * fresh + usual * (1.0 - fresh) + entry.unreported() as f64;
+    let latency = latency(entry, service, config, age);
+    let oldest_us = entry.oldest(now).as_micros() as f64;
     Estimate {
-        ahead: ahead.max(f64::from(entry.own_in_flight)),
+        ahead: ahead.max(entry.flight.len() as f64),
         limit,
-        latency_us: latency(entry, service, config),
+        latency_us: latency.max(oldest_us),
         failures: entry.failure_rate(),
     }
 }
 
-/// Latency from the report, else from own successes, else the median of the service.
-fn latency(entry: &Entry, service: &Service, config: &Config) -> f64 {
+/// Latency from the report, else from own successes, decayed towards the median of the service.
+fn latency(entry: &Entry, service: &Service, config: &Config, age: f64) -> f64 {
+    let median = if service.latency.value > 0.0 {
+        service.latency.value
+    } else {
+        config.latency.as_micros() as f64
+    };
     let reported = entry.report.map_or(0, |r| r.latency_us);
-    if reported > 0 {
+    let known = if reported > 0 {
         f64::from(reported)
     } else if entry.latency_us > 0.0 {
         entry.latency_us
-    } else if service.latency.value > 0.0 {
-        service.latency.value
     } else {
-        config.latency.as_micros() as f64
-    }
+        median
+    };
+    let fresh = (-age / config.latency_half_life.as_secs_f64()).exp2();
+    let known = known * fresh + median * (1.0 - fresh);
+    // Within the band a difference says more of the past than of the next request.
+    median.max(known / LATENCY_BAND)
 }
 
 /// Expected response time with penalties, in microseconds.
