Add the control client and the node role

The node takes calls, chooses targets, retries, hedges, joins copies, admits at the target and asks for grants.

--- a/crates/backend/src/announce.rs
+++ b/crates/backend/src/announce.rs
@@ -57,6 +57,9 @@
     pub state: State,
     /// Any text that differs between two starts of the backend server, such as its start time.
     pub start: String,
+    /// Path of its health endpoint; without one it is never probed.
+    #[serde(default)]
+    pub probe: Option<String>,
 }
 
 /// The answer to an announcement.
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,11 +20,13 @@
 use log::debug;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
+use shallotrill_model::outcome::Run;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
 use shallotrill_wire::context;
 use shallotrill_wire::hop;
 use shallotrill_wire::listen;
+use shallotrill_wire::refusal;
 use tokio::net::TcpStream;
 use tokio::time;
 
@@ -142,6 +146,45 @@
     }
 }
 
+/// The head of an answer; its body is still at the backend server.
+pub struct Head {
+    parts: Parts,
+    not_run: bool,
+    incoming: Incoming,
+    left: Duration,
+    connection: Connection,
+    pool: Arc<Pool>,
+}
+
+impl fmt::Debug for Head {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Head")
+            .field("status", &self.parts.status)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Head {
+    /// The status of the answer.
+    pub const fn status(&self) -> StatusCode {
+        self.parts.status
+    }
+
+    /// Whether the backend server states that it did not run the request.
+    ///
+    /// A backend server that sheds load may say so with `shallotrill-run: not-run`
+    /// on its answer; without that, an error answer proves nothing.
+    pub const fn states_not_run(&self) -> bool {
+        self.not_run
+    }
+
+    /// The whole answer. `finish` is called once, when its body has ended in one way or another.
+    pub fn answer(self, finish: Finish) -> Response<Body> {
+        let answer = Answer::new(self.incoming, self.left, self.connection, self.pool, finish);
+        Response::from_parts(self.parts, answer.boxed_unsync())
+    }
+}
+
 /// What a request finds in the pool.
 enum Found {
     Idle(Connection),
@@ -190,9 +233,6 @@
 
     /// Sends a request to the backend server and waits for the head of its answer.
     ///
-    /// `finish` is called once, when the answer has ended in one way or another.
-    /// It is dropped without a call when an error is returned or this future is dropped.
-    ///
     /// # Errors
     ///
     /// Returns a [`Failure`] that says whether the backend server can have seen the request.
@@ -200,11 +240,10 @@
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         limit: Duration,
-        finish: Finish,
-    ) -> Result<Response<Body>, Failure> {
+    ) -> Result<Head, Failure> {
         let started = time::Instant::now();
         let identity = request.headers().get(context::REQUEST).cloned();
-        let (response, connection) = match time::timeout(limit, self.exchange(request)).await {
+        let (response, lease) = match time::timeout(limit, self.exchange(request)).await {
             Ok(exchanged) => exchanged?,
             Err(_) => return Err(Failure::Timeout(limit)),
         };
@@ -216,12 +255,17 @@
         if echoed.is_some() && echoed != identity.as_ref() {
             return Err(Failure::Crossed);
         }
+        let not_run = states_not_run(&parts);
         hop::strip(&mut parts.headers);
         hop::strip_own(&mut parts.headers);
-        let left = limit.saturating_sub(started.elapsed());
-        let connection = connection.release();
-        let answer = Answer::new(incoming, left, connection, Arc::clone(self), finish);
-        Ok(Response::from_parts(parts, answer.boxed_unsync()))
+        Ok(Head {
+            parts,
+            not_run,
+            incoming,
+            left: limit.saturating_sub(started.elapsed()),
+            connection: lease.release(),
+            pool: Arc::clone(self),
+        })
     }
 
     async fn exchange(
@@ -362,6 +406,13 @@
     }
 }
 
+/// A success cannot claim that it did not run.
+fn states_not_run(parts: &Parts) -> bool {
+    let stated = parts.headers.get(refusal::RUN);
+    stated.is_some_and(|run| run.as_bytes() == Run::NotRun.as_str().as_bytes())
+        && (parts.status.is_client_error() || parts.status.is_server_error())
+}
+
 impl State {
     fn drop_idle(&mut self) {
         self.open -= self.idle.len();
--- a/crates/claim/src/proposer.rs
+++ b/crates/claim/src/proposer.rs
@@ -13,6 +13,9 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ballot::Ballot;
 use crate::ballot::Sequence;
 use crate::change::Change;
@@ -37,7 +40,8 @@
 pub const BACKOFF_MAX: Duration = Duration::from_millis(128);
 
 /// What is asked of a register.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Task {
     /// Reads the record; written back when replicas disagree.
     Look,
@@ -56,7 +60,8 @@
 
 /// Why a round ends without a chosen record. The change may still take effect
 /// later, except after [`Failure::Refused`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Failure {
     /// The record does not allow the change.
     Refused(record::Refusal),
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -62,7 +62,8 @@
 }
 
 /// Why a change is refused. A refusal leaves the record as it is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Refusal {
     /// The key belongs to a request with another content; holds the digest of that content.
     KeyReused(Digest),
@@ -106,7 +107,8 @@
 impl error::Error for Refusal {}
 
 /// What a change or a read reports.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Report {
     /// The holder may dispatch the attempt while its grant is current.
     Granted {
--- a/crates/locks/src/lib.rs
+++ b/crates/locks/src/lib.rs
@@ -32,6 +32,8 @@
     Pool = 70,
     /// Recent requests.
     Explain = 80,
+    /// Facts that control does not have yet.
+    Report = 90,
     /// Replica of the configuration log.
     Consensus = 110,
     /// Applied configuration.
--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,255 @@
+//! One attempt: a request sent to one chosen target, here or at another node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use shallotrill_model::attempt;
+use shallotrill_model::class::Class;
+use shallotrill_model::instance;
+use shallotrill_model::outcome::Run;
+use shallotrill_model::time::Instant;
+use shallotrill_peer::failure::Failure as PeerFailure;
+use shallotrill_retry::call::Outgoing;
+use shallotrill_retry::decision::Kind;
+use shallotrill_routing::choice::Choice;
+use shallotrill_routing::sample::Outcome;
+use shallotrill_routing::sample::Sample;
+use shallotrill_wire::body;
+use shallotrill_wire::body::Body;
+use shallotrill_wire::context::Context;
+use shallotrill_wire::load;
+use shallotrill_wire::refusal::Code;
+use shallotrill_wire::refusal::Refusal;
+
+use crate::gate;
+use crate::plan::Plan;
+use crate::refuse;
+use crate::state::State;
+
+/// Life of the backend server that a forwarded request is meant for.
+pub(crate) const INCARNATION: HeaderName = HeaderName::from_static("shallotrill-incarnation");
+
+/// What an attempt carries.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) number: attempt::Number,
+    pub(crate) outgoing: Outgoing,
+    pub(crate) choice: Arc<Choice>,
+}
+
+/// An attempt that brought no answer for the caller.
+#[derive(Debug)]
+pub(crate) struct Failed {
+    pub(crate) kind: Kind,
+    pub(crate) attempt: Attempt,
+    pub(crate) refusal: Refusal,
+}
+
+/// An answer of the backend server.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) attempt: Attempt,
+    pub(crate) response: Response<Body>,
+}
+
+/// Keeps the count of own requests at a target right; learns from the end of the request.
+struct Tracked {
+    state: Arc<State>,
+    instance: instance::Name,
+    sample: Sample,
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let mut routing = self.state.routing.lock();
+        routing.finished(&self.instance, self.sample, now);
+    }
+}
+
+/// Sends a request to the chosen target and waits for the head of the answer.
+pub(crate) async fn run(
+    state: Arc<State>,
+    plan: Arc<Plan>,
+    attempt: Attempt,
+) -> Result<Answered, Failed> {
+    let started = state.now();
+    let mut tracked = Tracked {
+        state: Arc::clone(&state),
+        instance: attempt.choice.instance.clone(),
+        sample: Sample {
+            incarnation: attempt.choice.incarnation,
+            outcome: Outcome::Cancelled,
+            latency: Duration::ZERO,
+        },
+    };
+    let result = if attempt.choice.instance == state.identity.instance {
+        here(&state, &plan, &attempt).await
+    } else {
+        there(&state, &plan, &attempt, started).await
+    };
+    let latency = state.now().since(started);
+    tracked.sample.latency = latency;
+    match result {
+        Ok(response) => {
+            let status = response.status();
+            tracked.sample.outcome = if status.is_server_error() {
+                Outcome::Failure
+            } else {
+                Outcome::Success
+            };
+            if gate::is_shedding(status) && plan.class == Class::Idempotent {
+                return Err(shed(&response, attempt));
+            }
+            if tracked.sample.outcome == Outcome::Success {
+                let now = state.now();
+                state.budget(&plan.service, |budget| budget.latency.record(latency, now));
+            }
+            let response = response.map(|body| body::holding(body, tracked));
+            Ok(Answered { attempt, response })
+        }
+        Err((kind, refusal)) => {
+            tracked.sample.outcome = match kind {
+                Kind::Refused | Kind::Fenced | Kind::Quarantined => Outcome::Refused,
+                _ => Outcome::Failure,
+            };
+            Err(Failed {
+                kind,
+                attempt,
+                refusal,
+            })
+        }
+    }
+}
+
+fn shed(response: &Response<Body>, attempt: Attempt) -> Failed {
+    let after = response
+        .headers()
+        .get(http::header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok())
+        .map(Duration::from_secs);
+    let message = format!("the backend server answered {}", response.status());
+    let refusal = Refusal::unknown(Code::Overloaded, message);
+    Failed {
+        kind: Kind::Shedding(after),
+        attempt,
+        refusal: match after {
+            Some(after) => refusal.retry_after(after),
+            None => refusal,
+        },
+    }
+}
+
+async fn here(
+    state: &Arc<State>,
+    plan: &Arc<Plan>,
+    attempt: &Attempt,
+) -> Result<Response<Body>, (Kind, Refusal)> {
+    let served = gate::serve(state, plan, at_gate(attempt)).await;
+    if let Some(report) = gate::report(state) {
+        let now = state.now();
+        let mut routing = state.routing.lock();
+        routing.observe(&attempt.choice.instance, report, now);
+    }
+    served.map_err(|refusal| (kind(&refusal), refusal))
+}
+
+fn at_gate(attempt: &Attempt) -> gate::Attempt {
+    gate::Attempt {
+        incarnation: attempt.choice.incarnation,
+        number: attempt.number,
+        outgoing: attempt.outgoing,
+    }
+}
+
+async fn there(
+    state: &Arc<State>,
+    plan: &Arc<Plan>,
+    attempt: &Attempt,
+    started: Instant,
+) -> Result<Response<Body>, (Kind, Refusal)> {
+    let request = request(plan, attempt, started);
+    let limit = plan.left(started);
+    let address = attempt.choice.address;
+    let sent = state.peers.send(address, request, limit, started).await;
+    let response = sent.map_err(|failure| {
+        let kind = match &failure {
+            PeerFailure::Connect { .. } => Kind::Unopened,
+            PeerFailure::NotSent { .. } => Kind::Unsent,
+            PeerFailure::Lost { .. } => Kind::Lost,
+            PeerFailure::Timeout { .. } => Kind::Timeout,
+        };
+        (kind, refuse::peer(&failure))
+    })?;
+    learn(state, attempt, &response);
+    match Refusal::read(response.headers()) {
+        // An answer that was stored without its body is an answer.
+        Some(refusal) if refusal.code != Code::AnswerNotStored => Err((kind(&refusal), refusal)),
+        _ => Ok(response.map(received)),
+    }
+}
+
+fn received(incoming: Incoming) -> Body {
+    incoming
+        .map_err(|error| body::Error::Cut(Box::new(error)))
+        .boxed_unsync()
+}
+
+fn learn(state: &State, attempt: &Attempt, response: &Response<Incoming>) {
+    let report = response.headers().get(load::LOAD).map(load::decode);
+    if let Some(Ok(report)) = report {
+        let now = state.now();
+        let mut routing = state.routing.lock();
+        routing.observe(&attempt.choice.instance, report, now);
+    }
+}
+
+/// What a refusal by the target's node proves.
+fn kind(refusal: &Refusal) -> Kind {
+    match (refusal.code, refusal.run) {
+        (Code::Quarantined, _) => Kind::Quarantined,
+        (Code::Fenced, Run::NotRun) => Kind::Fenced,
+        (Code::ConnectFailed, Run::NotRun) => Kind::Unopened,
+        (_, Run::NotRun) => Kind::Refused,
+        (Code::DeadlineExceeded, _) => Kind::Timeout,
+        (Code::AnswerInvalid, _) => Kind::Short,
+        _ => Kind::Lost,
+    }
+}
+
+fn request(plan: &Plan, attempt: &Attempt, now: Instant) -> Request<Full<bytes::Bytes>> {
+    let mut request = Request::new(Full::new(plan.body.clone()));
+    *request.method_mut() = plan.method.clone();
+    *request.headers_mut() = plan.headers.clone();
+    let mut uri = http::uri::Parts::default();
+    uri.scheme = Some(http::uri::Scheme::HTTP);
+    uri.authority = plan.service.name.as_str().parse().ok();
+    uri.path_and_query = Some(plan.path.clone());
+    if let Ok(uri) = http::Uri::from_parts(uri) {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    headers.remove(http::header::HOST);
+    let context = Context {
+        request: plan.request,
+        deadline: plan.left(now),
+        attempt: attempt.number,
+        depth: attempt.outgoing.depth,
+        tokens: attempt.outgoing.tokens,
+        partner: plan.partner.clone(),
+        service: plan.service.name.clone(),
+        key: plan.given.key.clone(),
+    };
+    context.write(headers);
+    let incarnation = HeaderValue::from(attempt.choice.incarnation.0);
+    headers.insert(INCARNATION, incarnation);
+    request
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,76 @@
+//! The answer to a caller's request.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use log::debug;
+use shallotrill_caller::call;
+use shallotrill_model::request;
+use shallotrill_model::time::Instant;
+use shallotrill_wire::body::Body;
+use shallotrill_wire::context;
+use shallotrill_wire::context::Given;
+use shallotrill_wire::refusal::Code;
+use shallotrill_wire::refusal::Refusal;
+
+use crate::course;
+use crate::plan::Plan;
+use crate::shared;
+use crate::state;
+use crate::state::State;
+
+/// Answers one request of a caller.
+pub(crate) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = state.now();
+    let given = Given::read(request.headers()).unwrap_or_default();
+    let id = given.request.unwrap_or_else(state::request_id);
+    let result = serve(&state, request, id, arrived).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            state.metrics.refused(refusal.code);
+            debug!(event = "request-refused", request = id.to_string().as_str(), code = refusal.code.as_str(); "{refusal}");
+            refusal.response(id)
+        }
+    };
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        response.headers_mut().insert(context::REQUEST, value);
+    }
+    if state.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    state
+        .metrics
+        .answered(response.status().as_u16(), state.now().since(arrived));
+    response
+}
+
+async fn serve(
+    state: &Arc<State>,
+    request: Request<Incoming>,
+    id: request::Id,
+    arrived: Instant,
+) -> Result<Response<Body>, Refusal> {
+    if state.is_stopping() {
+        let message = "the node is stopping".to_owned();
+        return Err(Refusal::not_run(Code::Stopping, message));
+    }
+    let limits = call::Limits {
+        body_bytes: state.limits.body_bytes,
+        body: state.limits.body_timeout,
+    };
+    let call = call::read(request, &limits).await?;
+    let plan = Arc::new(Plan::new(state, call, id, arrived)?);
+    state.want(&plan.service.name);
+    if plan.join {
+        shared::run(state, &plan).await
+    } else {
+        course::run(state, &plan).await
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,83 @@
+//! Requests that other nodes forward to the backend server here.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use shallotrill_caller::call;
+use shallotrill_model::attempt::Number;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::request;
+use shallotrill_model::time::Instant;
+use shallotrill_retry::call::Outgoing;
+use shallotrill_wire::body::Body;
+use shallotrill_wire::refusal::Code;
+use shallotrill_wire::refusal::Refusal;
+
+use crate::attempt;
+use crate::gate;
+use crate::gate::Attempt;
+use crate::plan::Plan;
+use crate::state;
+use crate::state::State;
+
+/// Answers a request that another node forwarded.
+pub(crate) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = state.now();
+    let (id, result) = serve(&state, request, arrived).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(id),
+    };
+    gate::attach_report(&state, &mut response);
+    response
+}
+
+async fn serve(
+    state: &Arc<State>,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> (request::Id, Result<Response<Body>, Refusal>) {
+    let incarnation = incarnation(request.headers());
+    let limits = call::Limits {
+        body_bytes: state.limits.body_bytes,
+        body: state.limits.body_timeout,
+    };
+    let call = match call::read(request, &limits).await {
+        Ok(call) => call,
+        Err(refusal) => return (state::request_id(), Err(refusal)),
+    };
+    let id = call.given.request.unwrap_or_else(state::request_id);
+    let result = forwarded(state, call, id, arrived, incarnation).await;
+    (id, result)
+}
+
+async fn forwarded(
+    state: &Arc<State>,
+    call: call::Call,
+    id: request::Id,
+    arrived: Instant,
+    incarnation: Option<Incarnation>,
+) -> Result<Response<Body>, Refusal> {
+    let Some(incarnation) = incarnation else {
+        let message = "a forwarded request names the life of its target".to_owned();
+        return Err(Refusal::not_run(Code::HeaderInvalid, message));
+    };
+    let plan = Arc::new(Plan::new(state, call, id, arrived)?);
+    let attempt = Attempt {
+        incarnation,
+        number: plan.given.attempt.unwrap_or(Number::FIRST),
+        outgoing: Outgoing {
+            tokens: plan.given.tokens.unwrap_or(0),
+            depth: plan.given.depth,
+        },
+    };
+    gate::serve(state, &plan, attempt).await
+}
+
+fn incarnation(headers: &HeaderMap) -> Option<Incarnation> {
+    let value = headers.get(attempt::INCARNATION)?.to_str().ok()?;
+    value.parse().ok().map(Incarnation)
+}
--- /dev/null
+++ b/crates/node/src/probe.rs
@@ -0,0 +1,90 @@
+//! Probes of the backend server, each paid from the probe budget of its service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use log::debug;
+use shallotrill_limits::probe::Facts;
+use shallotrill_limits::probe::Permit;
+use shallotrill_limits::probe::Plan;
+
+use crate::state::State;
+
+/// Longest time that a probe may take.
+const LIMIT: Duration = Duration::from_millis(500);
+
+/// Failures for each thousand requests from which a target counts as failing.
+const FAILING_PERMILLE: u16 = 500;
+
+/// When a probe is useful: traffic measures for free, so only where there is none.
+const PLAN: Plan = Plan {
+    quiet: Duration::from_secs(5),
+    old: Duration::from_secs(10),
+    interval: Duration::from_secs(5),
+};
+
+/// Sends a probe if one is useful and the budget covers it.
+pub(crate) async fn consider(state: &Arc<State>) {
+    let Some((permit, path)) = permit(state) else {
+        return;
+    };
+    let answered = send(state, permit, &path).await;
+    state.metrics.probed(answered);
+    let now = state.now();
+    let mut local = state.local.lock();
+    if let Some(server) = &mut local.server
+        && answered
+    {
+        server.last_answer = Some(now);
+    }
+}
+
+fn permit(state: &State) -> Option<(Permit, Arc<str>)> {
+    let now = state.now();
+    let service = state.local.lock().server.as_ref()?.service.clone();
+    let spec = state.service(&service)?;
+    let mut local = state.local.lock();
+    let draining = local.is_draining(now);
+    let server = local.server.as_mut().filter(|_| !draining)?;
+    let path = server.probe_path.clone()?;
+    let report = server.report(now);
+    let facts = Facts {
+        traffic: server.last_answer,
+        estimate: server.last_answer,
+        failing: report.failure_permille >= FAILING_PERMILLE,
+        probe: server.last_probe,
+    };
+    PLAN.need(&facts, now)?;
+    let cost = Duration::from_micros(u64::from(spec.probe_cost_us));
+    let permit = server.probe_budget.take(cost, now).ok()?;
+    server.last_probe = Some(now);
+    Some((permit, path))
+}
+
+/// Sends one probe; the permit is used up by it.
+async fn send(state: &State, permit: Permit, path: &str) -> bool {
+    let cost = permit.cost();
+    let mut request = Request::new(Full::new(Bytes::new()));
+    let Ok(uri) = path.parse::<Uri>() else {
+        return false;
+    };
+    *request.uri_mut() = uri;
+    let host = header::HeaderValue::from_static("probe");
+    request.headers_mut().insert(header::HOST, host);
+    let head = match state.backend.dispatch(request, LIMIT).await {
+        Ok(head) => head,
+        Err(failure) => {
+            debug!(event = "probe-failed", cost_us = cost.as_micros() as u64; "{failure}");
+            return false;
+        }
+    };
+    let success = head.status().is_success();
+    let response = head.answer(Box::new(|_| {}));
+    success && response.into_body().collect().await.is_ok()
+}
--- /dev/null
+++ b/crates/node/src/refuse.rs
@@ -0,0 +1,116 @@
+//! Maps refusals of the decision packages to refusals for callers.
+
+use std::time::Duration;
+
+use shallotrill_backend::failure::Failure as BackendFailure;
+use shallotrill_claim::proposer;
+use shallotrill_claim::record;
+use shallotrill_control_client::claim;
+use shallotrill_limits::ticket;
+use shallotrill_model::outcome::Run;
+use shallotrill_peer::failure::Failure as PeerFailure;
+use shallotrill_routing::choice;
+use shallotrill_wire::refusal::Code;
+use shallotrill_wire::refusal::Refusal;
+
+/// When a caller may come back to a service whose targets are overloaded or missing.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A refusal of the gate: proven not run.
+pub(crate) fn gate(refusal: ticket::Refusal) -> Refusal {
+    let code = match refusal {
+        ticket::Refusal::Full { .. } | ticket::Refusal::Displaced => Code::Overloaded,
+        ticket::Refusal::TooLate { .. } => Code::TooLate,
+        ticket::Refusal::Draining => Code::Draining,
+        ticket::Refusal::Cancelled | ticket::Refusal::Duplicate => Code::Internal,
+    };
+    Refusal::not_run(code, refusal.to_string()).retry_after(RETRY_AFTER)
+}
+
+/// No target could be chosen: proven not run.
+pub(crate) fn choice(refusal: &choice::Refusal) -> Refusal {
+    Refusal::not_run(Code::NoTarget, refusal.to_string()).retry_after(RETRY_AFTER)
+}
+
+/// The request to the target's node got no answer.
+pub(crate) fn peer(failure: &PeerFailure) -> Refusal {
+    let message = failure.to_string();
+    match failure {
+        PeerFailure::Connect { .. } | PeerFailure::NotSent { .. } => {
+            Refusal::not_run(Code::ConnectFailed, message)
+        }
+        PeerFailure::Lost { .. } => Refusal::unknown(Code::ConnectionLost, message),
+        PeerFailure::Timeout { .. } => Refusal::unknown(Code::DeadlineExceeded, message),
+    }
+}
+
+/// The request to the backend server got no whole answer.
+pub(crate) fn backend(failure: &BackendFailure) -> Refusal {
+    let message = failure.to_string();
+    let code = match failure {
+        BackendFailure::Absent => Code::WrongTarget,
+        BackendFailure::Exhausted { .. } => Code::Overloaded,
+        BackendFailure::Connect(_) | BackendFailure::NotSent => Code::ConnectFailed,
+        BackendFailure::Lost(_) => Code::ConnectionLost,
+        BackendFailure::Timeout(_) => Code::DeadlineExceeded,
+        BackendFailure::Unframed | BackendFailure::Crossed => Code::AnswerInvalid,
+    };
+    if failure.is_not_sent() {
+        Refusal::not_run(code, message)
+    } else {
+        Refusal::unknown(code, message)
+    }
+}
+
+/// A claim was not granted.
+///
+/// The target's node is the only process that could dispatch this attempt, and
+/// it does not without a grant, so each of these is a proven not run of the
+/// attempt. Where an earlier attempt stands in the way, `run` tells of that one.
+pub(crate) fn claim(refusal: &claim::Refusal) -> Refusal {
+    let failure = match refusal {
+        claim::Refusal::Claim(failure) => failure,
+        claim::Refusal::NoGroup | claim::Refusal::NotMember => {
+            let message = "the control process has no claim group for the service".to_owned();
+            return Refusal::not_run(Code::ClaimUnavailable, message).retry_after(RETRY_AFTER);
+        }
+    };
+    let message = failure.to_string();
+    match failure {
+        proposer::Failure::Refused(refusal) => record(refusal),
+        proposer::Failure::Expired(_) => Refusal::not_run(Code::KeyExpired, message),
+        proposer::Failure::Full => Refusal::not_run(Code::ClaimFull, message),
+        proposer::Failure::Conflict { .. }
+        | proposer::Failure::Epoch(_)
+        | proposer::Failure::NoQuorum { .. } => {
+            Refusal::not_run(Code::ClaimUnavailable, message).retry_after(RETRY_AFTER)
+        }
+    }
+}
+
+fn record(refusal: &record::Refusal) -> Refusal {
+    let message = refusal.to_string();
+    match refusal {
+        record::Refusal::KeyReused(_) => Refusal::not_run(Code::KeyReused, message),
+        record::Refusal::Fenced(attempt) => {
+            Refusal::not_run(Code::Fenced, message).fenced(*attempt)
+        }
+        record::Refusal::Open { .. } => Refusal {
+            run: Run::Running,
+            ..Refusal::unknown(Code::Running, message)
+        },
+        record::Refusal::Done(_) => Refusal {
+            run: Run::Ran,
+            ..Refusal::unknown(Code::Internal, message)
+        },
+        record::Refusal::Unknown(_) => Refusal::unknown(Code::OutcomeUnknown, message),
+        record::Refusal::NoGrant | record::Refusal::Attempt(_) => {
+            Refusal::not_run(Code::Internal, message)
+        }
+    }
+}
+
+/// No control process answered a claim.
+pub(crate) fn control(message: String) -> Refusal {
+    Refusal::not_run(Code::ClaimUnavailable, message).retry_after(RETRY_AFTER)
+}
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -139,6 +139,12 @@
         (policy::SCORED.choose)(self, query, now, random)
     }
 
+    /// Number of known targets of a service that do not drain.
+    pub fn targets(&self, service: &service::Name) -> usize {
+        let index = self.service_index(service);
+        index.map_or(0, |index| self.services[index].len())
+    }
+
     pub(crate) fn service_index(&self, name: &service::Name) -> Option<usize> {
         self.services.binary_search_by(|s| s.name.cmp(name)).ok()
     }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -6,10 +6,16 @@
 
 use std::error;
 use std::fmt;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body::Body as _;
+use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Full;
@@ -102,3 +108,99 @@
 pub fn stated_length(body: &Body) -> Option<u64> {
     body.size_hint().exact()
 }
+
+/// The start of a body, and the rest when the body is longer.
+#[derive(Debug)]
+pub enum Prefix {
+    /// The whole body.
+    Whole(Bytes),
+    /// The body is longer than the limit; reading this yields all of it.
+    Longer(Body),
+}
+
+/// Reads a body up to a limit without losing what lies beyond it.
+///
+/// # Errors
+///
+/// Returns [`Error`] when the body is cut before the limit is reached.
+pub async fn prefix(mut body: Body, limit_bytes: usize) -> Result<Prefix, Error> {
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Ok(Prefix::Longer(body));
+    }
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if read.len() > limit_bytes {
+            let first = Some(read.freeze());
+            return Ok(Prefix::Longer(Chain { first, rest: body }.boxed_unsync()));
+        }
+    }
+    Ok(Prefix::Whole(read.freeze()))
+}
+
+/// Bytes that were read already, followed by the rest of their body.
+struct Chain {
+    first: Option<Bytes>,
+    rest: Body,
+}
+
+impl http_body::Body for Chain {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+            None => Pin::new(&mut self.rest).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let rest = self.rest.size_hint();
+        match rest.exact() {
+            Some(rest) => SizeHint::with_exact(first + rest),
+            None => SizeHint::default(),
+        }
+    }
+}
+
+/// A body that keeps a value until it ends or is dropped.
+pub fn holding<T: Send + Unpin + 'static>(body: Body, value: T) -> Body {
+    Holding { body, value }.boxed_unsync()
+}
+
+struct Holding<T> {
+    body: Body,
+    #[expect(dead_code, reason = "the value acts when it is dropped")]
+    value: T,
+}
+
+impl<T: Unpin> http_body::Body for Holding<T> {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use http::header;
 use serde::Serialize;
+use shallotrill_model::attempt;
 use shallotrill_model::outcome::Run;
 use shallotrill_model::request;
 
@@ -151,6 +152,8 @@
     pub message: String,
     /// When a retry makes sense.
     pub retry_after: Option<Duration>,
+    /// The highest attempt that can never run, when a later one may.
+    pub fenced: Option<attempt::Number>,
 }
 
 impl fmt::Display for Refusal {
@@ -178,6 +181,7 @@
             run: Run::NotRun,
             message,
             retry_after: None,
+            fenced: None,
         }
     }
 
@@ -188,6 +192,7 @@
             run: Run::Unknown,
             message,
             retry_after: None,
+            fenced: None,
         }
     }
 
@@ -198,6 +203,13 @@
         self
     }
 
+    /// The same refusal with the highest attempt that can never run.
+    #[must_use]
+    pub const fn fenced(mut self, attempt: attempt::Number) -> Self {
+        self.fenced = Some(attempt);
+        self
+    }
+
     /// The answer for the caller.
     pub fn response(&self, request: request::Id) -> Response<Body> {
         let text = Text {
@@ -220,6 +232,9 @@
         if let Ok(id) = HeaderValue::from_str(&request.to_string()) {
             headers.insert(context::REQUEST, id);
         }
+        if let Some(attempt) = self.fenced {
+            headers.insert(context::ATTEMPT, HeaderValue::from(attempt.0));
+        }
         if let Some(after) = self.retry_after {
             let seconds = after.as_secs_f64().ceil() as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
@@ -243,11 +258,17 @@
             .and_then(|value| value.to_str().ok())
             .and_then(|value| value.parse().ok())
             .map(Duration::from_secs);
+        let fenced = headers
+            .get(context::ATTEMPT)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.parse().ok())
+            .map(attempt::Number);
         Some(Self {
             code: Code::parse(text).unwrap_or(Code::Internal),
             run,
             message: format!("refused by the target's node: {text}"),
             retry_after,
+            fenced,
         })
     }
 }
