--- /dev/null
+++ b/crates/operator/tests/client.rs
@@ -0,0 +1,178 @@
+//! The client against servers that refuse, point elsewhere, stay silent or are gone.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+
+use shallotrill_language::answer::Answer;
+use shallotrill_operator::Failure;
+use shallotrill_operator::client::Client;
+use shallotrill_operator::client::Error;
+use shallotrill_operator::server;
+use shallotrill_operator::wire;
+
+/// How a fake control process behaves.
+#[derive(Clone, Copy, Debug)]
+enum Fake {
+    Answers,
+    Leads,
+    PointsToLeader,
+    NoQuorum,
+    Refuses,
+    Silent,
+    Gone,
+}
+
+struct Case {
+    name: &'static str,
+    fakes: &'static [Fake],
+    /// The exit code, zero for an answer.
+    exit: u8,
+    /// Whether a change may have been accepted without an answer.
+    open: bool,
+    /// How often a handler saw the command.
+    seen: usize,
+}
+
+/// Guards against an operator who gets no answer although a process has one, or is told a refusal is none.
+const CASES: &[Case] = &[
+    Case {
+        name: "first answers",
+        fakes: &[Fake::Answers, Fake::Answers],
+        exit: 0,
+        open: false,
+        seen: 1,
+    },
+    Case {
+        name: "first is gone",
+        fakes: &[Fake::Gone, Fake::Answers],
+        exit: 0,
+        open: false,
+        seen: 1,
+    },
+    Case {
+        name: "first is silent",
+        fakes: &[Fake::Silent, Fake::Answers],
+        exit: 0,
+        open: false,
+        seen: 1,
+    },
+    Case {
+        name: "first is cut off",
+        fakes: &[Fake::NoQuorum, Fake::Answers],
+        exit: 0,
+        open: false,
+        seen: 2,
+    },
+    Case {
+        name: "hint is followed",
+        fakes: &[Fake::PointsToLeader, Fake::NoQuorum, Fake::Leads],
+        exit: 0,
+        open: false,
+        seen: 2,
+    },
+    Case {
+        name: "refusal ends the search",
+        fakes: &[Fake::Refuses, Fake::Answers],
+        exit: 1,
+        open: false,
+        seen: 1,
+    },
+    Case {
+        name: "all are cut off",
+        fakes: &[Fake::NoQuorum, Fake::NoQuorum],
+        exit: 3,
+        open: false,
+        seen: 2,
+    },
+    Case {
+        name: "all are gone",
+        fakes: &[Fake::Gone, Fake::Gone],
+        exit: 3,
+        open: false,
+        seen: 0,
+    },
+    Case {
+        name: "all are silent",
+        fakes: &[Fake::Silent],
+        exit: 3,
+        open: true,
+        seen: 0,
+    },
+    Case {
+        name: "no address",
+        fakes: &[],
+        exit: 3,
+        open: false,
+        seen: 0,
+    },
+];
+
+type Seen = Arc<Mutex<Vec<String>>>;
+
+fn serve(fake: Fake, leader: Option<SocketAddr>, seen: &Seen) -> server::Server {
+    let seen = Arc::clone(seen);
+    let decide = move |order: server::Order| {
+        let id = order.command.expect("a change has an id").to_string();
+        seen.lock().expect("lock").push(id);
+        match fake {
+            Fake::NoQuorum => Err(Failure::NoQuorum),
+            Fake::PointsToLeader => Err(Failure::NotLeader { leader }),
+            Fake::Refuses => Err(Failure::Exists {
+                kind: "service".to_owned(),
+                name: "a".to_owned(),
+            }),
+            _ => Ok(Answer::note("accepted")),
+        }
+    };
+    let handlers = server::Handlers {
+        statement: Box::new(move |order| {
+            let result = decide(order);
+            Box::pin(async move { result })
+        }),
+        state: Box::new(|| serde_json::Value::Null),
+        metrics: Box::new(String::new),
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    server::start(server::Config::new(listen), handlers).expect("port 0")
+}
+
+#[tokio::test]
+async fn statements_find_their_answer() {
+    let id = "000000000000000000000000000000ab";
+    let request = wire::Request {
+        statement: "drain a".to_owned(),
+        command: Some(id.to_owned()),
+        operator: "kari".to_owned(),
+    };
+    for case in CASES {
+        let seen = Seen::default();
+        let (mut servers, mut silent, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
+        // Started from the last one, so that a hint can name the leader.
+        for fake in case.fakes.iter().rev() {
+            match fake {
+                Fake::Silent | Fake::Gone => {
+                    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port 0");
+                    addresses.insert(0, listener.local_addr().expect("address"));
+                    silent.extend(matches!(fake, Fake::Silent).then_some(listener));
+                }
+                _ => {
+                    let server = serve(*fake, addresses.last().copied(), &seen);
+                    addresses.insert(0, server.address());
+                    servers.push(server);
+                }
+            }
+        }
+        let client = Client::new(addresses, Duration::from_millis(1_000));
+        let result = client.send(&request).await;
+        let exit = result.as_ref().map_or_else(Error::exit_code, |_| 0);
+        assert_eq!(exit, case.exit, "{}: {result:?}", case.name);
+        let open = result.as_ref().is_err_and(Error::is_open);
+        assert_eq!(open, case.open, "{}: {result:?}", case.name);
+        let seen = seen.lock().expect("lock").clone();
+        assert_eq!(seen, vec![id.to_owned(); case.seen], "{}", case.name);
+    }
+}
