Add the operators' command line

Operators send statements from a shell and from scripts. A statement is checked before it is sent; a changing one prints its command id first, so that its outcome can be asked about after a lost answer.

--- /dev/null
+++ b/crates/shallotctl/src/send.rs
@@ -0,0 +1,70 @@
+//! Sending of one statement.
+
+use anyhow::Context;
+use tokio::runtime;
+
+use crate::WRONG;
+use crate::options::Options;
+use crate::output::Output;
+use shallotrill_model::command;
+use shallotrill_operator::client::Client;
+use shallotrill_operator::wire;
+
+/// Sends statements and prints what comes back.
+#[derive(Debug)]
+pub(crate) struct Sender {
+    runtime: runtime::Runtime,
+    client: Client,
+    operator: String,
+    command: Option<command::Id>,
+    output: Output,
+}
+
+impl Sender {
+    pub(crate) fn new(options: &Options, output: Output) -> anyhow::Result<Self> {
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context("the runtime cannot start")?;
+        Ok(Self {
+            runtime,
+            client: Client::new(options.control.clone(), options.timeout),
+            operator: options.operator.clone(),
+            command: options.command,
+            output,
+        })
+    }
+
+    /// Sends a statement and returns the exit code.
+    pub(crate) fn send(&self, text: &str) -> anyhow::Result<u8> {
+        let statement = match shallotrill_language::parse(text) {
+            Ok(statement) => statement,
+            Err(error) => {
+                self.output.statement(text, &error)?;
+                return Ok(WRONG);
+            }
+        };
+        let command = statement
+            .is_change()
+            .then(|| self.command.unwrap_or_else(|| command::Id(rand::random())));
+        if let Some(id) = command {
+            self.output.command(id)?;
+        }
+        let request = wire::Request {
+            statement: statement.to_string(),
+            command: command.map(String::from),
+            operator: self.operator.clone(),
+        };
+        match self.runtime.block_on(self.client.send(&request)) {
+            Ok(answer) => {
+                self.output.answer(&answer)?;
+                Ok(0)
+            }
+            Err(error) => {
+                let open = command.filter(|_| error.is_open());
+                self.output.error(&error, open)?;
+                Ok(error.exit_code())
+            }
+        }
+    }
+}
