--- a/crates/claim/src/ballot.rs
+++ b/crates/claim/src/ballot.rs
@@ -1,9 +1,8 @@
 //! Ballots: the order of all attempts to change a register.
 //!
-//! The epoch of the group is the highest part. Two rounds of different epochs
-//! can have quorums that do not meet in a promise, so a value accepted in an
-//! earlier epoch must never win over one accepted in a later epoch, whatever
-//! its counter.
+//! The epoch of the group is the highest part. A round of a later epoch thus
+//! supersedes all rounds of earlier ones, and a member that lost its start
+//! count with its disk cannot use a ballot a second time.
 
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/claim/src/proposer.rs
+++ b/crates/claim/src/proposer.rs
@@ -253,7 +253,7 @@
                 (applied.record, applied.outcome)
             }
             Task::Look => {
-                let report = current.map_or(Report::Absent, |r| Report::Outcome(r.outcome()));
+                let report = current.map_or(Report::Absent, Record::report);
                 (current.cloned(), Ok(report))
             }
         }
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -116,7 +116,12 @@
         grant: grant::Id,
     },
     /// The state of the request.
-    Outcome(Outcome),
+    Outcome {
+        /// Attempt that the state is about; after "not run" the next one may be opened.
+        attempt: attempt::Number,
+        /// What is known of it.
+        outcome: Outcome,
+    },
     /// Nothing is recorded for the key.
     Absent,
 }
@@ -180,6 +185,14 @@
         }
     }
 
+    /// What a read of the record reports.
+    pub fn report(&self) -> Report {
+        Report::Outcome {
+            attempt: self.attempt,
+            outcome: self.outcome(),
+        }
+    }
+
     /// Estimate of the memory that the record takes.
     pub fn bytes(&self) -> usize {
         let heap = match &self.state {
@@ -240,7 +253,7 @@
             attempt: record.attempt,
             grant: *grant,
         },
-        _ => Report::Outcome(record.outcome()),
+        _ => record.report(),
     }
 }
 
--- /dev/null
+++ b/crates/claim/tests/acceptor.rs
@@ -0,0 +1,263 @@
+//! What an acceptor refuses, and what survives a restart.
+
+use shallotrill_claim::acceptor::Acceptor;
+use shallotrill_claim::acceptor::Config;
+use shallotrill_claim::ballot::Ballot;
+use shallotrill_claim::epoch::Disk;
+use shallotrill_claim::epoch::Group;
+use shallotrill_claim::epoch::Invalid;
+use shallotrill_claim::epoch::Member;
+use shallotrill_claim::epoch::Number;
+use shallotrill_claim::epoch::Seat;
+use shallotrill_claim::epoch::Standing;
+use shallotrill_claim::journal::Write;
+use shallotrill_claim::key;
+use shallotrill_claim::key::Key;
+use shallotrill_claim::message::Refusal;
+use shallotrill_claim::record::Record;
+use shallotrill_claim::record::State;
+use shallotrill_claim::table::BUCKET_MS;
+use shallotrill_model::attempt;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::outcome::Answer;
+use shallotrill_model::outcome::Reason;
+use shallotrill_model::time;
+
+const HOUR: u64 = 400_000;
+
+fn key(hour: u64, low: u128) -> Key {
+    let time = u128::from(hour * BUCKET_MS);
+    Key {
+        id: key::Id::new(time << 80 | 7 << 76 | 2 << 62 | low).unwrap(),
+        partner: "p".try_into().unwrap(),
+        service: "s".try_into().unwrap(),
+    }
+}
+
+fn ballot(epoch: u64, counter: u64) -> Ballot {
+    Ballot {
+        epoch: Number(epoch),
+        counter,
+        member: Member(1),
+        start: 1,
+    }
+}
+
+fn record() -> Record {
+    Record {
+        digest: Digest([1; 32]),
+        attempt: attempt::Number(1),
+        state: State::NotRun {
+            reason: Reason::Fenced,
+        },
+    }
+}
+
+fn group(epoch: u64, seats: &[(u32, u64, Standing)]) -> Result<Group, Invalid> {
+    let seat = |&(member, disk, standing): &(u32, u64, Standing)| Seat {
+        member: Member(member),
+        disk: Disk(disk),
+        standing,
+    };
+    Group::new(Number(epoch), seats.iter().map(seat).collect())
+}
+
+const V: Standing = Standing::Voting;
+const C: Standing = Standing::Copying;
+
+fn acceptor(member: u32, disk: u64, limit_bytes: usize) -> Acceptor {
+    Acceptor::new(Config {
+        member: Member(member),
+        disk: Disk(disk),
+        limit_bytes,
+        reserve_bytes: 2_000,
+    })
+}
+
+/// A member of epoch 2 with one accepted register, a horizon and some space.
+fn member() -> Acceptor {
+    let mut acceptor = acceptor(1, 1, 1_000);
+    let first = group(1, &[(1, 1, V), (2, 2, V), (3, 3, V)]).unwrap();
+    let second = group(2, &[(1, 1, V), (2, 2, V), (3, 9, C)]).unwrap();
+    acceptor.enter(&first).unwrap();
+    acceptor
+        .accept(&key(HOUR, 1), ballot(1, 5), &record())
+        .unwrap();
+    acceptor.enter(&second).unwrap();
+    acceptor.retire(time::Wall(HOUR * BUCKET_MS + 5)).unwrap();
+    acceptor
+}
+
+struct Case {
+    name: &'static str,
+    run: fn(&mut Acceptor) -> Option<Refusal>,
+    expected: Option<Refusal>,
+}
+
+/// Guards against an answer that a member must not give in its epoch, horizon, promise or space.
+const CASES: &[Case] = &[
+    Case {
+        name: "message of an old epoch",
+        run: |a| a.accept(&key(HOUR, 1), ballot(1, 9), &record()).err(),
+        expected: Some(Refusal::Epoch(Number(2))),
+    },
+    Case {
+        name: "page of an epoch that this member has not entered",
+        run: |a| a.page(Number(3), None, 100).err(),
+        expected: Some(Refusal::Epoch(Number(2))),
+    },
+    Case {
+        name: "lower ballot than promised",
+        run: |a| {
+            a.prepare(&key(HOUR, 1), ballot(2, 7)).unwrap();
+            a.accept(&key(HOUR, 1), ballot(2, 6), &record()).err()
+        },
+        expected: Some(Refusal::Promised(Ballot {
+            epoch: Number(2),
+            counter: 7,
+            member: Member(1),
+            start: 1,
+        })),
+    },
+    Case {
+        name: "promise and acceptance of one ballot",
+        run: |a| {
+            a.prepare(&key(HOUR, 1), ballot(2, 7)).unwrap();
+            a.accept(&key(HOUR, 1), ballot(2, 7), &record()).err()
+        },
+        expected: None,
+    },
+    Case {
+        name: "key below the horizon",
+        run: |a| a.prepare(&key(HOUR - 1, 1), ballot(2, 1)).err(),
+        expected: Some(Refusal::Expired(time::Wall(HOUR * BUCKET_MS))),
+    },
+    Case {
+        name: "horizon does not fall",
+        run: |a| {
+            assert_eq!(a.retire(time::Wall(5)), None);
+            a.prepare(&key(HOUR - 1, 1), ballot(2, 1)).err()
+        },
+        expected: Some(Refusal::Expired(time::Wall(HOUR * BUCKET_MS))),
+    },
+    Case {
+        name: "retired bucket is dropped with its bytes",
+        run: |a| {
+            a.retire(time::Wall((HOUR + 1) * BUCKET_MS)).unwrap();
+            assert_eq!((a.table().bytes(), a.table().len()), (0, 0));
+            a.prepare(&key(HOUR, 1), ballot(2, 1)).err()
+        },
+        expected: Some(Refusal::Expired(time::Wall((HOUR + 1) * BUCKET_MS))),
+    },
+    Case {
+        name: "response for a known key when new keys are refused",
+        run: |a| {
+            while a
+                .prepare(&key(HOUR, a.table().len() as u128 + 2), ballot(2, 1))
+                .is_ok()
+            {}
+            let mut done = record();
+            done.state = State::Done {
+                answer: Answer {
+                    status: 200,
+                    content_type: String::new(),
+                    body: Some(vec![0; 1_000]),
+                    digest: done.digest,
+                },
+            };
+            a.accept(&key(HOUR, 1), ballot(2, 1), &done).err()
+        },
+        expected: None,
+    },
+    Case {
+        name: "disk that is not the one of the seat",
+        run: |a| {
+            a.enter(&group(3, &[(1, 8, V), (2, 2, V), (3, 9, V)]).unwrap())
+                .err()
+        },
+        expected: Some(Refusal::Stranger(Member(1))),
+    },
+    Case {
+        name: "lower epoch",
+        run: |a| {
+            a.enter(&group(1, &[(1, 1, V), (2, 2, V), (3, 3, V)]).unwrap())
+                .err()
+        },
+        expected: Some(Refusal::Epoch(Number(2))),
+    },
+];
+
+#[test]
+fn refusals() {
+    for case in CASES {
+        assert_eq!((case.run)(&mut member()), case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against a vote of a member that has not copied from every survivor, or that forgets a horizon.
+#[test]
+fn copying_member_votes_after_all_pages_of_all_survivors() {
+    let mut from = member();
+    from.prepare(&key(HOUR, 2), ballot(2, 1)).unwrap();
+    let mut copy = acceptor(3, 9, 1_000);
+    copy.enter(from.group().unwrap()).unwrap();
+    let refused = copy.prepare(&key(HOUR, 1), ballot(2, 1)).err();
+    assert_eq!(refused, Some(Refusal::Copying));
+    let next = group(3, &[(1, 1, V), (2, 2, V), (3, 9, V)]).unwrap();
+    let first = from.page(Number(2), None, 1).unwrap();
+    let second = from
+        .page(Number(2), Some(&first.registers[0].key), 1)
+        .unwrap();
+    assert_eq!((first.last, second.last), (false, true));
+    copy.merge(&first).unwrap();
+    copy.merge(&second).unwrap();
+    assert_eq!(copy.enter(&next), Err(Refusal::NotCopied));
+    let mut other = second.clone();
+    other.from = Member(2);
+    copy.merge(&other).unwrap();
+    assert_eq!(copy.horizon(), from.horizon());
+    assert!(copy.table().after(None).eq(from.table().after(None)));
+    assert!(copy.enter(&next).is_ok());
+}
+
+/// Guards against state that a restart loses, from the journal or from a snapshot.
+#[test]
+fn replay_and_snapshot_give_the_same_acceptor() {
+    let mut live = member();
+    live.prepare(&key(HOUR + 1, 4), ballot(2, 3)).unwrap();
+    let mut restored = acceptor(1, 1, 1_000);
+    live.snapshot()
+        .for_each(|write: Write| restored.restore(write));
+    assert!(live.snapshot().eq(restored.snapshot()));
+    assert_eq!(live.table().bytes(), restored.table().bytes());
+}
+
+/// Guards against a quorum that misses a record which only one survivor of a lost disk holds.
+#[test]
+fn quorums() {
+    let cases = [
+        (vec![(1, 1, V)], Ok(1)),
+        (vec![(1, 1, V), (2, 2, V), (3, 3, V)], Ok(2)),
+        (vec![(1, 1, V), (2, 2, C), (3, 3, V)], Ok(2)),
+        (
+            vec![(1, 1, V), (2, 2, V), (3, 3, V), (4, 4, V), (5, 5, C)],
+            Ok(4),
+        ),
+        (
+            vec![(1, 1, V), (2, 2, C), (3, 3, C)],
+            Err(Invalid::Voters {
+                voting: 1,
+                members: 3,
+            }),
+        ),
+        (
+            vec![(1, 1, V), (1, 2, V)],
+            Err(Invalid::Repeated(Member(1))),
+        ),
+        (vec![], Err(Invalid::Empty)),
+    ];
+    for (seats, expected) in cases {
+        let quorum = group(1, &seats).map(|group| group.quorum());
+        assert_eq!(quorum, expected, "{seats:?}");
+    }
+}
