--- /dev/null
+++ b/crates/catalog/tests/state.rs
@@ -0,0 +1,176 @@
+//! Replies to commands.
+
+mod scene;
+
+use shallotrill_catalog::reply::Reply;
+use shallotrill_catalog::state::State;
+use shallotrill_catalog::state::Unsorted;
+use shallotrill_model::revision::Revision;
+
+struct Case {
+    name: &'static str,
+    /// Commands as `operator: action`, each with the start of its reply as text.
+    steps: &'static str,
+}
+
+/// Guards against a change that is lost, doubled or made on an outdated revision, and against a value out of range.
+const CASES: &[Case] = &[
+    Case {
+        name: "two racing changes of equal number: one wins, the other is told which",
+        steps: "ann: create a = 1; \
+                ann: change a 1 slots 5 = 2; \
+                bob: change a 1 slots 6 = revision 1 is outdated: ann made revision 2 at 2; \
+                bob: change a 2 slots 6 = 3",
+    },
+    Case {
+        name: "changes of other services do not conflict",
+        steps: "ann: create a = 1; \
+                ann: create b = 2; \
+                ann: change a 2 slots 5 = 3; \
+                bob: change b 2 slots 6 = 4",
+    },
+    Case {
+        name: "revision missing or not reached",
+        steps: "ann: create a = 1; \
+                ann: change a - slots 5 = the command does not name a revision; \
+                ann: change a 9 slots 5 = revision 9 is above the present one, 1",
+    },
+    Case {
+        name: "deleted service: who deleted it, and its claims stay in their region",
+        steps: "ann: create a = 1; \
+                ann: delete a 1 = 2; \
+                bob: change a 2 slots 5 = ann deleted service a in revision 2; \
+                bob: create-elsewhere a = the claims of the service are in waikato; \
+                bob: create a = 3; \
+                bob: create a = the service exists since revision 3; \
+                bob: delete b 3 = service b does not exist",
+    },
+    Case {
+        name: "values out of range",
+        steps: "ann: create a = 1; \
+                ann: change a 1 slots 0 = slots is 0, allowed is 1..=10000; \
+                ann: change a 1 retry_budget_permille 1001 = retry_budget_permille is 1001, allowed is 0..=1000; \
+                ann: change a 1 crash_limit 0 = crash_limit is 0, allowed is 1..=1000; \
+                ann: change a 1 nothing 0 = patch is empty; \
+                a b: create b = operator is a b; \
+                ann: classify a 1 get / = method is get; \
+                ann: classify a 1 GET x = path is x; \
+                ann: join a 1 POST /x = join is true; \
+                ann: classify a 1 GET /x = 2",
+    },
+    Case {
+        name: "drains",
+        steps: "ann: drain i = 1; \
+                bob: drain i = ann drained the instance already; \
+                bob: undrain i = 2; \
+                bob: undrain i = instance i is not drained",
+    },
+    Case {
+        name: "a lost disk, a second one while copying, and steps of another epoch",
+        steps: "ann: form 1 2 3 = 1; \
+                ann: form 1 2 3 = the region has a group in epoch 1; \
+                ann: replace 1 3 3 = 2; \
+                ann: replace 2 2 2 = member 3 is still copying; \
+                ann: admit 1 3 = the group is in epoch 2 and not in 1; \
+                ann: admit 2 2 = member 2 votes already; \
+                ann: admit 2 3 = 3; \
+                ann: replace 3 2 9 = 4; \
+                ann: replace 4 9 3 = member 3 has two seats; \
+                ann: replace 4 7 8 = member 7 has no seat",
+    },
+    Case {
+        name: "groups that cannot be formed",
+        steps: "ann: form 1 2 = 2 seats are not an odd number up to 7; \
+                ann: form 1 1 2 = member 1 has two seats; \
+                ann: admit 1 1 = the region has no claim group",
+    },
+    Case {
+        name: "members and releases",
+        steps: "ann: member 1 = 1; \
+                ann: member-for 2 1 = member 2 is not listed; \
+                ann: member-for 1 2 = 2; \
+                ann: release a = service a does not exist; \
+                ann: create a = 3; \
+                ann: release a = 4",
+    },
+];
+
+fn text(reply: &Reply) -> String {
+    match reply {
+        Reply::Accepted(revision) => revision.to_string(),
+        Reply::Refused(refusal) => refusal.to_string(),
+    }
+}
+
+#[test]
+fn replies() {
+    for case in CASES {
+        let mut state = State::new();
+        let mut replies = Vec::new();
+        for (index, step) in case.steps.split("; ").enumerate() {
+            let (command, expected) = step.split_once(" = ").unwrap();
+            let command = scene::command(index as u64 + 1, command);
+            let before = state.view();
+            let reply = state.apply(index as u64 + 1, &command);
+            let text = text(&reply);
+            let matches = text == expected || expected.len() > 3 && text.starts_with(expected);
+            assert!(matches, "{}: {step}: {text}", case.name);
+            if matches!(reply, Reply::Refused(_)) {
+                assert_eq!(state.view(), before, "{}: {step}", case.name);
+            }
+            replies.push((command, reply));
+        }
+        let mut resent = State::restore(state.snapshot()).unwrap();
+        for (command, reply) in &replies {
+            assert_eq!(resent.apply(99, command), *reply, "{} resent", case.name);
+            assert_eq!(state.reply(command.id), Some(reply), "{}", case.name);
+        }
+        assert_eq!(resent.view(), state.view(), "{} resent", case.name);
+    }
+}
+
+/// Guards against memory that grows without bound, and against a bound below the stated one.
+#[test]
+fn memories_are_bounded() {
+    let mut state = State::new();
+    state.apply(1, &scene::command(1, "ann: create a"));
+    let change = |id: u64| scene::command(id, &format!("ann: change a {} slots 5", id - 1));
+    let mut most = 0;
+    for id in 2..=130_000 {
+        state.apply(id, &change(id));
+        most = most.max(state.usage().bytes());
+    }
+    assert_eq!(state.revision(), Revision(130_000));
+    assert_eq!(state.history().len(), 10_000);
+    assert_eq!(
+        state.reply(change(30_001).id),
+        Some(&Reply::Accepted(Revision(30_001)))
+    );
+    assert_eq!(state.reply(change(10_000).id), None);
+    println!("{:?}, most {most} bytes", state.usage());
+    assert!(most < 40_000_000, "{most}");
+}
+
+/// Guards against a snapshot that loses state, and against one in which searches would fail.
+#[test]
+fn snapshots_are_complete_and_checked() {
+    let mut state = State::new();
+    let steps = "ann: create a; ann: create b; ann: drain i; ann: undrain i; ann: form 1 2 3; \
+                 ann: member 1; ann: release a; ann: delete b 7; ann: drain j";
+    for (index, step) in (1..).zip(steps.split("; ")) {
+        let reply = state.apply(index, &scene::command(index, step));
+        assert_eq!(reply, Reply::Accepted(Revision(index)), "{step}");
+    }
+    let text = serde_json::to_string(&state.snapshot()).unwrap();
+    let read = serde_json::from_str(&text).unwrap();
+    assert_eq!(State::restore(read), Ok(state));
+    let (first, second) = ("\"name\":\"a\"", "\"name\":\"c\"");
+    let mut state = State::new();
+    state.apply(1, &scene::command(1, "ann: create a"));
+    state.apply(2, &scene::command(2, "ann: create b"));
+    let text = serde_json::to_string(&state)
+        .unwrap()
+        .replace(first, second);
+    let refused = State::restore(serde_json::from_str(&text).unwrap());
+    assert_eq!(refused, Err(Unsorted { vector: "services" }));
+}
--- /dev/null
+++ b/crates/catalog/tests/view.rs
@@ -0,0 +1,157 @@
+//! Views of nodes that follow by differences.
+
+mod scene;
+
+use proptest::collection;
+use proptest::prelude::any;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use shallotrill_catalog::difference::Update;
+use shallotrill_catalog::state::State;
+use shallotrill_catalog::view::Refusal;
+use shallotrill_catalog::view::View;
+use shallotrill_model::revision::Revision;
+
+/// A random command; a few names, so that objects are removed and made again.
+fn text(choice: u32, revision: Revision) -> String {
+    let name = ["a", "b", "c"][(choice >> 8) as usize % 3];
+    let number = (choice >> 16) % 4 + 1;
+    let action = match choice % 12 {
+        0 | 1 => format!("create {name}"),
+        2 => format!("change {name} {revision} slots {number}"),
+        3 | 4 => format!("delete {name} {revision}"),
+        5 => format!("drain {name}"),
+        6 => format!("undrain {name}"),
+        7 => format!("release {name}"),
+        8 => format!("member {number}"),
+        9 => format!("member-for {number} {}", (choice >> 20) % 4 + 1),
+        10 => format!("replace {} 1 {number}", choice >> 20 & 1),
+        _ => format!("classify {name} {revision} GET /{number}"),
+    };
+    format!("ann: {action}")
+}
+
+/// Guards against a node whose configuration differs from the accepted one or goes back.
+#[test]
+fn a_view_follows_the_state() {
+    let config = Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let schedule = collection::vec(any::<u32>(), 50..200);
+    let result = TestRunner::new_with_rng(config, rng).run(&schedule, |choices| {
+        let mut state = State::new();
+        state.apply(1, &scene::command(1, "ann: form 1 2 3"));
+        let mut views = [View::default(), View::default(), View::default()];
+        let mut late = state.difference(Revision(0));
+        for (index, choice) in choices.iter().enumerate() {
+            let id = index as u64 + 2;
+            state.apply(id, &scene::command(id, &text(*choice, state.revision())));
+            // One view follows at once, one now and then, one also gets old updates.
+            for (slot, view) in views.iter_mut().enumerate() {
+                if slot > 0 && choice >> 24 > 40 {
+                    continue;
+                }
+                let held = view.revision;
+                if slot == 2 && view.apply(late.clone()).is_err() {
+                    assert!(view.revision == held, "a refused update changed the view");
+                }
+                let update = state.difference(view.revision);
+                late = update.clone();
+                view.apply(update).unwrap();
+                assert_eq!(*view, state.view());
+                assert!(view.revision >= held);
+            }
+        }
+        Ok(())
+    });
+    assert!(result.is_ok(), "{result:?}");
+}
+
+struct Case {
+    name: &'static str,
+    held: u64,
+    since: u64,
+    expected: Result<(), Refusal>,
+}
+
+/// Guards against an update that leads back or leaves out changes. The state is at revision 4.
+const CASES: &[Case] = &[
+    Case {
+        name: "from the revision held",
+        held: 2,
+        since: 2,
+        expected: Ok(()),
+    },
+    Case {
+        name: "from an earlier revision",
+        held: 2,
+        since: 1,
+        expected: Ok(()),
+    },
+    Case {
+        name: "from a later revision",
+        held: 2,
+        since: 3,
+        expected: Err(Refusal::Gap {
+            held: Revision(2),
+            from: Revision(3),
+        }),
+    },
+    Case {
+        name: "to a lower revision",
+        held: 5,
+        since: 2,
+        expected: Err(Refusal::Lower {
+            held: Revision(5),
+            to: Revision(4),
+        }),
+    },
+    Case {
+        name: "control is behind the node",
+        held: 5,
+        since: 5,
+        expected: Err(Refusal::Lower {
+            held: Revision(5),
+            to: Revision(4),
+        }),
+    },
+];
+
+#[test]
+fn updates_that_do_not_fit_are_refused() {
+    for case in CASES {
+        let mut state = State::new();
+        for id in 1..=4 {
+            state.apply(id, &scene::command(id, &format!("ann: create s{id}")));
+        }
+        let mut view = View {
+            revision: Revision(case.held),
+            ..state.view()
+        };
+        let before = view.clone();
+        let result = view.apply(state.difference(Revision(case.since)));
+        assert_eq!(result, case.expected, "{}", case.name);
+        let expected = if result.is_ok() { state.view() } else { before };
+        assert_eq!(view, expected, "{}", case.name);
+    }
+}
+
+/// Guards against a difference that misses removals which are no longer retained.
+#[test]
+fn old_revisions_get_a_snapshot() {
+    let mut state = State::new();
+    for id in 1..=40_003 {
+        let action = if id % 2 == 1 { "drain" } else { "undrain" };
+        state.apply(id, &scene::command(id, &format!("ann: {action} i")));
+    }
+    let retained = state.difference(Revision(2));
+    assert!(matches!(retained, Update::Difference(_)));
+    let dropped = state.difference(Revision(1));
+    assert_eq!(dropped, Update::Snapshot(state.view()));
+}
--- a/crates/claim/tests/acceptor.rs
+++ b/crates/claim/tests/acceptor.rs
@@ -10,7 +10,6 @@
 use shallotrill_claim::epoch::Number;
 use shallotrill_claim::epoch::Seat;
 use shallotrill_claim::epoch::Standing;
-use shallotrill_claim::journal::Write;
 use shallotrill_claim::key;
 use shallotrill_claim::key::Key;
 use shallotrill_claim::message::Refusal;
@@ -226,8 +225,10 @@
     let mut live = member();
     live.prepare(&key(HOUR + 1, 4), ballot(2, 3)).unwrap();
     let mut restored = acceptor(1, 1, 1_000);
-    live.snapshot()
-        .for_each(|write: Write| restored.restore(write));
+    for write in live.snapshot() {
+        let text = serde_json::to_string(&write).unwrap();
+        restored.restore(serde_json::from_str(&text).unwrap());
+    }
     assert!(live.snapshot().eq(restored.snapshot()));
     assert_eq!(live.table().bytes(), restored.table().bytes());
 }
