--- /dev/null
+++ b/crates/membership/examples/burst.rs
@@ -0,0 +1,141 @@
+//! Cost of changes to a table, for bursts of joins and leaves. Takes the numbers of targets.
+
+use std::env;
+use std::fs;
+use std::hint;
+use std::time::Instant as Clock;
+
+use shallotrill_membership::announcement::Announcement;
+use shallotrill_membership::announcement::Session;
+use shallotrill_membership::config::Config;
+use shallotrill_membership::contact::Contact;
+use shallotrill_membership::owner::Owner;
+use shallotrill_membership::row::Row;
+use shallotrill_membership::table::Table;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
+use shallotrill_model::region;
+use shallotrill_model::service;
+use shallotrill_model::target::State;
+use shallotrill_model::target::Target;
+use shallotrill_model::time::Instant;
+use shallotrill_model::zone;
+
+/// Targets of one availability zone at the target scale.
+const BURST: usize = 1_222;
+
+/// Targets of one service: 22,000 targets in 1,700 services.
+const PER_SERVICE: usize = 13;
+
+fn announcement(number: usize, incarnation: u64) -> Announcement {
+    // A multiplicative hash spreads a burst over the sorted names.
+    let hashed = (number as u32).wrapping_mul(2_654_435_761);
+    let name = format!("{hashed:08x}-{number}");
+    let service = format!("service-{}", number / PER_SERVICE);
+    let target = Target {
+        service: service::Name::new(&service).expect("the name is valid"),
+        instance: instance::Name::new(&name).expect("the name is valid"),
+        incarnation: Incarnation(incarnation),
+        zone: zone::Name::new("hamilton").expect("the name is valid"),
+        region: region::Name::new("waikato").expect("the name is valid"),
+        address: ([127, 0, 0, 1], 8_000).into(),
+        state: State::Ready,
+        slots: 10,
+    };
+    let session = Session::default();
+    Announcement { target, session }
+}
+
+fn owner(name: &str) -> Owner {
+    let name = instance::Name::new(name).expect("the name is valid");
+    Owner { name, start: 1 }
+}
+
+fn micros_each(began: Clock, count: usize) -> f64 {
+    began.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+fn resident_bytes() -> usize {
+    let status = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = status
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+fn announce(
+    table: &mut Table,
+    numbers: impl Iterator<Item = usize>,
+    incarnation: u64,
+    now: Instant,
+) {
+    for number in numbers {
+        let change = table.announce(announcement(number, incarnation), now);
+        change.expect("the announcement is newer");
+    }
+}
+
+fn measure(size: usize) {
+    let burst = BURST.min(size / 2);
+    let before = resident_bytes();
+    let mut table = Table::new(owner("a"), Config::default());
+    announce(&mut table, 0..size, 1, Instant(0));
+    let bytes = (resident_bytes() - before) / size;
+    let held = table.version();
+
+    let began = Clock::now();
+    announce(&mut table, size..size + burst, 1, Instant(0));
+    let join = micros_each(began, burst);
+
+    let began = Clock::now();
+    announce(&mut table, 0..burst, 2, Instant(0));
+    let update = micros_each(began, burst);
+
+    let began = Clock::now();
+    let exported = table.export(Some(&held), Instant(0));
+    let export = micros_each(began, 2 * burst);
+
+    let mut other = Table::new(owner("b"), Config::default());
+    announce(&mut other, burst..size, 1, Instant(0));
+    let began = Clock::now();
+    hint::black_box(other.exchange(&exported, Instant(0)));
+    let merge = micros_each(began, 2 * burst);
+
+    let interest = [service::Name::new("service-1").expect("the name is valid")];
+    let present = table.version();
+    let began = Clock::now();
+    hint::black_box(table.difference(Some(&present), &interest));
+    let idle = micros_each(began, 1);
+
+    let later = Instant(2_500_000);
+    for number in burst..size + burst {
+        let target = announcement(number, 1).target;
+        let renewed = table.renew(&target.instance, target.incarnation, later);
+        renewed.expect("the lease is held");
+    }
+    let contact = Contact {
+        others: 2,
+        heard: 2,
+    };
+    let began = Clock::now();
+    let expired = table.expire(Instant(3_500_000), &contact).len();
+    let expire = micros_each(began, expired.max(1));
+    assert_eq!(expired, burst);
+    println!(
+        "{size:>6} {bytes:>6} {join:>6.2} {update:>6.2} {expire:>6.2} {merge:>6.2} {export:>6.2} {idle:>6.2}"
+    );
+}
+
+fn main() {
+    println!(
+        "row of {} bytes without names; burst of up to {BURST}",
+        size_of::<Row>()
+    );
+    println!(
+        "  size bytes/row; us for each: join update expire merge export; us for an empty difference"
+    );
+    // One size for each process, because the allocator reuses memory of an earlier size.
+    let sizes = env::args().skip(1).filter_map(|size| size.parse().ok());
+    sizes.for_each(measure);
+}
--- a/crates/membership/src/expiry.rs
+++ b/crates/membership/src/expiry.rs
@@ -47,6 +47,7 @@
         let mut expired = self.lapsed(now);
         if !expired.is_empty() {
             self.recent.batches.push((now, expired.len()));
+            self.release(&expired);
         }
         if self.status == Status::Sound {
             expired.extend(self.owned_by(&overdue, self.config.batch - expired.len()));
@@ -55,6 +56,14 @@
         expired.into_iter().map(remove).collect()
     }
 
+    /// Removes the leases of a batch at once, since each removal moves half of the leases.
+    fn release(&mut self, expired: &[Arc<Row>]) {
+        let names = expired.iter().map(|row| row.target.instance.clone());
+        let mut names: Vec<instance::Name> = names.collect();
+        names.sort_unstable();
+        self.leases.remove_all(&names);
+    }
+
     fn judge(&self, now: Instant, contact: &Contact, owners: usize) -> Status {
         if contact.quorum() {
             return Status::Sound;
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Removes many leases in one pass; `instances` is sorted.
+    pub(crate) fn remove_all(&mut self, instances: &[instance::Name]) {
+        let kept = |lease: &Lease| instances.binary_search(&lease.instance).is_err();
+        self.leases.retain(kept);
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Lease> {
         self.leases.iter()
     }
--- a/crates/membership/src/row.rs
+++ b/crates/membership/src/row.rs
@@ -18,6 +18,8 @@
 pub struct Stamp {
     /// Life of the backend server.
     pub incarnation: Incarnation,
+    /// Whether this life has left, which is final: no announcement of it comes after.
+    pub left: bool,
     /// Announcement of this life.
     pub session: Session,
     /// Changes of the lease by control processes: moved to another owner, expired, renewed after expiry.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -318,6 +318,7 @@
         self.leases.set(&target.instance, now);
         let stamp = Stamp {
             incarnation: target.incarnation,
+            left: false,
             session,
             sequence,
             owner: self.own.clone(),
@@ -337,6 +338,7 @@
     fn restamped(&self, known: &Row, presence: Presence) -> Row {
         let mut row = known.clone();
         row.presence = presence;
+        row.stamp.left = presence == Presence::Left;
         row.stamp.sequence += 1;
         row.stamp.owner = self.own.clone();
         row
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -283,6 +283,6 @@
 }
 
 /// The part of a stamp that the node of the target determines.
-fn announced(row: &Row) -> (Incarnation, Session) {
-    (row.stamp.incarnation, row.stamp.session)
+fn announced(row: &Row) -> (Incarnation, bool, Session) {
+    (row.stamp.incarnation, row.stamp.left, row.stamp.session)
 }
