--- /dev/null
+++ b/crates/control/src/driver.rs
@@ -0,0 +1,203 @@
+//! Drives the replica of the log: writes, messages, applied commands, reads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::error;
+use log::info;
+use log::warn;
+use shallotrill_catalog::command::Command;
+use shallotrill_catalog::state::State as Catalog;
+use shallotrill_consensus::entry::Content;
+use shallotrill_consensus::entry::Entry;
+use shallotrill_consensus::entry::Index;
+use shallotrill_consensus::entry::Snapshot;
+use shallotrill_consensus::message::Body;
+use shallotrill_consensus::ready::Ready;
+use shallotrill_consensus::status::Role;
+use shallotrill_model::time::Instant;
+use shallotrill_replica::log as messages;
+use tokio::time;
+
+use crate::state::State;
+use crate::store::Error;
+use crate::store::Store;
+
+/// Applied entries after which the log is compacted into a snapshot.
+const COMPACT_AFTER: u64 = 5_000;
+
+/// Longest sleep of the driver when the replica names no earlier time.
+const SLEEP_MAX: Duration = Duration::from_secs(1);
+
+/// Drives the replica until the disk fails.
+///
+/// # Errors
+///
+/// Returns [`Error`] when the journal has failed: a process that cannot write must not answer.
+pub(crate) async fn run(state: Arc<State>, mut store: Store) -> Result<(), Error> {
+    let mut compacted = state.catalog.lock().index();
+    let mut role = None;
+    loop {
+        let (ready, wake) = step(&state);
+        if let Some(ready) = ready {
+            handle(&state, &mut store, ready).await?;
+            compact(&state, &mut compacted);
+            role = note_role(&state, role);
+            continue;
+        }
+        let sleep = wake.map_or(SLEEP_MAX, |wake| wake.since(state.now()).min(SLEEP_MAX));
+        tokio::select! {
+            () = state.wake.notified() => {}
+            () = time::sleep(sleep) => {}
+        }
+    }
+}
+
+/// Lets the replica decide; returns its work, if there is any, and when it next wants to.
+fn step(state: &State) -> (Option<Ready>, Option<Instant>) {
+    let now = state.now();
+    let mut log = state.log.lock();
+    let Some(replica) = &mut log.replica else {
+        return (None, None);
+    };
+    replica.tick(now);
+    let ready = replica.ready();
+    let wake = replica.wake();
+    ((!ready.is_empty()).then_some(ready), Some(wake))
+}
+
+async fn handle(state: &Arc<State>, store: &mut Store, ready: Ready) -> Result<(), Error> {
+    if !ready.write.is_empty() {
+        store.write(&ready.write).await?;
+        if let Some(replica) = &mut state.log.lock().replica {
+            replica.persisted(ready.persisted);
+        }
+    }
+    for message in ready.messages {
+        if let Some(peer) = state.peers.get(message.to.id.0) {
+            peer.send_log(message);
+        }
+    }
+    if let Some(snapshot) = ready.install {
+        install(state, &snapshot);
+    }
+    apply(state, &ready.committed);
+    if !ready.reads.is_empty() {
+        state.note_current();
+    }
+    for outcome in ready.reads {
+        let mut log = state.log.lock();
+        let index = log
+            .readers
+            .iter()
+            .position(|reader| reader.token == outcome.token);
+        if let Some(index) = index {
+            let reader = log.readers.swap_remove(index);
+            // The reader may have given up.
+            let _gone = reader.sender.send(outcome.result.map(|index| index.0));
+        }
+    }
+    Ok(())
+}
+
+/// Replaces the configuration by a snapshot of the log.
+pub(crate) fn install(state: &State, snapshot: &Snapshot) {
+    let index = snapshot.position.index.0;
+    let restored = postcard::from_bytes::<Catalog>(&snapshot.bytes)
+        .ok()
+        .and_then(|catalog| Catalog::restore(catalog).ok());
+    match restored {
+        Some(catalog) => {
+            *state.catalog.lock() = catalog;
+            info!(event = "snapshot-installed", index = index; "");
+            state.applied.send_replace(index);
+            state.announce_change();
+        }
+        None => {
+            error!(event = "snapshot-unreadable", index = index; "the leader's snapshot has an unknown form")
+        }
+    }
+}
+
+fn apply(state: &State, committed: &[Entry]) {
+    let Some(last) = committed.last() else {
+        return;
+    };
+    {
+        let mut catalog = state.catalog.lock();
+        for entry in committed {
+            apply_entry(&mut catalog, entry);
+        }
+    }
+    state.applied.send_replace(last.position.index.0);
+    state.announce_change();
+}
+
+fn apply_entry(catalog: &mut Catalog, entry: &Entry) {
+    let Content::Data(bytes) = &entry.content else {
+        return;
+    };
+    let index = entry.position.index.0;
+    match postcard::from_bytes::<Command>(bytes) {
+        Ok(command) => {
+            let reply = catalog.apply(index, &command);
+            info!(event = "command-applied", index = index, command = command.id.to_string().as_str(), operator = &*command.operator; "{reply:?}");
+        }
+        // Every process reads the same bytes, so every process skips the entry.
+        Err(error) => error!(event = "command-unreadable", index = index; "{error}"),
+    }
+}
+
+fn compact(state: &State, compacted: &mut u64) {
+    let (index, bytes) = {
+        let catalog = state.catalog.lock();
+        let index = catalog.index();
+        if index < *compacted + COMPACT_AFTER {
+            return;
+        }
+        let bytes = postcard::to_allocvec(&*catalog).expect("the configuration can be encoded");
+        (index, bytes)
+    };
+    *compacted = index;
+    let mut log = state.log.lock();
+    if let Some(replica) = &mut log.replica
+        && let Err(refusal) = replica.compact(Index(index), Arc::from(bytes))
+    {
+        warn!(event = "log-not-compacted"; "{refusal}");
+    }
+}
+
+fn note_role(state: &State, before: Option<Role>) -> Option<Role> {
+    let now = state.now();
+    let status = state.log.lock().replica.as_ref().map(|r| r.status(now))?;
+    if status.role == Role::Leader {
+        // A leader that hears no quorum steps down by itself within an election timeout.
+        state.note_current();
+    }
+    if before != Some(status.role) {
+        info!(event = "role-changed", role = format!("{:?}", status.role).as_str(), term = status.term.0; "");
+        state.announce_change();
+    }
+    Some(status.role)
+}
+
+/// Takes messages of another process.
+pub(crate) async fn receive(state: Arc<State>, ask: messages::Ask) {
+    let now = state.now();
+    {
+        let mut log = state.log.lock();
+        let Some(replica) = &mut log.replica else {
+            return;
+        };
+        for message in ask.messages {
+            let from = message.from.id;
+            let append = matches!(message.body, Body::Append(_));
+            match replica.step(now, from, message) {
+                Ok(()) if append => state.note_current(),
+                Ok(()) => {}
+                Err(ignored) => log::debug!(event = "log-message-ignored"; "{ignored:?}"),
+            }
+        }
+    }
+    state.wake.notify_one();
+}
--- /dev/null
+++ b/crates/control/src/dump.rs
@@ -0,0 +1,97 @@
+//! The state dump of a control process.
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::state::State;
+
+/// Everything that an operator may want to know of this process, by table.
+pub(crate) fn state(state: &State) -> Value {
+    json!({
+        "process": process(state),
+        "identity": {
+            "instance": state.identity.instance,
+            "zone": state.identity.zone,
+            "region": state.identity.region,
+            "member": state.identity.peer.id,
+            "disk": format!("{:032x}", state.identity.peer.disk.0),
+        },
+        "log": log(state),
+        "configuration": configuration(state),
+        "claims": claims(state),
+        "members": members(state),
+    })
+}
+
+fn process(state: &State) -> Value {
+    match state.process.facts() {
+        Ok(facts) => json!(facts),
+        Err(error) => json!({ "error": error.to_string() }),
+    }
+}
+
+fn log(state: &State) -> Value {
+    let now = state.now();
+    let log = state.log.lock();
+    json!({
+        "status": log.replica.as_ref().map(|replica| replica.status(now)),
+        "waiting": log.waiting,
+        "readers": log.readers.len(),
+        "behind_ms": state.behind().map(|behind| behind.as_millis() as u64),
+    })
+}
+
+fn configuration(state: &State) -> Value {
+    let catalog = state.catalog.lock();
+    let usage = catalog.usage();
+    json!({
+        "revision": catalog.revision(),
+        "index": catalog.index(),
+        "services": catalog.services().len(),
+        "drains": catalog.drains().len(),
+        "history": catalog.history().len(),
+        "bytes": {
+            "services": usage.services_bytes,
+            "entries": usage.entries_bytes,
+            "removals": usage.removals_bytes,
+            "history": usage.history_bytes,
+            "sent": usage.sent_bytes,
+        },
+    })
+}
+
+fn claims(state: &State) -> Value {
+    let counters = state.claims_journal.counters();
+    let failure = state
+        .claims_journal
+        .failure()
+        .map(|failure| failure.to_string());
+    let claims = state.claims.lock();
+    json!({
+        "group": claims.acceptor.group(),
+        "registers": claims.acceptor.table().len(),
+        "bytes": claims.acceptor.table().bytes(),
+        "horizon_ms": claims.acceptor.horizon(),
+        "journal": {
+            "appends": counters.appends,
+            "syncs": counters.syncs,
+            "bytes": counters.bytes,
+            "failure": failure,
+        },
+    })
+}
+
+fn members(state: &State) -> Value {
+    let now = state.now();
+    let members = state.members.lock();
+    let live = members.table.rows().filter(|row| row.is_live()).count();
+    json!({
+        "live": live,
+        "direct": members.table.direct(),
+        "version": members.table.version(),
+        "status": format!("{:?}", members.table.status()),
+        "nodes": members.nodes.all().len(),
+        "control_processes_heard": members.heard(now),
+        "crash_facts": members.crashes.len(),
+    })
+}
--- /dev/null
+++ b/crates/control/src/feed.rs
@@ -0,0 +1,72 @@
+//! What nodes pull: changes of the configuration, the targets and the crash facts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotrill_catalog::difference::Update;
+use shallotrill_control_client::feed;
+use shallotrill_membership::difference::Difference;
+use shallotrill_model::revision::Revision;
+use tokio::time;
+
+use crate::state::State;
+
+/// Longest time that a pull is held back.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+
+/// Answers the pull of a node when there is something that it does not have, or when its wait is over.
+pub(crate) async fn pull(state: Arc<State>, ask: feed::Ask) -> feed::Reply {
+    let wait = Duration::from_millis(ask.wait_ms).min(WAIT_MAX);
+    let end = time::Instant::now() + wait;
+    let mut changed = state.changed.subscribe();
+    loop {
+        let reply = answer(&state, &ask);
+        if is_news(&ask, &reply) {
+            state.metrics.fed(&reply);
+            return reply;
+        }
+        if time::timeout_at(end, changed.changed()).await.is_err() {
+            return answer(&state, &ask);
+        }
+    }
+}
+
+fn answer(state: &State, ask: &feed::Ask) -> feed::Reply {
+    let now = state.now();
+    let (membership, crashes, version) = {
+        let members = state.members.lock();
+        let membership = (!ask.interest.is_empty()).then(|| {
+            members
+                .table
+                .difference(ask.membership.as_ref(), &ask.interest)
+        });
+        let (crashes, version) = members.crashes.since(ask.facts, now);
+        (membership, crashes, version)
+    };
+    feed::Reply {
+        control: state.identity.instance.clone(),
+        update: update(state, ask.revision),
+        membership,
+        facts: crashes,
+        facts_version: version,
+        behind_ms: state.behind().map(|behind| behind.as_millis() as u64),
+    }
+}
+
+/// What changed since a revision. A node that is ahead of this process gets nothing from it.
+fn update(state: &State, since: Revision) -> Option<Update> {
+    let catalog = state.catalog.lock();
+    if catalog.revision() <= since {
+        return None;
+    }
+    Some(catalog.difference(since))
+}
+
+fn is_news(ask: &feed::Ask, reply: &feed::Reply) -> bool {
+    let moved = |difference: &Difference| {
+        difference.is_snapshot() || !difference.rows.is_empty() || !difference.removed.is_empty()
+    };
+    reply.update.is_some()
+        || reply.membership.as_ref().is_some_and(moved)
+        || (!reply.facts.is_empty() && reply.facts_version != ask.facts)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,27 @@
 //! The control role: the process on an instance with a disk.
+//!
+//! Control processes keep the configuration in a replicated log and the records
+//! of non-idempotent requests in registers at a majority. They hold the leases
+//! of targets, and feed nodes by difference. The decisions are made by the pure
+//! packages; this package holds their tables under ranked locks and connects
+//! them to the disk and the peers.
+
+mod bootstrap;
+mod claims;
+mod crashes;
+mod driver;
+mod dump;
+mod feed;
+mod group;
+mod identity;
+mod members;
+mod metrics;
+mod nodes;
+mod replace;
+mod rpc;
+pub mod run;
+mod show;
+mod state;
+mod statements;
+mod store;
+mod submit;
--- /dev/null
+++ b/crates/control/src/members.rs
@@ -0,0 +1,237 @@
+//! Targets and their leases, and what control processes tell each other of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::debug;
+use log::info;
+use shallotrill_control_client::lease;
+use shallotrill_control_client::lease::Standing;
+use shallotrill_membership::change::Change;
+use shallotrill_membership::change::Kind;
+use shallotrill_membership::change::Refusal;
+use shallotrill_membership::contact::Contact;
+use shallotrill_membership::table::Table;
+use shallotrill_membership::version::Version;
+use shallotrill_model::time::Instant;
+use shallotrill_replica::exchange;
+use shallotrill_replica::peers::Peer;
+use tokio::time;
+
+use crate::crashes::Crashes;
+use crate::nodes::Nodes;
+use crate::state::State;
+
+/// Length of a lease.
+const LEASE: Duration = Duration::from_secs(3);
+
+/// Interval of looks for expired leases.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time within which another control process must have answered to count as heard.
+const HEARD_WINDOW: Duration = Duration::from_secs(2);
+
+/// Longest time that an exchange waits for a change; it is also the heartbeat between control processes.
+const EXCHANGE_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for the answer of an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed exchange.
+const EXCHANGE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Another control process and when it last answered an exchange.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    id: u64,
+    at: Instant,
+}
+
+/// Targets, nodes and crash facts.
+#[derive(Debug)]
+pub(crate) struct Members {
+    pub(crate) table: Table,
+    pub(crate) nodes: Nodes,
+    pub(crate) crashes: Crashes,
+    /// Sorted by id.
+    heard: Vec<Heard>,
+}
+
+impl Members {
+    pub(crate) fn new(table: Table) -> Self {
+        Self {
+            table,
+            nodes: Nodes::default(),
+            crashes: Crashes::default(),
+            heard: Vec::new(),
+        }
+    }
+
+    fn hear(&mut self, id: u64, at: Instant) {
+        match self.heard.binary_search_by_key(&id, |heard| heard.id) {
+            Ok(index) => self.heard[index].at = at,
+            Err(index) => self.heard.insert(index, Heard { id, at }),
+        }
+    }
+
+    /// Control processes that answered lately.
+    pub(crate) fn heard(&self, now: Instant) -> usize {
+        let recent = |heard: &&Heard| now.since(heard.at) < HEARD_WINDOW;
+        self.heard.iter().filter(recent).count()
+    }
+}
+
+/// Takes the heartbeat of a node.
+pub(crate) async fn lease(state: Arc<State>, ask: lease::Ask) -> lease::Reply {
+    let now = state.now();
+    let (result, changed) = {
+        let mut members = state.members.lock();
+        members.nodes.hear(&ask.instance, ask.held.revision, now);
+        let added = members.crashes.add(ask.crashes, now);
+        let result = stand(&mut members.table, &ask.instance, ask.standing, now);
+        let moved = matches!(&result, Ok(Some(change)) if change.kind != Kind::Unchanged);
+        (result, moved || added)
+    };
+    if changed {
+        state.announce_change();
+    }
+    if let Ok(Some(change)) = &result
+        && change.kind != Kind::Unchanged
+    {
+        note(change);
+    }
+    lease::Reply {
+        control: state.identity.instance.clone(),
+        lease_ms: LEASE.as_millis() as u64,
+        result: result.map(|_| ()),
+    }
+}
+
+fn stand(
+    table: &mut Table,
+    instance: &shallotrill_model::instance::Name,
+    standing: Standing,
+    now: Instant,
+) -> Result<Option<Change>, Refusal> {
+    match standing {
+        Standing::Absent => Ok(None),
+        Standing::Present(announcement) => table.announce(announcement, now).map(Some),
+        Standing::Left(incarnation) => table.leave(instance, incarnation, now).map(Some),
+    }
+}
+
+fn note(change: &Change) {
+    let target = &change.row.target;
+    info!(
+        event = "target-changed",
+        instance = target.instance.as_str(),
+        service = target.service.as_str(),
+        incarnation = target.incarnation.0;
+        "{:?} {:?}", change.kind, target.state
+    );
+}
+
+/// Expires leases as time passes.
+pub(crate) async fn expire(state: Arc<State>) {
+    loop {
+        time::sleep(EXPIRE_INTERVAL).await;
+        let now = state.now();
+        let changes = {
+            let mut members = state.members.lock();
+            let contact = Contact {
+                others: state.peers.all().len(),
+                heard: members.heard(now),
+            };
+            members.nodes.expire(now);
+            members.crashes.expire(now);
+            members.table.expire(now, &contact)
+        };
+        if !changes.is_empty() {
+            state.announce_change();
+            changes.iter().for_each(note);
+        }
+    }
+}
+
+/// Starts one exchange with each other control process.
+pub(crate) fn start_exchanges(state: &Arc<State>) {
+    for peer in state.peers.all() {
+        tokio::spawn(exchange_with(Arc::clone(state), Arc::clone(peer)));
+    }
+}
+
+async fn exchange_with(state: Arc<State>, peer: Arc<Peer>) {
+    let mut since: Option<Version> = None;
+    let mut crashes = 0;
+    loop {
+        let ask = exchange::Ask {
+            since: since.clone(),
+            crashes,
+            wait_ms: EXCHANGE_WAIT.as_millis() as u64,
+        };
+        let asked: Result<exchange::Reply, _> =
+            peer.ask(exchange::METHOD, &ask, EXCHANGE_TIMEOUT).await;
+        match asked {
+            Ok(reply) => {
+                since = Some(reply.membership.version.clone());
+                crashes = reply.crashes_version;
+                merge(&state, &peer, reply);
+            }
+            Err(failure) => {
+                debug!(event = "exchange-failed", peer = peer.id(); "{failure}");
+                // The other process may have restarted; its counts start again.
+                since = None;
+                crashes = 0;
+                time::sleep(EXCHANGE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn merge(state: &State, peer: &Peer, reply: exchange::Reply) {
+    let now = state.now();
+    let changed = {
+        let mut members = state.members.lock();
+        members.hear(peer.id(), now);
+        for node in &reply.nodes {
+            let age = Duration::from_millis(node.age_ms);
+            members
+                .nodes
+                .hear_aged(&node.instance, node.revision, age, now);
+        }
+        let added = members.crashes.add(reply.crashes, now);
+        let changes = members.table.exchange(&reply.membership, now);
+        added || !changes.is_empty()
+    };
+    if changed {
+        state.announce_change();
+    }
+}
+
+/// Answers the exchange of another control process.
+pub(crate) async fn exchange(state: Arc<State>, ask: exchange::Ask) -> exchange::Reply {
+    let mut changed = state.changed.subscribe();
+    let reply = export(&state, &ask);
+    if !is_news(&ask, &reply) {
+        let wait = Duration::from_millis(ask.wait_ms).min(EXCHANGE_WAIT);
+        drop(time::timeout(wait, changed.changed()).await);
+        return export(&state, &ask);
+    }
+    reply
+}
+
+fn is_news(ask: &exchange::Ask, reply: &exchange::Reply) -> bool {
+    ask.since.as_ref() != Some(&reply.membership.version) || ask.crashes != reply.crashes_version
+}
+
+fn export(state: &State, ask: &exchange::Ask) -> exchange::Reply {
+    let now = state.now();
+    let members = state.members.lock();
+    let (crashes, crashes_version) = members.crashes.since(ask.crashes, now);
+    exchange::Reply {
+        membership: members.table.export(ask.since.as_ref(), now),
+        nodes: members.nodes.direct(now),
+        crashes,
+        crashes_version,
+    }
+}
--- /dev/null
+++ b/crates/control/src/replace.rs
@@ -0,0 +1,167 @@
+//! Replacement of a member, in steps that can be interrupted and repeated.
+//!
+//! A member that lost its disk keeps its number and gets another disk: it is
+//! removed, added as a learner on the new disk, and promoted when it holds the
+//! log. A member that is gone for good is replaced by another number: the new
+//! one is added and promoted first, so that the group never has fewer voters
+//! than before. Each step looks at the present members, so a repetition goes on
+//! where an interrupted replacement stopped. The seat in the claim group
+//! follows through the configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotrill_catalog::action::Action;
+use shallotrill_catalog::command::Command;
+use shallotrill_catalog::group::Group;
+use shallotrill_catalog::member as listed;
+use shallotrill_consensus::change::Change;
+use shallotrill_consensus::failure;
+use shallotrill_consensus::member::Id;
+use shallotrill_consensus::member::Peer;
+use shallotrill_consensus::member::Role;
+use shallotrill_consensus::member::Set;
+use shallotrill_model::command::Id as CommandId;
+use shallotrill_replica::forward::Refusal;
+use tokio::time;
+
+use crate::bootstrap;
+use crate::identity;
+use crate::state::State;
+use crate::submit;
+
+/// Longest time for the new member to catch up before the operator is told to repeat the command.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause before a step that was refused for the moment is tried again.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Replaces a member as the leader.
+///
+/// # Errors
+///
+/// Returns [`Refusal`] with the reason; the replacement goes on when it is asked for again.
+pub(crate) async fn run(state: &Arc<State>, old: u64, new: Peer) -> Result<(), Refusal> {
+    let old = Id(old);
+    let deadline = state.now() + CATCH_UP_LIMIT;
+    loop {
+        let members = bootstrap::members(state).ok_or(Refusal::NotLeader(None))?;
+        let Some(change) = next(&members, old, new) else {
+            break;
+        };
+        match propose(state, change).await {
+            Ok(()) => {}
+            Err(Step::Later(reason)) if state.now() < deadline => {
+                log::debug!(event = "replacement-waits"; "{reason}");
+                time::sleep(PAUSE).await;
+            }
+            Err(Step::Later(reason)) => return Err(Refusal::Member(reason)),
+            Err(Step::Refused(refusal)) => return Err(refusal),
+        }
+    }
+    replace_seats(state, old, new).await
+}
+
+/// The next change that brings the members nearer to the replacement; nothing when it is complete.
+fn next(members: &Set, old: Id, new: Peer) -> Option<Change> {
+    let present = members.get(new.id);
+    if let Some(member) = present
+        && member.peer != new
+    {
+        // The number is taken by the lost disk.
+        return Some(Change::Remove(new.id));
+    }
+    match present.map(|member| member.role) {
+        None => Some(Change::AddLearner(new)),
+        Some(Role::Learner) => Some(Change::Promote(new.id)),
+        Some(Role::Voter) if old != new.id && members.get(old).is_some() => {
+            Some(Change::Remove(old))
+        }
+        Some(Role::Voter) => None,
+    }
+}
+
+enum Step {
+    /// The step may succeed in a moment.
+    Later(String),
+    Refused(Refusal),
+}
+
+async fn propose(state: &Arc<State>, change: Change) -> Result<(), Step> {
+    let position = {
+        let now = state.now();
+        let mut log = state.log.lock();
+        let replica = log
+            .replica
+            .as_mut()
+            .ok_or(Step::Refused(Refusal::NotLeader(None)))?;
+        replica.change(now, change).map_err(step)?
+    };
+    state.wake.notify_one();
+    let applied = state.wait_applied(position.index.0, CATCH_UP_LIMIT).await;
+    if applied {
+        Ok(())
+    } else {
+        Err(Step::Refused(Refusal::NoQuorum))
+    }
+}
+
+fn step(refusal: failure::Refusal) -> Step {
+    match refusal {
+        failure::Refusal::NotLeader(leader) => Step::Refused(Refusal::NotLeader(leader)),
+        failure::Refusal::Behind { .. }
+        | failure::Refusal::ChangePending(_)
+        | failure::Refusal::NotEstablished
+        | failure::Refusal::Overloaded { .. } => Step::Later(refusal.to_string()),
+        failure::Refusal::UnknownMember(_)
+        | failure::Refusal::DuplicateMember(_)
+        | failure::Refusal::LastVoter(_)
+        | failure::Refusal::NotApplied { .. } => {
+            Step::Refused(Refusal::Member(refusal.to_string()))
+        }
+    }
+}
+
+/// Gives the seats of the old member in claim groups to the new one, which then copies.
+async fn replace_seats(state: &Arc<State>, old: Id, new: Peer) -> Result<(), Refusal> {
+    let groups: Vec<Group> = {
+        let catalog = state.catalog.lock();
+        catalog
+            .groups()
+            .iter()
+            .map(|entry| entry.value.clone())
+            .collect()
+    };
+    let old = listed::Id(identity::short(old));
+    let disk = listed::Disk(identity::folded(new.disk));
+    for group in groups {
+        let seat = group.seats.iter().find(|seat| seat.member == old);
+        if seat.is_none_or(|seat| seat.disk == disk) {
+            continue;
+        }
+        let action = Action::ReplaceSeat {
+            region: group.region.clone(),
+            epoch: group.epoch,
+            old,
+            new: listed::Id(identity::short(new.id)),
+            disk,
+        };
+        let command = own_command(state, action);
+        submit::command(state, command).await?;
+    }
+    Ok(())
+}
+
+/// A command of the control processes themselves. Its id follows from its action, so that repetitions are one command.
+pub(crate) fn own_command(state: &State, action: Action) -> Command {
+    let bytes = postcard::to_allocvec(&action).expect("actions can be encoded");
+    let mut id = [0; 16];
+    id.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..16]);
+    Command {
+        id: CommandId(u128::from_be_bytes(id)),
+        base: None,
+        operator: Arc::from("control"),
+        at: state.clock.wall(),
+        action,
+    }
+}
--- /dev/null
+++ b/crates/control/src/show.rs
@@ -0,0 +1,392 @@
+//! Answers to queries, from what is applied here after a quorum confirmed that it is the latest.
+
+use shallotrill_claim::record::State as RecordState;
+use shallotrill_claim::table::Table as Registers;
+use shallotrill_language::answer::Answer;
+use shallotrill_language::answer::Cell;
+use shallotrill_language::answer::Kind;
+use shallotrill_language::statement::Show;
+use shallotrill_language::statement::Statement;
+use shallotrill_model::class::Class;
+use shallotrill_model::command;
+use shallotrill_model::revision::Revision;
+use shallotrill_model::service;
+use shallotrill_operator::failure::Failure;
+use shallotrill_platform::calendar;
+
+use crate::nodes;
+use crate::state::State;
+
+/// Changes that are shown when no number is stated.
+const HISTORY_DEFAULT: usize = 20;
+
+/// Rows that are shown at most, so that an answer stays readable and small.
+const ROWS_MAX: usize = 1_000;
+
+/// Answers a query.
+pub(crate) fn run(state: &State, statement: &Statement) -> Result<Answer, Failure> {
+    match statement {
+        Statement::Show(Show::Services) => services(state),
+        Statement::Show(Show::Service(name)) => service(state, name),
+        Statement::Show(Show::Targets(of)) => targets(state, of.as_ref()),
+        Statement::Show(Show::Nodes) => nodes_held(state),
+        Statement::Show(Show::Members) => members(state),
+        Statement::Show(Show::Budgets) => budgets(state),
+        Statement::Show(Show::History(last)) => history(state, last.map(|last| last as usize)),
+        Statement::Show(Show::Unknown) => unknown(state),
+        Statement::Show(Show::Command(id)) => command(state, *id),
+        Statement::Show(Show::Lag) => {
+            let revision = state.catalog.lock().revision();
+            in_force(state, revision)
+        }
+        Statement::InForce(revision) => in_force(state, *revision),
+        Statement::Explain(request) => Ok(Answer::note(&format!(
+            "ask the node that took the request: GET /v1/explain/{request} at its announce address"
+        ))),
+        _ => Err(Failure::Internal {
+            reason: "the statement is no query".to_owned(),
+        }),
+    }
+}
+
+/// A table that is filled row by row.
+struct Sheet {
+    answer: Answer,
+}
+
+impl Sheet {
+    fn new(columns: &[(&str, Kind)]) -> Self {
+        Self {
+            answer: Answer::table(columns),
+        }
+    }
+
+    fn row(&mut self, cells: Vec<Cell>) -> Result<(), Failure> {
+        if self.answer.rows.len() == ROWS_MAX {
+            self.answer
+                .notes
+                .push(format!("only the first {ROWS_MAX} rows are shown"));
+        }
+        if self.answer.rows.len() >= ROWS_MAX {
+            return Ok(());
+        }
+        self.answer.push(cells).map_err(|ragged| Failure::Internal {
+            reason: ragged.to_string(),
+        })
+    }
+
+    fn note(mut self, note: String) -> Answer {
+        self.answer.notes.insert(0, note);
+        self.answer
+    }
+}
+
+fn text(value: impl ToString) -> Cell {
+    Cell::Text(value.to_string())
+}
+
+fn count(value: impl Into<u64>) -> Cell {
+    Cell::Count(value.into())
+}
+
+fn services(state: &State) -> Result<Answer, Failure> {
+    let mut sheet = Sheet::new(&[
+        ("service", Kind::Text),
+        ("slots", Kind::Count),
+        ("deadline", Kind::Duration),
+        ("rules", Kind::Count),
+        ("revision", Kind::Count),
+        ("by", Kind::Text),
+        ("at", Kind::Time),
+    ]);
+    let catalog = state.catalog.lock();
+    for entry in catalog.services() {
+        let spec = &entry.value;
+        sheet.row(vec![
+            text(&spec.name),
+            count(spec.slots),
+            Cell::DurationUs(u64::from(spec.deadline_ms) * 1_000),
+            count(spec.rules.len() as u64),
+            count(entry.origin.revision.0),
+            text(&entry.origin.operator),
+            text(calendar::rfc3339(entry.origin.at)),
+        ])?;
+    }
+    Ok(sheet.note(format!("revision {} is in force", catalog.revision())))
+}
+
+fn service(state: &State, name: &service::Name) -> Result<Answer, Failure> {
+    let catalog = state.catalog.lock();
+    let entry = catalog.service(name).ok_or_else(|| Failure::UnknownName {
+        kind: "service".to_owned(),
+        name: name.to_string(),
+    })?;
+    let spec = &entry.value;
+    let mut sheet = Sheet::new(&[
+        ("method", Kind::Text),
+        ("path", Kind::Text),
+        ("class", Kind::Text),
+        ("priority", Kind::Count),
+        ("join", Kind::Flag),
+    ]);
+    for rule in &spec.rules {
+        let class = match rule.class {
+            Class::Idempotent => "idempotent",
+            Class::NonIdempotent => "non-idempotent",
+        };
+        sheet.row(vec![
+            text(&rule.method),
+            text(&rule.path),
+            text(class),
+            count(rule.priority),
+            Cell::Flag(rule.join),
+        ])?;
+    }
+    let mut answer = sheet.note(format!(
+        "service {name} at revision {} by {}",
+        entry.origin.revision, entry.origin.operator
+    ));
+    answer.notes.push(format!(
+        "slots {}, connections {}, deadline {}ms, queue {}",
+        spec.slots, spec.connections, spec.deadline_ms, spec.queue
+    ));
+    answer.notes.push(format!(
+        "probe cost {}us, probe budget {} ppm, retry budget {} permille",
+        spec.probe_cost_us, spec.probe_budget_ppm, spec.retry_budget_permille
+    ));
+    answer.notes.push(format!(
+        "crash limit {}, quarantine {}ms, claim region {}",
+        spec.crash_limit, spec.quarantine_ms, spec.claim_region
+    ));
+    Ok(answer)
+}
+
+fn targets(state: &State, of: Option<&service::Name>) -> Result<Answer, Failure> {
+    let mut sheet = Sheet::new(&[
+        ("service", Kind::Text),
+        ("instance", Kind::Text),
+        ("zone", Kind::Text),
+        ("state", Kind::Text),
+        ("slots", Kind::Count),
+        ("incarnation", Kind::Count),
+        ("address", Kind::Text),
+    ]);
+    let drained: Vec<_> = {
+        let catalog = state.catalog.lock();
+        catalog
+            .drains()
+            .iter()
+            .map(|entry| entry.value.clone())
+            .collect()
+    };
+    let members = state.members.lock();
+    let rows = members.table.rows().filter(|row| row.is_live());
+    for row in rows.filter(|row| of.is_none_or(|of| row.target.service == *of)) {
+        let target = &row.target;
+        let target_state = if drained.binary_search(&target.instance).is_ok() {
+            "drained by operator".to_owned()
+        } else {
+            format!("{:?}", target.state).to_lowercase()
+        };
+        sheet.row(vec![
+            text(&target.service),
+            text(&target.instance),
+            text(&target.zone),
+            text(target_state),
+            count(target.slots),
+            count(target.incarnation.0),
+            text(target.address),
+        ])?;
+    }
+    let status = format!(
+        "this control process considers its view {:?}",
+        members.table.status()
+    );
+    Ok(sheet.note(status))
+}
+
+fn nodes_held(state: &State) -> Result<Answer, Failure> {
+    let now = state.now();
+    let mut sheet = Sheet::new(&[
+        ("node", Kind::Text),
+        ("revision", Kind::Count),
+        ("heard", Kind::Duration),
+    ]);
+    let members = state.members.lock();
+    for node in members.nodes.all() {
+        sheet.row(vec![
+            text(&node.instance),
+            count(node.revision.0),
+            Cell::DurationUs(now.since(node.heard).as_micros() as u64),
+        ])?;
+    }
+    Ok(sheet.note(format!("{} nodes", members.nodes.all().len())))
+}
+
+fn in_force(state: &State, revision: Revision) -> Result<Answer, Failure> {
+    let now = state.now();
+    let present = state.catalog.lock().revision();
+    let mut sheet = Sheet::new(&[
+        ("node", Kind::Text),
+        ("revision", Kind::Count),
+        ("heard", Kind::Duration),
+        ("silent", Kind::Flag),
+    ]);
+    let members = state.members.lock();
+    let lagging = members.nodes.lagging(revision, now);
+    let total = members.nodes.all().len();
+    for node in &lagging {
+        let heard = now.since(node.heard);
+        sheet.row(vec![
+            text(&node.instance),
+            count(node.revision.0),
+            Cell::DurationUs(heard.as_micros() as u64),
+            Cell::Flag(heard >= nodes::SILENT),
+        ])?;
+    }
+    let note = if revision > present {
+        format!("revision {revision} is not accepted; the present one is {present}")
+    } else if lagging.is_empty() {
+        format!("revision {revision} is in force at all {total} nodes")
+    } else {
+        format!(
+            "revision {revision} is not known to be in force at {} of {total} nodes",
+            lagging.len()
+        )
+    };
+    Ok(sheet.note(note))
+}
+
+fn members(state: &State) -> Result<Answer, Failure> {
+    let now = state.now();
+    let status = {
+        let log = state.log.lock();
+        let replica = log.replica.as_ref().ok_or(Failure::NoQuorum)?;
+        replica.status(now)
+    };
+    let mut sheet = Sheet::new(&[
+        ("member", Kind::Count),
+        ("role", Kind::Text),
+        ("disk", Kind::Text),
+        ("leader", Kind::Flag),
+        ("matched", Kind::Count),
+        ("heard", Kind::Duration),
+    ]);
+    for progress in &status.members {
+        let peer = progress.member.peer;
+        sheet.row(vec![
+            count(peer.id.0),
+            text(format!("{:?}", progress.member.role).to_lowercase()),
+            text(format!("{:032x}", peer.disk.0)),
+            Cell::Flag(status.leader == Some(peer)),
+            progress.matched.map_or(Cell::Empty, |index| count(index.0)),
+            progress.heard.map_or(Cell::Empty, |heard| {
+                Cell::DurationUs(heard.as_micros() as u64)
+            }),
+        ])?;
+    }
+    let mut answer = sheet.note(format!(
+        "term {}, log applied up to {}, as member {} sees it",
+        status.term.0, status.applied.0, status.own.id.0
+    ));
+    for group in state.catalog.lock().groups() {
+        let seats: Vec<String> = group
+            .value
+            .seats
+            .iter()
+            .map(|seat| format!("{} {:?}", seat.member.0, seat.standing))
+            .collect();
+        answer.notes.push(format!(
+            "claim group {} epoch {}: {}",
+            group.value.region,
+            group.value.epoch,
+            seats.join(", ")
+        ));
+    }
+    Ok(answer)
+}
+
+fn budgets(state: &State) -> Result<Answer, Failure> {
+    let mut sheet = Sheet::new(&[
+        ("service", Kind::Text),
+        ("probe_cost", Kind::Duration),
+        ("probe_budget", Kind::Share),
+        ("retry_budget", Kind::Share),
+    ]);
+    let catalog = state.catalog.lock();
+    for entry in catalog.services() {
+        let spec = &entry.value;
+        sheet.row(vec![
+            text(&spec.name),
+            Cell::DurationUs(u64::from(spec.probe_cost_us)),
+            Cell::SharePpm(spec.probe_budget_ppm),
+            Cell::SharePpm(spec.retry_budget_permille * 1_000),
+        ])?;
+    }
+    let note = "what is spent is in the state dump of each node".to_owned();
+    Ok(sheet.note(note))
+}
+
+fn history(state: &State, last: Option<usize>) -> Result<Answer, Failure> {
+    let mut sheet = Sheet::new(&[
+        ("revision", Kind::Count),
+        ("at", Kind::Time),
+        ("by", Kind::Text),
+        ("command", Kind::Text),
+        ("change", Kind::Text),
+    ]);
+    let catalog = state.catalog.lock();
+    for change in catalog.history().last(last.unwrap_or(HISTORY_DEFAULT)) {
+        sheet.row(vec![
+            count(change.origin.revision.0),
+            text(calendar::rfc3339(change.origin.at)),
+            text(&change.origin.operator),
+            text(change.command),
+            text(format!("{:?}", change.action)),
+        ])?;
+    }
+    Ok(sheet.note(format!("revision {} is in force", catalog.revision())))
+}
+
+fn unknown(state: &State) -> Result<Answer, Failure> {
+    let mut sheet = Sheet::new(&[
+        ("partner", Kind::Text),
+        ("service", Kind::Text),
+        ("key", Kind::Text),
+        ("attempt", Kind::Count),
+        ("holder", Kind::Text),
+        ("issued", Kind::Time),
+        ("content", Kind::Text),
+    ]);
+    let claims = state.claims.lock();
+    let registers: &Registers = claims.acceptor.table();
+    for register in registers.after(None) {
+        let Some(accepted) = &register.accepted else {
+            continue;
+        };
+        let record = &accepted.record;
+        if let RecordState::Unknown { holder } = &record.state {
+            sheet.row(vec![
+                text(&register.key.partner),
+                text(&register.key.service),
+                text(register.key.id),
+                count(record.attempt.0),
+                text(&holder.instance),
+                text(calendar::rfc3339(register.key.time())),
+                text(record.digest),
+            ])?;
+        }
+    }
+    let note =
+        "requests that may have run, as this member holds them; settle each as done or not-run";
+    Ok(sheet.note(note.to_owned()))
+}
+
+fn command(state: &State, id: command::Id) -> Result<Answer, Failure> {
+    let catalog = state.catalog.lock();
+    let reply = catalog.reply(id).ok_or_else(|| Failure::UnknownName {
+        kind: "command".to_owned(),
+        name: id.to_string(),
+    })?;
+    Ok(Answer::note(&format!("command {id}: {reply:?}")))
+}
--- /dev/null
+++ b/crates/control/src/statements.rs
@@ -0,0 +1,332 @@
+//! Statements of operators.
+
+use std::sync::Arc;
+
+use shallotrill_catalog::action::Action;
+use shallotrill_catalog::command::Command;
+use shallotrill_catalog::patch::Patch;
+use shallotrill_catalog::reply;
+use shallotrill_catalog::reply::Reply;
+use shallotrill_claim::change::Change;
+use shallotrill_claim::change::Decision;
+use shallotrill_claim::key;
+use shallotrill_claim::key::Key;
+use shallotrill_claim::proposer::Task;
+use shallotrill_claim::record::Report;
+use shallotrill_claim::record::State as RecordState;
+use shallotrill_consensus::member::Peer;
+use shallotrill_language::answer::Answer;
+use shallotrill_language::setting::Setting;
+use shallotrill_language::statement::Settlement;
+use shallotrill_language::statement::Statement;
+use shallotrill_model::class;
+use shallotrill_model::command::Id;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::outcome;
+use shallotrill_model::partner;
+use shallotrill_model::revision::Revision;
+use shallotrill_model::service;
+use shallotrill_operator::failure::Failure;
+use shallotrill_operator::server::Order;
+use shallotrill_replica::forward::Refusal;
+use shallotrill_replica::hello;
+
+use crate::claims;
+use crate::show;
+use crate::state::State;
+use crate::submit;
+
+/// Status of the answer that a retry gets when an operator found that the request ran.
+const SETTLED_STATUS: u16 = 200;
+
+/// Longest wait for another control process that takes a member's place.
+const HELLO_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Runs a statement.
+pub(crate) async fn run(state: Arc<State>, order: Order) -> Result<Answer, Failure> {
+    let result = dispatch(&state, order).await;
+    let code = result.as_ref().err().map_or("ok", Failure::code);
+    state.metrics.stated(code);
+    result
+}
+
+async fn dispatch(state: &Arc<State>, order: Order) -> Result<Answer, Failure> {
+    let Order {
+        statement,
+        command,
+        operator,
+    } = order;
+    if !statement.is_change() {
+        submit::read(state)
+            .await
+            .map_err(|refusal| refused(state, refusal))?;
+        return show::run(state, &statement);
+    }
+    let id = command.ok_or(Failure::CommandMissing)?;
+    match statement {
+        Statement::Settle {
+            partner,
+            service,
+            key,
+            settlement,
+        } => settle(state, partner, service, key.0, settlement).await,
+        Statement::Replace { old, new } => replace(state, old, new).await,
+        other => change(state, id, operator, other).await,
+    }
+}
+
+async fn change(
+    state: &Arc<State>,
+    id: Id,
+    operator: String,
+    statement: Statement,
+) -> Result<Answer, Failure> {
+    let (base, action) = action(state, statement)?;
+    let command = Command {
+        id,
+        base,
+        operator: Arc::from(operator),
+        at: state.clock.wall(),
+        action,
+    };
+    let reply = submit::command(state, command).await;
+    match reply.map_err(|refusal| refused(state, refusal))? {
+        Reply::Accepted(revision) => {
+            let text = format!("accepted as revision {revision}; command {id}");
+            Ok(Answer::note(&text))
+        }
+        Reply::Refused(refusal) => Err(failure(state, &refusal)),
+    }
+}
+
+fn action(state: &State, statement: Statement) -> Result<(Option<Revision>, Action), Failure> {
+    Ok(match statement {
+        Statement::Create { service, settings } => {
+            let mut spec = service::Spec::new(service, state.identity.region.clone());
+            for setting in &settings {
+                setting.apply(&mut spec);
+            }
+            (None, Action::CreateService(spec))
+        }
+        Statement::Change {
+            service,
+            at,
+            settings,
+        } => {
+            let patch = patch(&settings)?;
+            (
+                Some(at),
+                Action::ChangeService {
+                    name: service,
+                    patch,
+                },
+            )
+        }
+        Statement::Delete { service, at } => (Some(at), Action::DeleteService { name: service }),
+        Statement::Classify {
+            service,
+            at,
+            method,
+            path,
+            class,
+            priority,
+            join,
+        } => {
+            let rule = class::Rule {
+                method,
+                path,
+                class,
+                priority,
+                join,
+            };
+            (
+                Some(at),
+                Action::Classify {
+                    name: service,
+                    rule,
+                },
+            )
+        }
+        Statement::Drain(instance) => (None, Action::Drain { instance }),
+        Statement::Undrain(instance) => (None, Action::Undrain { instance }),
+        Statement::Release { service, digest } => (None, Action::Release { service, digest }),
+        Statement::Show(_)
+        | Statement::InForce(_)
+        | Statement::Explain(_)
+        | Statement::Replace { .. }
+        | Statement::Settle { .. } => {
+            let reason = "the statement is no change of the configuration".to_owned();
+            return Err(Failure::Internal { reason });
+        }
+    })
+}
+
+fn patch(settings: &[Setting]) -> Result<Patch, Failure> {
+    let mut patch = Patch::default();
+    for setting in settings {
+        match setting {
+            Setting::Slots(value) => patch.slots = Some(*value),
+            Setting::Connections(value) => patch.connections = Some(*value),
+            Setting::DeadlineMs(value) => patch.deadline_ms = Some(*value),
+            Setting::Queue(value) => patch.queue = Some(*value),
+            Setting::ProbeCostUs(value) => patch.probe_cost_us = Some(*value),
+            Setting::ProbeBudgetPpm(value) => patch.probe_budget_ppm = Some(*value),
+            Setting::RetryBudgetPermille(value) => patch.retry_budget_permille = Some(*value),
+            Setting::CrashLimit(value) => patch.crash_limit = Some(*value),
+            Setting::QuarantineMs(value) => patch.quarantine_ms = Some(*value),
+            Setting::Regions(regions) => patch.regions = Some(regions.clone()),
+            Setting::ClaimRegion(_) => {
+                return Err(Failure::InvalidValue {
+                    key: "claim-region".to_owned(),
+                    allowed: "set when the service is created; records do not move".to_owned(),
+                });
+            }
+        }
+    }
+    Ok(patch)
+}
+
+/// A refusal on the way to a decision.
+pub(crate) fn refused(state: &State, refusal: Refusal) -> Failure {
+    match refusal {
+        Refusal::NoQuorum | Refusal::NotLeader(_) => Failure::NoQuorum,
+        Refusal::Overloaded => Failure::Request {
+            status: 503,
+            reason: "too many changes wait for a quorum; repeat the command".to_owned(),
+        },
+        Refusal::Member(reason) => {
+            let reason = format!("{reason} (asked at {})", state.identity.instance);
+            Failure::Request {
+                status: 409,
+                reason,
+            }
+        }
+    }
+}
+
+/// A refusal that was decided.
+fn failure(state: &State, refusal: &reply::Refusal) -> Failure {
+    match refusal {
+        reply::Refusal::Conflict { base, current } => Failure::Conflict {
+            built_on: *base,
+            current: current.revision,
+            winner: winner(state, current.revision),
+        },
+        reply::Refusal::Exists(_) => Failure::Exists {
+            kind: "service".to_owned(),
+            name: refusal.to_string(),
+        },
+        reply::Refusal::Missing(name, _) => Failure::UnknownName {
+            kind: "service".to_owned(),
+            name: name.to_string(),
+        },
+        reply::Refusal::NotDrained(instance) => Failure::UnknownName {
+            kind: "drained instance".to_owned(),
+            name: instance.to_string(),
+        },
+        other => Failure::Request {
+            status: 422,
+            reason: other.to_string(),
+        },
+    }
+}
+
+/// The command that made a revision, if it is still in the history.
+fn winner(state: &State, revision: Revision) -> Option<Id> {
+    let catalog = state.catalog.lock();
+    let mut changes = catalog.history().last(usize::MAX);
+    let made = changes.find(|change| change.origin.revision == revision);
+    made.map(|change| change.command)
+}
+
+async fn settle(
+    state: &Arc<State>,
+    partner: partner::Name,
+    service: service::Name,
+    key: u128,
+    settlement: Settlement,
+) -> Result<Answer, Failure> {
+    let invalid = |error: key::Invalid| Failure::InvalidValue {
+        key: "key".to_owned(),
+        allowed: error.to_string(),
+    };
+    let key = Key {
+        id: key::Id::new(key).map_err(invalid)?,
+        partner,
+        service,
+    };
+    let attempt = {
+        let claims = state.claims.lock();
+        let register = claims.acceptor.table().get(&key);
+        register
+            .and_then(|register| register.accepted.as_ref())
+            .filter(|accepted| matches!(accepted.record.state, RecordState::Unknown { .. }))
+            .map(|accepted| accepted.record.attempt)
+    };
+    let attempt = attempt.ok_or_else(|| Failure::UnknownName {
+        kind: "request of unknown outcome".to_owned(),
+        name: key.id.to_string(),
+    })?;
+    let decision = match settlement {
+        Settlement::NotRun => Decision::NotRun,
+        Settlement::Done => Decision::Done(outcome::Answer {
+            status: SETTLED_STATUS,
+            content_type: String::new(),
+            body: None,
+            digest: Digest([0; 32]),
+        }),
+    };
+    let change = Task::Change(Change::Settle { attempt, decision });
+    match claims::run(state, key, change).await {
+        Ok(Report::Outcome(outcome)) => {
+            let text = format!("settled as {settlement}: {}", name(&outcome));
+            Ok(Answer::note(&text))
+        }
+        Ok(Report::Granted { .. } | Report::Absent) => Err(Failure::Internal {
+            reason: "the claim group answered another question".to_owned(),
+        }),
+        Err(refusal) => Err(Failure::Request {
+            status: 409,
+            reason: format!("{refusal:?}"),
+        }),
+    }
+}
+
+/// The outcome in a word.
+pub(crate) const fn name(outcome: &outcome::Outcome) -> &'static str {
+    match outcome {
+        outcome::Outcome::Answer(_) => "ran",
+        outcome::Outcome::Running => "running",
+        outcome::Outcome::NotRun(_) => "not-run",
+        outcome::Outcome::Unknown => "unknown",
+    }
+}
+
+async fn replace(state: &Arc<State>, old: u64, new: u64) -> Result<Answer, Failure> {
+    let peer = disk_of(state, new).await?;
+    submit::replace(state, old, peer)
+        .await
+        .map_err(|refusal| refused(state, refusal))?;
+    let text = format!(
+        "member {old} is replaced by {new} on disk {:032x}",
+        peer.disk.0
+    );
+    Ok(Answer::note(&text))
+}
+
+/// Asks a control process which disk it has.
+async fn disk_of(state: &State, id: u64) -> Result<Peer, Failure> {
+    if id == state.identity.peer.id.0 {
+        return Ok(state.identity.peer);
+    }
+    let unknown = || Failure::UnknownName {
+        kind: "control process that answers".to_owned(),
+        name: id.to_string(),
+    };
+    let peer = state.peers.get(id).ok_or_else(unknown)?;
+    let ask = hello::Ask {
+        own: state.identity.peer,
+    };
+    let reply: Result<hello::Reply, _> = peer.ask(hello::METHOD, &ask, HELLO_TIMEOUT).await;
+    reply.ok().map(|reply| reply.own).ok_or_else(unknown)
+}
--- /dev/null
+++ b/crates/control/src/submit.rs
@@ -0,0 +1,163 @@
+//! Commands and reads of operators, at the leader or forwarded to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotrill_catalog::command::Command;
+use shallotrill_catalog::reply::Reply as Outcome;
+use shallotrill_consensus::failure;
+use shallotrill_consensus::member::Peer;
+use shallotrill_replica::forward;
+use shallotrill_replica::forward::Answer;
+use shallotrill_replica::forward::Ask;
+use shallotrill_replica::forward::Refusal;
+use shallotrill_replica::forward::Reply;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::replace;
+use crate::state::Reader;
+use crate::state::State;
+
+/// Longest wait for a quorum. An election takes up to twice its timeout of 1 s.
+const QUORUM_LIMIT: Duration = Duration::from_secs(4);
+
+/// Pause before a leader is looked for again.
+const LEADER_PAUSE: Duration = Duration::from_millis(100);
+
+/// Proposes a command and waits until it is applied here, wherever the leader is.
+///
+/// # Errors
+///
+/// Returns [`Refusal`] when no quorum applied it in time. It may still be applied later.
+pub(crate) async fn command(state: &Arc<State>, command: Command) -> Result<Outcome, Refusal> {
+    let answer = ask(state, &Ask::Command(command)).await?;
+    match answer {
+        Answer::Applied { index, outcome } => {
+            state.wait_applied(index, QUORUM_LIMIT).await;
+            Ok(outcome)
+        }
+        Answer::ReadAt(_) | Answer::Replaced => Err(Refusal::NoQuorum),
+    }
+}
+
+/// Waits until this process has applied everything that was accepted before the question.
+///
+/// # Errors
+///
+/// Returns [`Refusal`] when no quorum confirms it, so that nobody here can say what is in force.
+pub(crate) async fn read(state: &Arc<State>) -> Result<(), Refusal> {
+    match ask(state, &Ask::Read).await? {
+        Answer::ReadAt(index) if state.wait_applied(index, QUORUM_LIMIT).await => Ok(()),
+        _ => Err(Refusal::NoQuorum),
+    }
+}
+
+/// Replaces a member of the group.
+///
+/// # Errors
+///
+/// Returns [`Refusal`] with the reason; the command can be repeated.
+pub(crate) async fn replace(state: &Arc<State>, old: u64, new: Peer) -> Result<(), Refusal> {
+    ask(state, &Ask::Replace { old, new }).await.map(|_| ())
+}
+
+/// Asks the leader, which may be this process, until one answers or the time is up.
+async fn ask(state: &Arc<State>, ask: &Ask) -> Reply {
+    let deadline = state.now() + QUORUM_LIMIT;
+    loop {
+        let reply = match leader(state) {
+            Some(leader) if leader == state.identity.peer => serve(state, ask.clone()).await,
+            Some(leader) => forward(state, leader, ask).await,
+            None => Err(Refusal::NotLeader(None)),
+        };
+        match reply {
+            Err(Refusal::NotLeader(_)) if state.now() < deadline => {
+                time::sleep(LEADER_PAUSE).await;
+            }
+            Err(Refusal::NotLeader(_)) => return Err(Refusal::NoQuorum),
+            reply => return reply,
+        }
+    }
+}
+
+pub(crate) fn leader(state: &State) -> Option<Peer> {
+    let now = state.now();
+    let log = state.log.lock();
+    log.replica.as_ref()?.status(now).leader
+}
+
+async fn forward(state: &State, leader: Peer, ask: &Ask) -> Reply {
+    let Some(peer) = state.peers.get(leader.id.0) else {
+        return Err(Refusal::NotLeader(None));
+    };
+    let asked = peer.ask(forward::METHOD, ask, QUORUM_LIMIT).await;
+    match asked {
+        Ok(reply) => reply,
+        // A question that was not sent may be asked again; what was sent may have been accepted.
+        Err(failure) if failure.is_not_sent() => Err(Refusal::NotLeader(None)),
+        Err(_) => Err(Refusal::NoQuorum),
+    }
+}
+
+/// Answers a question as the leader.
+pub(crate) async fn answer(state: Arc<State>, ask: Ask) -> Reply {
+    serve(&state, ask).await
+}
+
+async fn serve(state: &Arc<State>, ask: Ask) -> Reply {
+    match ask {
+        Ask::Command(command) => propose(state, command).await,
+        Ask::Read => confirm(state).await,
+        Ask::Replace { old, new } => replace::run(state, old, new)
+            .await
+            .map(|()| Answer::Replaced),
+    }
+}
+
+async fn propose(state: &Arc<State>, command: Command) -> Reply {
+    let id = command.id;
+    let bytes = postcard::to_allocvec(&command).expect("commands can be encoded");
+    let position = {
+        let now = state.now();
+        let mut log = state.log.lock();
+        let replica = log.replica.as_mut().ok_or(Refusal::NotLeader(None))?;
+        replica.propose(now, bytes).map_err(refusal)?
+    };
+    state.wake.notify_one();
+    let index = position.index.0;
+    if !state.wait_applied(index, QUORUM_LIMIT).await {
+        return Err(Refusal::NoQuorum);
+    }
+    // Another leader's entry may have taken the place; then there is no reply to this command.
+    let outcome = state.catalog.lock().reply(id).cloned();
+    match outcome {
+        Some(outcome) => Ok(Answer::Applied { index, outcome }),
+        None => Err(Refusal::NoQuorum),
+    }
+}
+
+async fn confirm(state: &Arc<State>) -> Reply {
+    let (sender, receiver) = oneshot::channel();
+    {
+        let now = state.now();
+        let mut log = state.log.lock();
+        let replica = log.replica.as_mut().ok_or(Refusal::NotLeader(None))?;
+        let token = replica.read(now).map_err(refusal)?;
+        log.readers.push(Reader { token, sender });
+    }
+    state.wake.notify_one();
+    match time::timeout(QUORUM_LIMIT, receiver).await {
+        Ok(Ok(Ok(index))) => Ok(Answer::ReadAt(index)),
+        Ok(Ok(Err(_))) => Err(Refusal::NotLeader(None)),
+        Ok(Err(_)) | Err(_) => Err(Refusal::NoQuorum),
+    }
+}
+
+fn refusal(refusal: failure::Refusal) -> Refusal {
+    match refusal {
+        failure::Refusal::NotLeader(leader) => Refusal::NotLeader(leader),
+        failure::Refusal::Overloaded { .. } => Refusal::Overloaded,
+        other => Refusal::Member(other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/replica/src/log.rs
@@ -0,0 +1,15 @@
+//! Messages of the replicated log. They may be lost, repeated and reordered.
+
+use serde::Deserialize;
+use serde::Serialize;
+use shallotrill_consensus::message::Message;
+
+/// Name of the method.
+pub const METHOD: &str = "log_step";
+
+/// A batch of messages in the order of sending.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The messages.
+    pub messages: Vec<Message>,
+}
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -48,6 +48,20 @@
     }
 }
 
+/// A running server.
+#[derive(Debug)]
+pub struct Handle(ServerHandle);
+
+impl Handle {
+    /// Takes no more questions and waits until those in flight are answered.
+    pub async fn stop(self) {
+        // An error says that the server had stopped before.
+        if self.0.stop().is_ok() {
+            self.0.stopped().await;
+        }
+    }
+}
+
 /// The methods of a server over a shared context.
 pub struct Methods<C> {
     module: RpcModule<C>,
@@ -100,7 +114,7 @@
         address: SocketAddr,
         connections_max: u32,
         message_bytes: u32,
-    ) -> Result<(ServerHandle, SocketAddr), Error> {
+    ) -> Result<(Handle, SocketAddr), Error> {
         let failed = |cause| Error { address, cause };
         let ping = PingConfig::new()
             .ping_interval(PING_INTERVAL)
@@ -119,6 +133,6 @@
             .await
             .map_err(failed)?;
         let address = server.local_addr().map_err(failed)?;
-        Ok((server.start(self.module), address))
+        Ok((Handle(server.start(self.module)), address))
     }
 }
