--- a/crates/disk/src/journal.rs
+++ b/crates/disk/src/journal.rs
@@ -1,7 +1,5 @@
 //! The journal: frames in order, durable in groups.
 
-use std::error;
-use std::fmt;
 use std::fs;
 use std::fs::File;
 use std::path::Path;
@@ -27,6 +25,7 @@
 use crate::frame::Frame;
 use crate::identity::Identity;
 use crate::position::Position;
+use crate::refusal::Refusal;
 use crate::replay;
 use crate::replay::End;
 use crate::replay::Event;
@@ -40,61 +39,6 @@
 use crate::writer::Table;
 use crate::writer::Writer;
 
-/// Why an append or a snapshot was refused.
-#[derive(Clone, Debug)]
-pub enum Refusal {
-    /// The disk is full; later appends may succeed when space returns.
-    Full {
-        /// Bytes asked for.
-        bytes: u64,
-    },
-    /// Space for the next segment is being reserved; try again after some appends are durable.
-    Busy {
-        /// Bytes asked for.
-        bytes: u64,
-    },
-    /// The frame does not fit a segment.
-    TooLarge {
-        /// Bytes asked for.
-        bytes: u64,
-        /// Bytes that fit.
-        limit: u64,
-    },
-    /// The snapshot covers frames that are not durable.
-    NotDurable {
-        /// Last frame covered.
-        covers: Position,
-        /// Last frame that is durable.
-        durable: Position,
-    },
-    /// Another snapshot is being written.
-    SnapshotRunning,
-    /// The journal has failed and takes nothing more until it is opened again.
-    Failed(Failure),
-}
-
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Full { bytes } => write!(f, "the disk is full: no space for {bytes} bytes"),
-            Self::Busy { bytes } => write!(f, "space for {bytes} bytes is not reserved yet"),
-            Self::TooLarge { bytes, limit } => {
-                write!(f, "a frame of {bytes} bytes exceeds the {limit} that fit")
-            }
-            Self::NotDurable { covers, durable } => {
-                write!(
-                    f,
-                    "a snapshot up to {covers}, but only {durable} is durable"
-                )
-            }
-            Self::SnapshotRunning => write!(f, "another snapshot is being written"),
-            Self::Failed(failure) => write!(f, "the journal has failed: {failure}"),
-        }
-    }
-}
-
-impl error::Error for Refusal {}
-
 /// Parameters of a journal.
 #[derive(Debug)]
 pub struct Config {
@@ -184,6 +128,7 @@
     ) -> Result<Self, Failure> {
         let progress = Progress {
             durable: Position(table.next.0 - 1),
+            attempts: 0,
             failure: None,
         };
         let shared = Arc::new(Shared {
@@ -237,10 +182,11 @@
         }
         if bytes > table.left {
             if !table.reserved {
+                let attempt = table.attempts;
                 return Err(if table.full {
-                    Refusal::Full { bytes }
+                    Refusal::Full { bytes, attempt }
                 } else {
-                    Refusal::Busy { bytes }
+                    Refusal::Busy { bytes, attempt }
                 });
             }
             table.reserved = false;
@@ -294,6 +240,21 @@
         }
     }
 
+    /// Waits until space was asked for again after the attempt named in a refusal; the append may then succeed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the journal fails first.
+    pub async fn space(&self, attempt: u64) -> Result<(), Refusal> {
+        let mut progress = self.shared.progress.subscribe();
+        let seen = progress
+            .wait_for(|seen| seen.attempts > attempt || seen.failure.is_some())
+            .await
+            .map(|seen| seen.clone())
+            .unwrap_or_default();
+        seen.failure.map_or(Ok(()), |f| Err(Refusal::Failed(f)))
+    }
+
     /// Last position on the disk.
     pub fn durable_position(&self) -> Position {
         self.shared.progress.borrow().durable
@@ -414,6 +375,7 @@
         left: size.saturating_sub(offset + frame::HEADER as u64),
         reserved: false,
         full: false,
+        attempts: 0,
         failure: None,
         closing: false,
         segments: end.segments,
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod identity;
 pub mod journal;
 pub mod position;
+pub mod refusal;
 pub mod replay;
 mod segment;
 pub mod snapshot;
--- a/crates/disk/src/writer.rs
+++ b/crates/disk/src/writer.rs
@@ -43,6 +43,8 @@
     pub(crate) reserved: bool,
     /// Whether the last attempt to reserve space found the disk full.
     pub(crate) full: bool,
+    /// How often space was asked for, with or without success.
+    pub(crate) attempts: u64,
     pub(crate) failure: Option<Failure>,
     pub(crate) closing: bool,
     /// Segments on the disk with their first positions.
@@ -53,6 +55,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
     pub(crate) durable: Position,
+    pub(crate) attempts: u64,
     pub(crate) failure: Option<Failure>,
 }
 
@@ -115,9 +118,6 @@
                 let mut table = shared.table.lock();
                 (mem::take(&mut table.chunks), table.closing)
             };
-            if chunks.is_empty() && closing {
-                return;
-            }
             if let Err(failure) = self.write(shared, &chunks) {
                 return fail(shared, failure);
             }
@@ -127,6 +127,10 @@
                     .progress
                     .send_modify(|progress| progress.durable = last);
             }
+            // Nothing is appended after the journal closes, and its ring may be the one already taken.
+            if closing {
+                return;
+            }
             if let Err(failure) = self.reserve(shared) {
                 return fail(shared, failure);
             }
@@ -196,20 +200,21 @@
             return Ok(());
         }
         let result = segment::reserve(&shared.folder, shared.segment_bytes, &shared.calls);
-        let mut table = shared.table.lock();
-        match result {
-            Ok(file) => {
-                self.reserved = Some(file);
-                table.reserved = true;
-                table.full = false;
-                Ok(())
-            }
-            Err(failure) if failure.is_full() => {
-                table.full = true;
-                Ok(())
-            }
-            Err(failure) => Err(failure),
+        let full = matches!(&result, Err(failure) if failure.is_full());
+        if !full {
+            self.reserved = Some(result?);
         }
+        let attempts = {
+            let mut table = shared.table.lock();
+            table.reserved = !full;
+            table.full = full;
+            table.attempts += 1;
+            table.attempts
+        };
+        shared
+            .progress
+            .send_modify(|progress| progress.attempts = attempts);
+        Ok(())
     }
 
     fn failed(&self, shared: &Shared, operation: Operation, error: std::io::Error) -> Failure {
--- /dev/null
+++ b/crates/disk/tests/common/mod.rs
@@ -0,0 +1,61 @@
+//! What the tests share: a journal with small segments and known frames.
+
+use shallotrill_disk::failure::Failure;
+use shallotrill_disk::folder::Folder;
+use shallotrill_disk::journal::Config;
+use shallotrill_disk::journal::Journal;
+use shallotrill_disk::position::Position;
+use shallotrill_disk::refusal::Refusal;
+use shallotrill_disk::replay::Event;
+
+pub const NAME: &str = "log";
+/// Seven frames of the tests fit.
+pub const SEGMENT: u64 = 512;
+pub const KIND: u8 = 3;
+
+/// What was read back.
+#[derive(Debug, Default, PartialEq)]
+pub struct Seen {
+    pub snapshot: Option<(Position, Vec<u8>)>,
+    pub frames: Vec<u64>,
+}
+
+pub fn body(number: u64) -> Vec<u8> {
+    number.to_le_bytes().repeat(5)
+}
+
+pub fn open(folder: &Folder, config: Config) -> Result<(Journal, Seen), Failure> {
+    let mut seen = Seen::default();
+    let journal =
+        Journal::open(
+            folder,
+            NAME,
+            config.segment_bytes(SEGMENT),
+            &mut |event| match event {
+                Event::Snapshot { covers, bytes } => seen.snapshot = Some((covers, bytes.to_vec())),
+                Event::Frame {
+                    position,
+                    kind,
+                    body: found,
+                } => {
+                    assert_eq!((kind, found), (KIND, body(position.0).as_slice()));
+                    seen.frames.push(position.0);
+                }
+            },
+        )?;
+    Ok((journal, seen))
+}
+
+/// Appends frames `from..=to`, waiting for space, and waits until they are durable.
+pub async fn fill(journal: &Journal, from: u64, to: u64) -> Result<(), Refusal> {
+    for number in from..=to {
+        let position = loop {
+            match journal.append(KIND, &body(number)) {
+                Err(Refusal::Busy { attempt, .. }) => journal.space(attempt).await?,
+                other => break other?,
+            }
+        };
+        assert_eq!(position, Position(number));
+    }
+    journal.durable(Position(to)).await
+}
--- /dev/null
+++ b/crates/disk/tests/faults.rs
@@ -0,0 +1,248 @@
+//! Faults of the operating system while a journal works.
+
+mod common;
+
+use std::fs;
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use shallotrill_disk::calls::Calls;
+use shallotrill_disk::failure::Failure;
+use shallotrill_disk::failure::Operation;
+use shallotrill_disk::folder::Folder;
+use shallotrill_disk::journal::Config;
+use shallotrill_disk::journal::Journal;
+use shallotrill_disk::position::Position;
+use shallotrill_disk::refusal::Refusal;
+
+use crate::common::KIND;
+use crate::common::NAME;
+use crate::common::body;
+use crate::common::fill;
+use crate::common::open;
+
+/// Whether the fault is on.
+type Switch = Arc<AtomicBool>;
+
+struct Case {
+    name: &'static str,
+    calls: fn(Switch) -> Calls,
+    /// The operation that stops the journal, or none when it goes on.
+    stops: Option<Operation>,
+}
+
+fn code(on: &Switch, code: i32) -> io::Result<()> {
+    if on.load(Ordering::SeqCst) {
+        return Err(io::Error::from_raw_os_error(code));
+    }
+    Ok(())
+}
+
+const EIO: i32 = 5;
+const ENOSPC: i32 = 28;
+
+/// Guards against an acknowledgement after a failed write or sync, and against a stop without need.
+const CASES: &[Case] = &[
+    Case {
+        name: "short writes",
+        calls: |on| Calls {
+            write: Box::new(move |file, bytes, offset| {
+                let size = if on.load(Ordering::SeqCst) {
+                    bytes.len().min(5)
+                } else {
+                    bytes.len()
+                };
+                file.write_at(&bytes[..size], offset)
+            }),
+            ..Calls::default()
+        },
+        stops: None,
+    },
+    Case {
+        name: "write error",
+        calls: |on| Calls {
+            write: Box::new(move |file, bytes, offset| {
+                code(&on, EIO)?;
+                file.write_at(bytes, offset)
+            }),
+            ..Calls::default()
+        },
+        stops: Some(Operation::Write),
+    },
+    Case {
+        name: "nothing written",
+        calls: |on| Calls {
+            write: Box::new(move |file, bytes, offset| {
+                if on.load(Ordering::SeqCst) {
+                    return Ok(0);
+                }
+                file.write_at(bytes, offset)
+            }),
+            ..Calls::default()
+        },
+        stops: Some(Operation::Write),
+    },
+    Case {
+        name: "no space in spite of the reservation",
+        calls: |on| Calls {
+            write: Box::new(move |file, bytes, offset| {
+                code(&on, ENOSPC)?;
+                file.write_at(bytes, offset)
+            }),
+            ..Calls::default()
+        },
+        stops: Some(Operation::Write),
+    },
+    Case {
+        name: "sync error",
+        calls: |on| Calls {
+            sync: Box::new(move |file| {
+                code(&on, EIO)?;
+                file.sync_data()
+            }),
+            ..Calls::default()
+        },
+        stops: Some(Operation::Sync),
+    },
+];
+
+fn operation(result: &Result<(), Refusal>) -> Option<Operation> {
+    match result {
+        Err(Refusal::Failed(Failure::Io { operation, .. })) => Some(*operation),
+        _ => None,
+    }
+}
+
+#[tokio::test]
+async fn faults_stop_the_journal_or_pass() {
+    for case in CASES {
+        let path = tempfile::tempdir().expect("folder");
+        let folder = Folder::open(path.path()).expect("folder");
+        let on = Switch::default();
+        let calls = (case.calls)(Arc::clone(&on));
+        let (journal, _) = open(&folder, Config::default().calls(calls)).expect(case.name);
+        fill(&journal, 1, 10).await.expect(case.name);
+        on.store(true, Ordering::SeqCst);
+        let result = fill(&journal, 11, 11).await;
+        assert_eq!(operation(&result), case.stops, "{}: {result:?}", case.name);
+        on.store(false, Ordering::SeqCst);
+        // A journal that has failed stays so after the fault is gone.
+        let later = fill(&journal, 12, 12).await;
+        assert_eq!(operation(&later), case.stops, "{}, later", case.name);
+        let append = journal.append(KIND, &body(13)).map(drop);
+        assert_eq!(operation(&append), case.stops, "{}, append", case.name);
+        drop(journal);
+        let (_, seen) = open(&folder, Config::default()).expect(case.name);
+        let least = if case.stops.is_some() { 10 } else { 12 };
+        assert!(seen.frames.len() >= least, "{}: {seen:?}", case.name);
+    }
+}
+
+/// Guards against a full disk that loses accepted frames or stops the journal for good.
+#[tokio::test]
+async fn full_disk_refuses_and_recovers() {
+    let path = tempfile::tempdir().expect("folder");
+    let folder = Folder::open(path.path()).expect("folder");
+    let on = Switch::default();
+    let full = Arc::clone(&on);
+    let reserve = Calls::default().reserve;
+    let calls = Calls {
+        reserve: Box::new(move |file, size| {
+            code(&full, ENOSPC)?;
+            reserve(file, size)
+        }),
+        ..Calls::default()
+    };
+    let (journal, _) = open(&folder, Config::default().calls(calls)).expect("journal");
+    fill(&journal, 1, 8).await.expect("durable");
+    on.store(true, Ordering::SeqCst);
+    let (accepted, attempt) = append_until_full(&journal, 9).await;
+    journal
+        .durable(Position(accepted))
+        .await
+        .expect("accepted frames are durable");
+    on.store(false, Ordering::SeqCst);
+    // The refused append made the writer ask again, perhaps before space returned.
+    let again = journal.append(KIND, &body(accepted + 1));
+    assert!(
+        matches!(again, Err(Refusal::Full { .. }) | Ok(_)),
+        "{again:?}"
+    );
+    journal.space(attempt).await.expect("space");
+    let from = accepted + 1 + u64::from(again.is_ok());
+    while let Err(Refusal::Full { attempt, .. }) = fill(&journal, from, from).await {
+        journal.space(attempt).await.expect("space");
+    }
+    drop(journal);
+    let (_, seen) = open(&folder, Config::default()).expect("journal");
+    assert_eq!(seen.frames, (1..=from).collect::<Vec<_>>());
+}
+
+async fn append_until_full(journal: &Journal, from: u64) -> (u64, u64) {
+    for number in from.. {
+        match fill(journal, number, number).await {
+            Ok(()) => assert!(number < 100, "a full disk still takes appends"),
+            Err(Refusal::Full { attempt, .. }) => return (number - 1, attempt),
+            Err(refusal) => panic!("{refusal}"),
+        }
+    }
+    unreachable!("the range has no end")
+}
+
+/// Guards against segments dropped before the snapshot that replaces them is durable.
+#[tokio::test]
+async fn segments_are_dropped_after_the_snapshot() {
+    for fails in [false, true] {
+        let path = tempfile::tempdir().expect("folder");
+        let folder = Folder::open(path.path()).expect("folder");
+        let on = Switch::default();
+        let fault = Arc::clone(&on);
+        let calls = Calls {
+            sync: Box::new(move |file| {
+                code(&fault, EIO)?;
+                file.sync_data()
+            }),
+            ..Calls::default()
+        };
+        let (journal, _) = open(&folder, Config::default().calls(calls)).expect("journal");
+        fill(&journal, 1, 20).await.expect("durable");
+        on.store(fails, Ordering::SeqCst);
+        let result = journal.snapshot(Position(16), b"state");
+        assert_eq!(result.is_err(), fails, "{result:?}");
+        on.store(false, Ordering::SeqCst);
+        let early = journal.snapshot(Position(21), b"early");
+        assert!(
+            matches!(early, Err(Refusal::NotDurable { .. })),
+            "{early:?}"
+        );
+        drop(journal);
+        let (_, seen) = open(&folder, Config::default()).expect("journal");
+        let first = if fails { 1 } else { 17 };
+        assert_eq!(seen.frames, (first..=20).collect::<Vec<_>>());
+        assert_eq!(seen.snapshot.is_some(), !fails);
+        let segments = fs::read_dir(path.path().join(NAME)).expect("folder");
+        let logs = segments.filter(|e| {
+            e.as_ref()
+                .is_ok_and(|e| e.path().extension().is_some_and(|e| e == "log"))
+        });
+        assert_eq!(logs.count(), if fails { 3 } else { 1 });
+    }
+}
+
+/// Guards against a journal that hangs, or loses the last frame, when it closes right after an append.
+#[test]
+fn closing_writes_what_is_pending() {
+    let path = tempfile::tempdir().expect("folder");
+    let folder = Folder::open(path.path()).expect("folder");
+    for number in 1..=100 {
+        let (journal, seen) = open(&folder, Config::default()).expect("journal");
+        assert_eq!(seen.frames.len(), number - 1);
+        while journal.append(KIND, &body(number as u64)).is_err() {
+            thread::yield_now();
+        }
+    }
+}
