--- a/crates/disk/src/journal.rs
+++ b/crates/disk/src/journal.rs
@@ -288,7 +288,7 @@
         }
         let result = self.replace_snapshot(covers, bytes);
         self.snapshotting.store(false, Ordering::Release);
-        result.map_err(Refusal::Failed)
+        result.map_err(Refusal::Snapshot)
     }
 
     fn replace_snapshot(&self, covers: Position, bytes: &[u8]) -> Result<(), Failure> {
--- a/crates/disk/src/refusal.rs
+++ b/crates/disk/src/refusal.rs
@@ -39,6 +39,8 @@
     },
     /// Another snapshot is being written.
     SnapshotRunning,
+    /// The snapshot could not be written or old segments not removed; the journal goes on.
+    Snapshot(Failure),
     /// The journal has failed and takes nothing more until it is opened again.
     Failed(Failure),
 }
@@ -58,6 +60,7 @@
                 )
             }
             Self::SnapshotRunning => write!(f, "another snapshot is being written"),
+            Self::Snapshot(failure) => write!(f, "the snapshot failed: {failure}"),
             Self::Failed(failure) => write!(f, "the journal has failed: {failure}"),
         }
     }
--- a/crates/disk/tests/faults.rs
+++ b/crates/disk/tests/faults.rs
@@ -212,7 +212,8 @@
         fill(&journal, 1, 20).await.expect("durable");
         on.store(fails, Ordering::SeqCst);
         let result = journal.snapshot(Position(16), b"state");
-        assert_eq!(result.is_err(), fails, "{result:?}");
+        let failed = matches!(result, Err(Refusal::Snapshot(_)));
+        assert_eq!((failed, result.is_ok()), (fails, !fails), "{result:?}");
         on.store(false, Ordering::SeqCst);
         let early = journal.snapshot(Position(21), b"early");
         assert!(
