--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -232,20 +232,24 @@
     pub fn check_logs(&self) {
         for a in &self.hosts {
             for b in &self.hosts {
-                let same = |e: &&Entry| b.disk.entries.iter().any(|o| o.position == e.position);
-                let Some(upto) = a.disk.entries.iter().rev().find(same) else {
-                    continue;
-                };
-                for entry in &a.disk.entries {
-                    let other = b
-                        .disk
+                let find = |e: &Entry| {
+                    b.disk
                         .entries
                         .iter()
-                        .find(|o| o.position.index == entry.position.index);
-                    if entry.position.index <= upto.position.index {
-                        assert!(other.is_none_or(|o| o == entry), "logs differ");
-                    }
-                }
+                        .find(|o| o.position.index == e.position.index)
+                };
+                let pairs: Vec<(&Entry, &Entry)> = a
+                    .disk
+                    .entries
+                    .iter()
+                    .filter_map(|e| Some((e, find(e)?)))
+                    .collect();
+                let same = pairs.iter().rposition(|(e, o)| e.position == o.position);
+                let equal = pairs
+                    .iter()
+                    .take(same.map_or(0, |at| at + 1))
+                    .all(|(e, o)| e == o);
+                assert!(equal, "logs differ");
             }
         }
     }
--- a/crates/disk/tests/faults.rs
+++ b/crates/disk/tests/faults.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::fs;
+use std::fs::File;
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::sync::Arc;
@@ -45,67 +46,53 @@
 const EIO: i32 = 5;
 const ENOSPC: i32 = 28;
 
+/// Calls whose writes go through `fault` while it is on.
+fn writes(on: Switch, fault: fn(&File, &[u8], u64) -> io::Result<usize>) -> Calls {
+    let write = move |file: &File, bytes: &[u8], offset| {
+        if on.load(Ordering::SeqCst) {
+            return fault(file, bytes, offset);
+        }
+        file.write_at(bytes, offset)
+    };
+    Calls {
+        write: Box::new(write),
+        ..Calls::default()
+    }
+}
+
+/// Calls whose syncs fail while the fault is on.
+fn syncs(on: Switch) -> Calls {
+    Calls {
+        sync: Box::new(move |file| code(&on, EIO).and_then(|()| file.sync_data())),
+        ..Calls::default()
+    }
+}
+
 /// Guards against an acknowledgement after a failed write or sync, and against a stop without need.
 const CASES: &[Case] = &[
     Case {
         name: "short writes",
-        calls: |on| Calls {
-            write: Box::new(move |file, bytes, offset| {
-                let size = if on.load(Ordering::SeqCst) {
-                    bytes.len().min(5)
-                } else {
-                    bytes.len()
-                };
-                file.write_at(&bytes[..size], offset)
-            }),
-            ..Calls::default()
-        },
+        calls: |on| writes(on, |f, b, at| f.write_at(&b[..b.len().min(5)], at)),
         stops: None,
     },
     Case {
         name: "write error",
-        calls: |on| Calls {
-            write: Box::new(move |file, bytes, offset| {
-                code(&on, EIO)?;
-                file.write_at(bytes, offset)
-            }),
-            ..Calls::default()
-        },
+        calls: |on| writes(on, |_, _, _| Err(io::Error::from_raw_os_error(EIO))),
         stops: Some(Operation::Write),
     },
     Case {
         name: "nothing written",
-        calls: |on| Calls {
-            write: Box::new(move |file, bytes, offset| {
-                if on.load(Ordering::SeqCst) {
-                    return Ok(0);
-                }
-                file.write_at(bytes, offset)
-            }),
-            ..Calls::default()
-        },
+        calls: |on| writes(on, |_, _, _| Ok(0)),
         stops: Some(Operation::Write),
     },
     Case {
         name: "no space in spite of the reservation",
-        calls: |on| Calls {
-            write: Box::new(move |file, bytes, offset| {
-                code(&on, ENOSPC)?;
-                file.write_at(bytes, offset)
-            }),
-            ..Calls::default()
-        },
+        calls: |on| writes(on, |_, _, _| Err(io::Error::from_raw_os_error(ENOSPC))),
         stops: Some(Operation::Write),
     },
     Case {
         name: "sync error",
-        calls: |on| Calls {
-            sync: Box::new(move |file| {
-                code(&on, EIO)?;
-                file.sync_data()
-            }),
-            ..Calls::default()
-        },
+        calls: syncs,
         stops: Some(Operation::Sync),
     },
 ];
@@ -200,14 +187,7 @@
         let path = tempfile::tempdir().expect("folder");
         let folder = Folder::open(path.path()).expect("folder");
         let on = Switch::default();
-        let fault = Arc::clone(&on);
-        let calls = Calls {
-            sync: Box::new(move |file| {
-                code(&fault, EIO)?;
-                file.sync_data()
-            }),
-            ..Calls::default()
-        };
+        let calls = syncs(Arc::clone(&on));
         let (journal, _) = open(&folder, Config::default().calls(calls)).expect("journal");
         fill(&journal, 1, 20).await.expect("durable");
         on.store(fails, Ordering::SeqCst);
