Compare logs throughout a schedule

Cause: the comparison ran only at the end of a schedule, where it did not fail when conflicting entries were kept. Change: it runs after every tenth step. Conclusion: log matching is checked on its own.

--- a/crates/consensus/tests/schedule.rs
+++ b/crates/consensus/tests/schedule.rs
@@ -128,10 +128,12 @@
         let (committed, confirmed, installed) = (Cell::new(0), Cell::new(0), Cell::new(0));
         let result = runner.run(&steps, |steps| {
             let mut group = Group::new(case.replicas);
-            for step in &steps {
+            for (at, step) in steps.iter().enumerate() {
                 take(&mut group, step);
+                if at % 10 == 0 {
+                    group.check_logs();
+                }
             }
-            group.check_logs();
             group.heal();
             group.settle(120);
             let before = group.committed.len();
