claim, catalog: change registers in place and notice keys of the future

Cause: an acceptance cloned the held record, up to a stored response of 64 KiB; a key that claims to be issued far ahead would never be retired; a replaced control process could take the identifier of another one. Change: the table changes a register in place, Key::is_ahead, Refusal::Listed.

--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -202,6 +202,10 @@
     ) -> Result<(), Refusal> {
         let place = self.members.binary_search_by_key(&old, |e| e.value.id);
         let index = place.or(Err(Refusal::NoMember(old)))?;
+        let listed = self.members.binary_search_by_key(&new.id, |e| e.value.id);
+        if new.id != old && listed.is_ok() {
+            return Err(Refusal::Listed(new.id));
+        }
         self.members.remove(index);
         self.removals.push(Object::Member(old), origin.clone());
         self.put_member(new, origin);
--- a/crates/catalog/src/reply.rs
+++ b/crates/catalog/src/reply.rs
@@ -59,6 +59,8 @@
     NotDrained(instance::Name),
     /// The control process is not listed.
     NoMember(member::Id),
+    /// The control process is listed already.
+    Listed(member::Id),
     /// The claim group cannot take the step.
     Group(group::Refusal),
 }
@@ -91,6 +93,7 @@
             }
             Self::NotDrained(instance) => write!(f, "instance {instance} is not drained"),
             Self::NoMember(member) => write!(f, "member {} is not listed", member.0),
+            Self::Listed(member) => write!(f, "member {} is listed already", member.0),
             Self::Group(refusal) => refusal.fmt(f),
         }
     }
--- a/crates/catalog/tests/state.rs
+++ b/crates/catalog/tests/state.rs
@@ -88,10 +88,12 @@
         name: "members and releases",
         steps: "ann: member 1 = 1; \
                 ann: member-for 2 1 = member 2 is not listed; \
-                ann: member-for 1 2 = 2; \
+                ann: member 2 = 2; \
+                ann: member-for 1 2 = member 2 is listed already; \
+                ann: member-for 1 3 = 3; \
                 ann: release a = service a does not exist; \
-                ann: create a = 3; \
-                ann: release a = 4",
+                ann: create a = 4; \
+                ann: release a = 5",
     },
 ];
 
--- a/crates/claim/src/acceptor.rs
+++ b/crates/claim/src/acceptor.rs
@@ -97,17 +97,18 @@
                 self.group = Some(group);
             }
             Write::Promise(key, ballot) => {
-                let mut register = self.register(&key);
-                register.promised = register.promised.max(ballot);
-                self.put(register);
+                self.change(&key, |register| {
+                    register.promised = register.promised.max(ballot);
+                });
             }
-            Write::Accept(key, ballot, record) => {
-                let mut register = self.register(&key);
+            Write::Accept(key, ballot, record) => self.change(&key, |register| {
                 register.promised = register.promised.max(ballot);
                 register.accepted = Some(Accepted { ballot, record });
-                self.put(register);
+            }),
+            Write::Copy(register) => {
+                let key = register.key.clone();
+                self.change(&key, |held| *held = register);
             }
-            Write::Copy(register) => self.put(register),
             Write::Copied(member) => {
                 if let Err(index) = self.copied.binary_search(&member) {
                     self.copied.insert(index, member);
@@ -158,12 +159,9 @@
         if self.check(key, ballot)? == Standing::Copying {
             return Err(Refusal::Copying);
         }
-        let register = self.register(key);
-        if register.promised > ballot {
-            return Err(Refusal::Promised(register.promised));
-        }
-        self.check_space(key, register.bytes())?;
-        let accepted = register.accepted;
+        let register = self.check_promise(key, ballot)?;
+        let accepted = register.and_then(|r| r.accepted.clone());
+        self.check_space(key, 0)?;
         let write = Write::Promise(key.clone(), ballot);
         self.restore(write.clone());
         Ok(Promise { accepted, write })
@@ -176,11 +174,8 @@
     /// Returns [`Refusal`] as [`Acceptor::prepare`] does, but a copying member accepts too.
     pub fn accept(&mut self, key: &Key, ballot: Ballot, record: &Record) -> Result<Write, Refusal> {
         self.check(key, ballot)?;
-        let register = self.register(key);
-        if register.promised > ballot {
-            return Err(Refusal::Promised(register.promised));
-        }
-        self.check_space(key, register.bytes() + record.bytes())?;
+        self.check_promise(key, ballot)?;
+        self.check_space(key, record.bytes())?;
         let write = Write::Accept(key.clone(), ballot, record.clone());
         self.restore(write.clone());
         Ok(write)
@@ -314,9 +309,9 @@
         register.unwrap_or_else(|| Register::new(key.clone()))
     }
 
-    fn put(&mut self, register: Register) {
-        if !self.is_expired(&register.key) {
-            self.table.put(register);
+    fn change(&mut self, key: &Key, change: impl FnOnce(&mut Register)) {
+        if !self.is_expired(key) {
+            self.table.change(key, change);
         }
     }
 
@@ -345,13 +340,29 @@
         Ok(standing)
     }
 
-    fn check_space(&self, key: &Key, need: usize) -> Result<(), Refusal> {
-        let known = self.table.get(key).map(Register::bytes);
-        let reserve = known.map_or(0, |_| self.config.reserve_bytes);
-        let limit_bytes = self.config.limit_bytes + reserve;
+    fn check_promise(&self, key: &Key, ballot: Ballot) -> Result<Option<&Register>, Refusal> {
+        let register = self.table.get(key);
+        match register {
+            Some(register) if register.promised > ballot => {
+                Err(Refusal::Promised(register.promised))
+            }
+            _ => Ok(register),
+        }
+    }
+
+    /// Checks that a record of `record_bytes` fits in the place of the one held.
+    fn check_space(&self, key: &Key, record_bytes: usize) -> Result<(), Refusal> {
         let bytes = self.table.bytes();
-        let grows = known.is_none_or(|known| need > known);
-        if grows && bytes - known.unwrap_or(0) + need > limit_bytes {
+        let held = |r: &Register| r.accepted.as_ref().map_or(0, |a| a.record.bytes());
+        let (more, reserve) = match self.table.get(key) {
+            Some(register) => (
+                record_bytes.saturating_sub(held(register)),
+                self.config.reserve_bytes,
+            ),
+            None => (Register::new(key.clone()).bytes() + record_bytes, 0),
+        };
+        let limit_bytes = self.config.limit_bytes + reserve;
+        if more > 0 && bytes + more > limit_bytes {
             return Err(Refusal::Full { bytes, limit_bytes });
         }
         Ok(())
--- a/crates/claim/src/key.rs
+++ b/crates/claim/src/key.rs
@@ -6,6 +6,7 @@
 use std::error;
 use std::fmt;
 use std::str;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -170,6 +171,14 @@
         self.id.time()
     }
 
+    /// Whether the key says that it was issued more than `tolerance` after `now`.
+    ///
+    /// Such a key would stay long after the retention, so whoever takes a request refuses it.
+    pub fn is_ahead(&self, now: time::Wall, tolerance: Duration) -> bool {
+        let ahead = self.time().0.saturating_sub(now.0);
+        u128::from(ahead) > tolerance.as_millis()
+    }
+
     /// Estimate of the memory that the key takes.
     pub fn bytes(&self) -> usize {
         // Two shared strings, each with two reference counts.
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -41,26 +41,21 @@
         bucket.registers.get(bucket.find(key).ok()?)
     }
 
-    /// Inserts a register or replaces the one of the same key.
-    pub fn put(&mut self, register: Register) {
-        let hour = hour(register.key.time());
-        let index = match self.find(hour) {
-            Ok(index) => index,
-            Err(index) => {
-                let registers = Vec::new();
-                self.buckets.insert(index, Bucket { hour, registers });
-                index
-            }
-        };
-        let bucket = &mut self.buckets[index];
-        self.bytes += register.bytes();
-        match bucket.find(&register.key) {
-            Ok(place) => {
-                self.bytes -= bucket.registers[place].bytes();
-                bucket.registers[place] = register;
-            }
-            Err(place) => bucket.registers.insert(place, register),
-        }
+    /// Changes the register of a key in place; one that does not exist starts as a new one.
+    pub fn change(&mut self, key: &Key, change: impl FnOnce(&mut Register)) {
+        let bucket = self.bucket(hour(key.time()));
+        let mut added = 0;
+        let index = bucket.find(key).unwrap_or_else(|index| {
+            let register = Register::new(key.clone());
+            added = register.bytes();
+            bucket.registers.insert(index, register);
+            index
+        });
+        let register = &mut bucket.registers[index];
+        let before = register.bytes();
+        change(register);
+        let after = register.bytes();
+        self.bytes = self.bytes + added + after - before;
     }
 
     /// Drops all buckets that end at or before `horizon`.
@@ -101,6 +96,19 @@
         self.bytes
     }
 
+    /// The bucket of an hour, made if it does not exist.
+    fn bucket(&mut self, hour: u64) -> &mut Bucket {
+        let index = match self.find(hour) {
+            Ok(index) => index,
+            Err(index) => {
+                let registers = Vec::new();
+                self.buckets.insert(index, Bucket { hour, registers });
+                index
+            }
+        };
+        &mut self.buckets[index]
+    }
+
     fn find(&self, hour: u64) -> Result<usize, usize> {
         self.buckets.binary_search_by_key(&hour, |b| b.hour)
     }
--- a/crates/claim/tests/key.rs
+++ b/crates/claim/tests/key.rs
@@ -1,7 +1,10 @@
 //! Checks of idempotency keys.
 
+use std::time::Duration;
+
 use shallotrill_claim::key::Invalid;
 use shallotrill_claim::key::Key;
+use shallotrill_model::time;
 
 struct Case {
     text: &'static str,
@@ -48,3 +51,16 @@
         assert_eq!(key.map(|key| key.time().0), case.expected, "{}", case.text);
     }
 }
+
+/// Guards against a key of the far future, whose record would never be retired.
+#[test]
+fn keys_of_the_future_are_noticed() {
+    let text = CASES[0].text;
+    let partner = "growers".try_into().unwrap();
+    let key = Key::parse(partner, "payments".try_into().unwrap(), text).unwrap();
+    let tolerance = Duration::from_secs(60);
+    for (now, ahead) in [(0, false), (60_000, false), (60_001, true)] {
+        let now = time::Wall(key.time().0 - now);
+        assert_eq!(key.is_ahead(now, tolerance), ahead, "{now}");
+    }
+}
