--- a/crates/claim/src/acceptor.rs
+++ b/crates/claim/src/acceptor.rs
@@ -175,7 +175,7 @@
     pub fn accept(&mut self, key: &Key, ballot: Ballot, record: &Record) -> Result<Write, Refusal> {
         self.check(key, ballot)?;
         self.check_promise(key, ballot)?;
-        self.check_space(key, record.bytes())?;
+        self.check_space(key, record.heap_bytes())?;
         let write = Write::Accept(key.clone(), ballot, record.clone());
         self.restore(write.clone());
         Ok(write)
@@ -353,7 +353,7 @@
     /// Checks that a record of `record_bytes` fits in the place of the one held.
     fn check_space(&self, key: &Key, record_bytes: usize) -> Result<(), Refusal> {
         let bytes = self.table.bytes();
-        let held = |r: &Register| r.accepted.as_ref().map_or(0, |a| a.record.bytes());
+        let held = |r: &Register| r.accepted.as_ref().map_or(0, |a| a.record.heap_bytes());
         let (more, reserve) = match self.table.get(key) {
             Some(register) => (
                 record_bytes.saturating_sub(held(register)),
--- a/crates/claim/src/journal.rs
+++ b/crates/claim/src/journal.rs
@@ -60,9 +60,10 @@
         }
     }
 
-    /// Estimate of the memory that the register takes.
+    /// Estimate of the memory that the register takes, without unused capacity of its table.
     pub fn bytes(&self) -> usize {
         let accepted = self.accepted.as_ref();
-        size_of::<Self>() + self.key.bytes() + accepted.map_or(0, |a| a.record.bytes())
+        let record = accepted.map_or(0, |a| a.record.heap_bytes());
+        size_of::<Self>() + self.key.heap_bytes() + record
     }
 }
--- a/crates/claim/src/key.rs
+++ b/crates/claim/src/key.rs
@@ -179,9 +179,9 @@
         u128::from(ahead) > tolerance.as_millis()
     }
 
-    /// Estimate of the memory that the key takes.
-    pub fn bytes(&self) -> usize {
+    /// Estimate of the memory that the names take beside the key itself.
+    pub fn heap_bytes(&self) -> usize {
         // Two shared strings, each with two reference counts.
-        size_of::<Self>() + self.partner.as_str().len() + self.service.as_str().len() + 32
+        self.partner.as_str().len() + self.service.as_str().len() + 32
     }
 }
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -193,9 +193,9 @@
         }
     }
 
-    /// Estimate of the memory that the record takes.
-    pub fn bytes(&self) -> usize {
-        let heap = match &self.state {
+    /// Estimate of the memory that the record takes beside itself.
+    pub fn heap_bytes(&self) -> usize {
+        match &self.state {
             State::Open { holder, .. } | State::Unknown { holder } => {
                 holder.instance.as_str().len() + 16
             }
@@ -203,8 +203,7 @@
                 answer.content_type.len() + answer.body.as_ref().map_or(0, Vec::len)
             }
             State::NotRun { .. } => 0,
-        };
-        size_of::<Self>() + heap
+        }
     }
 
     fn with(&self, state: State) -> Self {
