claim: state whether a member has copied everything

Cause: a member that is admitted too early can never enter the epoch in which it votes, so control has to know beforehand. Change: Acceptor::has_copied. Checks: the test of copying failed when one survivor was taken for all.

--- a/crates/claim/src/acceptor.rs
+++ b/crates/claim/src/acceptor.rs
@@ -289,6 +289,21 @@
         group.chain(copied).chain(horizon).chain(registers)
     }
 
+    /// Whether this member votes or has copied from every survivor and may vote in the next epoch.
+    ///
+    /// A member is admitted only once this holds and its writes are synced: a
+    /// member that cannot enter the epoch in which it votes is lost to the group.
+    pub fn has_copied(&self) -> bool {
+        let seat = |group: &Group| group.seat(self.config.member).map(|seat| seat.standing);
+        match self.group.as_ref().map(|group| (group, seat(group))) {
+            Some((_, Some(Standing::Voting))) => true,
+            Some((group, Some(Standing::Copying))) => group
+                .voters()
+                .all(|voter| self.copied.binary_search(&voter).is_ok()),
+            _ => false,
+        }
+    }
+
     /// The group in the present epoch.
     pub const fn group(&self) -> Option<&Group> {
         self.group.as_ref()
@@ -369,15 +384,9 @@
     }
 
     fn may_vote(&self, epoch: Number) -> bool {
-        let Some(own) = &self.group else {
+        if self.group.is_none() {
             return epoch == FIRST_EPOCH;
-        };
-        match own.seat(self.config.member).map(|seat| seat.standing) {
-            Some(Standing::Voting) => true,
-            Some(Standing::Copying) => own
-                .voters()
-                .all(|voter| self.copied.binary_search(&voter).is_ok()),
-            None => false,
         }
+        self.has_copied()
     }
 }
--- a/crates/claim/tests/acceptor.rs
+++ b/crates/claim/tests/acceptor.rs
@@ -211,12 +211,13 @@
     copy.merge(&first).unwrap();
     copy.merge(&second).unwrap();
     assert_eq!(copy.enter(&next), Err(Refusal::NotCopied));
+    assert!(!copy.has_copied());
     let mut other = second.clone();
     other.from = Member(2);
     copy.merge(&other).unwrap();
     assert_eq!(copy.horizon(), from.horizon());
     assert!(copy.table().after(None).eq(from.table().after(None)));
-    assert!(copy.enter(&next).is_ok());
+    assert!(copy.has_copied() && copy.enter(&next).is_ok());
 }
 
 /// Guards against state that a restart loses, from the journal or from a snapshot.
