Withhold mass expiry after contact returns, and keep leases that move back

A process that regained contact expired its silent leases and those of silent owners before the first exchange told it where they had moved. Contact now counts once it has lasted for one lease time.

The property test found that a row of an older owner, which wins a tie of equal sequence, made the process that renews the lease forget it, so that an expiry by a third process was not answered. The lease is now marked as moved and stays valid until it lapses.

Two instances of one name at two control processes displaced each other with ever higher incarnations. Another address is now refused while the lease's owner is heard from. A row keeps all its former services, so that each of their readers drops it.

With each of the first three changes taken out, a check failed. The last change has no check of its own.

--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -80,7 +80,12 @@
         if self.renewed_here(&stored, known.as_deref(), now) {
             return Some(self.hold_as_before(&stored, now));
         }
-        self.leases.remove(&stored.target.instance);
+        let same = known.as_ref().map(|known| known.stamp.incarnation);
+        if stored.is_live() && same == Some(stored.stamp.incarnation) {
+            self.leases.mark_moved(&stored.target.instance);
+        } else {
+            self.leases.remove(&stored.target.instance);
+        }
         let kind = kind(known.as_deref(), &stored);
         Some(Change { kind, row: stored })
     }
--- a/crates/membership/src/expiry.rs
+++ b/crates/membership/src/expiry.rs
@@ -34,13 +34,17 @@
 impl Table {
     /// Expires leases that were not renewed, in batches, and forgets old tombstones.
     ///
-    /// Called at each heartbeat or more often. Without contact to a majority
-    /// nothing expires while more than half of the leases renewed here are
-    /// silent, and leases of other owners do not expire at all.
+    /// Called at each heartbeat or more often. Unless contact to a majority has
+    /// lasted for one lease time, nothing expires while more than half of the
+    /// leases renewed here are silent, and leases of other owners do not expire.
     pub fn expire(&mut self, now: Instant, contact: &Contact) -> Vec<Change> {
         self.prune(now);
+        let length = self.config.lease;
+        self.leases
+            .drop_moved(|renewed| now.since(renewed) >= length);
         let overdue = self.overdue(now);
-        self.status = self.judge(now, contact, overdue.len());
+        let proven = self.proven(now, contact);
+        self.status = self.judge(now, proven, overdue.len());
         if matches!(self.status, Status::Suspect { .. }) {
             return Vec::new();
         }
@@ -49,13 +53,26 @@
             self.recent.batches.push((now, expired.len()));
             self.release(&expired);
         }
-        if self.status == Status::Sound {
+        if proven {
             expired.extend(self.owned_by(&overdue, self.config.batch - expired.len()));
         }
         let remove = |row: Arc<Row>| self.remove(&row, Presence::Expired, now);
         expired.into_iter().map(remove).collect()
     }
 
+    /// Whether contact to a majority has lasted for one lease time.
+    ///
+    /// Right after a process regains contact it does not have the rows yet
+    /// that moved to other processes, and would expire all of them.
+    fn proven(&mut self, now: Instant, contact: &Contact) -> bool {
+        if !contact.quorum() {
+            self.contact = None;
+            return false;
+        }
+        let since = *self.contact.get_or_insert(now);
+        contact.others == 0 || now.since(since) >= self.config.lease
+    }
+
     /// Removes the leases of a batch at once, since each removal moves half of the leases.
     fn release(&mut self, expired: &[Arc<Row>]) {
         let names = expired.iter().map(|row| row.target.instance.clone());
@@ -64,8 +81,8 @@
         self.leases.remove_all(&names);
     }
 
-    fn judge(&self, now: Instant, contact: &Contact, owners: usize) -> Status {
-        if contact.quorum() {
+    fn judge(&self, now: Instant, proven: bool, owners: usize) -> Status {
+        if proven {
             return Status::Sound;
         }
         // When the first lease of a cut-off process lapses, all others have
@@ -73,8 +90,8 @@
         let limit = self.config.contact_window();
         let quiet = |lease: &&Lease| now.since(lease.renewed) >= limit;
         let recent = self.recent.total();
-        let silent = recent + self.leases.iter().filter(quiet).count();
-        let direct = recent + self.leases.len();
+        let silent = recent + self.leases.held().filter(quiet).count();
+        let direct = recent + self.leases.held().count();
         if silent * 2 <= direct {
             return if owners > 0 {
                 Status::Partitioned { owners }
@@ -98,7 +115,7 @@
         let lapsed = |renewed: Instant| now.since(renewed) >= self.config.lease;
         let mut leases: Vec<_> = self
             .leases
-            .iter()
+            .held()
             .filter(|lease| lapsed(lease.renewed))
             .collect();
         leases.sort_by_key(|lease| lease.renewed);
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -8,6 +8,9 @@
 pub(crate) struct Lease {
     pub(crate) instance: instance::Name,
     pub(crate) renewed: Instant,
+    /// Whether another process claims the lease. It stays valid here until it
+    /// lapses or is renewed, because the claim may be older than the renewal.
+    pub(crate) moved: bool,
 }
 
 /// Leases sorted by instance.
@@ -27,10 +30,18 @@
 
     pub(crate) fn set(&mut self, instance: &instance::Name, renewed: Instant) {
         match self.position(instance) {
-            Ok(index) => self.leases[index].renewed = renewed,
+            Ok(index) => {
+                self.leases[index].renewed = renewed;
+                self.leases[index].moved = false;
+            }
             Err(index) => {
                 let instance = instance.clone();
-                self.leases.insert(index, Lease { instance, renewed });
+                let lease = Lease {
+                    instance,
+                    renewed,
+                    moved: false,
+                };
+                self.leases.insert(index, lease);
             }
         }
     }
@@ -47,12 +58,21 @@
         self.leases.retain(kept);
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Lease> {
-        self.leases.iter()
+    pub(crate) fn mark_moved(&mut self, instance: &instance::Name) {
+        if let Ok(index) = self.position(instance) {
+            self.leases[index].moved = true;
+        }
+    }
+
+    /// Drops leases that moved and were last renewed here before `lapsed` says.
+    pub(crate) fn drop_moved(&mut self, lapsed: impl Fn(Instant) -> bool) {
+        self.leases
+            .retain(|lease| !(lease.moved && lapsed(lease.renewed)));
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.leases.len()
+    /// The leases that no other process claims.
+    pub(crate) fn held(&self) -> impl Iterator<Item = &Lease> {
+        self.leases.iter().filter(|lease| !lease.moved)
     }
 
     fn position(&self, instance: &instance::Name) -> Result<usize, usize> {
--- a/crates/membership/src/select.rs
+++ b/crates/membership/src/select.rs
@@ -77,7 +77,7 @@
             let present = wanted(&entry.row.target.service);
             if present && entry.row.is_live() {
                 rows.push(Arc::clone(&entry.row));
-            } else if present || entry.past.as_ref().is_some_and(wanted) {
+            } else if present || entry.past.iter().any(wanted) {
                 removed.push(Arc::clone(&entry.row));
             }
         }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -27,8 +27,8 @@
     pub(crate) row: Arc<Row>,
     /// Number of the change that made the row here.
     pub(crate) changed: u64,
-    /// Service before the row's present one, whose readers have to drop it.
-    pub(crate) past: Option<service::Name>,
+    /// Services before the row's present one, whose readers have to drop it.
+    pub(crate) past: Vec<service::Name>,
 }
 
 /// Whether the table trusts its own view.
@@ -73,6 +73,8 @@
     pub(crate) tombstones: Vec<(Instant, instance::Name, u64)>,
     pub(crate) recent: Recent,
     pub(crate) status: Status,
+    /// Since when contact to a majority has lasted.
+    pub(crate) contact: Option<Instant>,
 }
 
 impl Table {
@@ -90,6 +92,7 @@
             tombstones: Vec::new(),
             recent: Recent::default(),
             status: Status::Sound,
+            contact: None,
         }
     }
 
@@ -185,7 +188,7 @@
 
     /// Leases that are renewed here.
     pub fn direct(&self) -> usize {
-        self.leases.len()
+        self.leases.held().count()
     }
 
     pub(crate) fn position(&self, instance: &instance::Name) -> Result<usize, usize> {
@@ -259,7 +262,7 @@
             return Err(Refusal::Superseded(known.stamp.incarnation));
         }
         let same = target.incarnation == known.stamp.incarnation;
-        if target.address != known.target.address && self.in_use(known, same, now) {
+        if target.address != known.target.address && self.in_use(known, now) {
             return Err(Refusal::Conflict {
                 held: known.target.address,
                 offered: target.address,
@@ -280,16 +283,22 @@
         Ok(())
     }
 
-    /// Whether the holder of a row still runs.
+    /// Whether the holder of a row still runs, as far as this process can know.
     ///
-    /// The owner of the lease sees it from the last renewal. Another process
-    /// does not, and accepts another address for a later incarnation only.
-    fn in_use(&self, known: &Row, same: bool, now: Instant) -> bool {
+    /// Where the lease is renewed, the last renewal tells it. Elsewhere it is
+    /// assumed while the owner of the lease is heard from: otherwise two
+    /// instances of one name would displace each other with ever higher
+    /// incarnations at two processes.
+    fn in_use(&self, known: &Row, now: Instant) -> bool {
         let limit = self.config.heartbeat * 2;
-        match self.leases.get(&known.target.instance) {
-            Some(renewed) => known.is_live() && now.since(renewed) < limit,
-            None => known.is_live() && same,
-        }
+        let renewed = self.leases.get(&known.target.instance);
+        let seen = renewed.or_else(|| self.heard_at(&known.stamp.owner));
+        known.is_live() && seen.is_some_and(|seen| now.since(seen) < limit)
+    }
+
+    fn heard_at(&self, owner: &Owner) -> Option<Instant> {
+        let found = self.owners.binary_search_by(|(known, _)| known.cmp(owner));
+        Some(self.owners[found.ok()?].1)
     }
 
     fn of_incarnation(
@@ -348,18 +357,17 @@
         Arc::new(Entry {
             row: Arc::clone(row),
             changed: self.number,
-            past: None,
+            past: Vec::new(),
         })
     }
 
     fn successor(&self, index: usize, row: &Arc<Row>) -> Arc<Entry> {
         let known = &self.entries[index];
-        let same = known.row.target.service == row.target.service;
-        let past = if same {
-            known.past.clone()
-        } else {
-            Some(known.row.target.service.clone())
-        };
+        let before = &known.row.target.service;
+        let mut past = known.past.clone();
+        if *before != row.target.service && !past.contains(before) {
+            past.push(before.clone());
+        }
         Arc::new(Entry {
             row: Arc::clone(row),
             changed: self.number,
