Check that readers drop rows that left, moved or were forgotten

A table of cases covers differences for nodes and exchanges between control processes: drain, leave, one and two changes of service, and a tombstone that was forgotten while the reader was away.

--- a/crates/membership/tests/cases.rs
+++ b/crates/membership/tests/cases.rs
@@ -211,6 +211,67 @@
     }
 }
 
+struct Reader {
+    name: &'static str,
+    change: fn(&mut Table),
+    /// Whether a node gets a snapshot, then the live and the removed rows that it gets.
+    node: (bool, usize, usize),
+    /// Live rows at another control process after an exchange.
+    elsewhere: usize,
+}
+
+/// Announces node 0, which served `payments` in incarnation 5, for another service.
+fn serve(table: &mut Table, service: &str, incarnation: u64) {
+    let mut other = announcement(0, incarnation, 1, 80);
+    other.target.service = service::Name::new(service).expect("valid");
+    table.announce(other, at(0)).expect("it is newer");
+}
+
+fn leave(table: &mut Table) {
+    table
+        .leave(&name(0), Incarnation(5), at(0))
+        .expect("it is live");
+}
+
+fn prune(table: &mut Table) {
+    table.expire(
+        at(600_000),
+        &Contact {
+            others: 2,
+            heard: 0,
+        },
+    );
+}
+
+/// Guards against a reader that keeps a target which left, moved to another service, or was forgotten while it was away.
+#[rustfmt::skip]
+const READERS: &[Reader] = &[
+    Reader { name: "idle", change: |_| (), node: (false, 0, 0), elsewhere: 2 },
+    Reader { name: "drain", change: |t| drop(t.announce(announcement(0, 5, 2, 80), at(0))), node: (false, 1, 0), elsewhere: 2 },
+    Reader { name: "left", change: leave, node: (false, 0, 1), elsewhere: 1 },
+    Reader { name: "other service", change: |t| serve(t, "bookings", 6), node: (false, 0, 1), elsewhere: 2 },
+    Reader { name: "two other services", change: |t| { serve(t, "bookings", 6); serve(t, "catalogue", 7); }, node: (false, 0, 1), elsewhere: 2 },
+    Reader { name: "forgotten", change: |t| { leave(t); prune(t); }, node: (true, 1, 0), elsewhere: 1 },
+];
+
+#[test]
+fn readers_drop_what_is_gone() {
+    for case in READERS {
+        let mut source = table("a", 2, at(0));
+        let mut other = table("b", 0, at(0));
+        other.exchange(&source.export(None, at(0)), at(0));
+        let held = source.version();
+        (case.change)(&mut source);
+        let difference = source.difference(Some(&held), &[payments()]);
+        let sizes = (difference.rows.len(), difference.removed.len());
+        let node = (difference.is_snapshot(), sizes.0, sizes.1);
+        assert_eq!(node, case.node, "{}", case.name);
+        other.exchange(&source.export(Some(&held), at(0)), at(0));
+        let live = other.rows().filter(|row| row.is_live()).count();
+        assert_eq!(live, case.elsewhere, "{}", case.name);
+    }
+}
+
 struct Switch {
     name: &'static str,
     /// Nodes that the new source knows.
