Measure warmth relative to the warmest target

A node that just started sees all targets as new, so nearly all draws were rejected as cold, the choice had one candidate or none, and a straggler was taken by the scan. Compare each target with the one that is ready for longest.

--- a/crates/routing/src/draw.rs
+++ b/crates/routing/src/draw.rs
@@ -131,11 +131,11 @@
             }
             return;
         }
-        let warmth = entry.warmth(config, self.now);
+        let service = &self.table.services[self.service];
+        let warmth = entry.warmth(config, service.warmest, self.now);
         if !any_warmth && warmth < 1.0 && unit(random) >= warmth {
             return;
         }
-        let service = &self.table.services[self.service];
         let estimate = score::estimate(entry, service, config, self.now);
         let round_trip = self.table.round_trip_us(entry);
         let score = score::score(&estimate, entry, round_trip, warmth);
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -151,12 +151,14 @@
         self.failures.max(reported).min(1.0)
     }
 
-    /// Share of a fully warm target's load that this one may get.
-    pub(crate) fn warmth(&self, config: &Config, now: Instant) -> f64 {
-        let Some(ready) = self.ready else {
-            return COLD_SHARE_MIN;
+    /// Share of the warmest target's load that this one may get, when that is ready since `warmest`.
+    ///
+    /// It is relative, because a node that just started sees all targets as new.
+    pub(crate) fn warmth(&self, config: &Config, warmest: Option<Instant>, now: Instant) -> f64 {
+        let share = |since: Option<Instant>| {
+            let age = since.map_or(Duration::ZERO, |since| now.since(since));
+            (age.as_secs_f64() / config.warm_up.as_secs_f64()).clamp(COLD_SHARE_MIN, 1.0)
         };
-        let share = now.since(ready).as_secs_f64() / config.warm_up.as_secs_f64();
-        share.clamp(COLD_SHARE_MIN, 1.0)
+        share(self.ready) / share(warmest).max(share(self.ready))
     }
 }
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -2,6 +2,7 @@
 
 use shallotrill_model::region;
 use shallotrill_model::service;
+use shallotrill_model::time::Instant;
 use shallotrill_model::zone;
 
 /// Step of a running median towards a sample, as a part of its value.
@@ -43,6 +44,8 @@
     pub(crate) groups: Vec<Group>,
     pub(crate) draining: Vec<Index>,
     pub(crate) cursor: usize,
+    /// Earliest time since which a target is ready.
+    pub(crate) warmest: Option<Instant>,
     /// Requests ahead for each slot.
     pub(crate) load: Median,
     /// Microseconds.
@@ -56,6 +59,7 @@
             groups: Vec::new(),
             draining: Vec::new(),
             cursor: 0,
+            warmest: None,
             load: Median::default(),
             latency: Median::default(),
         }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -206,8 +206,9 @@
     reason: Reason,
 ) -> Option<Considered> {
     let entry = table.entry(index)?;
-    let estimate = score::estimate(entry, &table.services[service], &table.config, now);
-    let warmth = entry.warmth(&table.config, now);
+    let service = &table.services[service];
+    let estimate = score::estimate(entry, service, &table.config, now);
+    let warmth = entry.warmth(&table.config, service.warmest, now);
     Some(Considered {
         instance: entry.target.instance.clone(),
         estimate,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -53,11 +53,18 @@
 
     /// Adds or updates targets. A target of a lower incarnation than the known one is ignored.
     pub fn apply(&mut self, targets: &[Target], now: Instant) {
+        let mut changed: Vec<&service::Name> = Vec::new();
         for target in targets {
             match self.find(&target.instance) {
                 Some(index) => self.update(index, target, now),
                 None => self.add(target, now),
             }
+            if let Err(at) = changed.binary_search(&&target.service) {
+                changed.insert(at, &target.service);
+            }
+        }
+        for name in changed {
+            self.refresh(name);
         }
     }
 
@@ -67,10 +74,11 @@
             return;
         };
         let (_, index) = self.instances.remove(at);
-        if let Some(entry) = self.entries[index.0].take()
-            && let Some(service) = self.service_mut(&entry.target.service)
-        {
-            service.remove(index);
+        if let Some(entry) = self.entries[index.0].take() {
+            if let Some(service) = self.service_mut(&entry.target.service) {
+                service.remove(index);
+            }
+            self.refresh(&entry.target.service);
         }
         self.free.push(index);
     }
@@ -184,6 +192,16 @@
         Some(&mut self.services[at])
     }
 
+    /// Finds again since when the warmest target of a service is ready.
+    fn refresh(&mut self, name: &service::Name) {
+        let Some(at) = self.service_index(name) else {
+            return;
+        };
+        let entries = self.services[at].members().filter_map(|m| self.entry(m));
+        let warmest = entries.filter_map(|e| e.ready).min();
+        self.services[at].warmest = warmest;
+    }
+
     fn add(&mut self, target: &Target, now: Instant) {
         let entry = Some(Entry::new(target.clone(), now));
         let index = if let Some(index) = self.free.pop() {
@@ -212,6 +230,9 @@
             service.remove(index);
         }
         self.join(index, &current);
+        if old != current.service {
+            self.refresh(&old);
+        }
     }
 
     /// Puts an entry into its service, which is created when it is new.
