--- a/crates/routing/examples/simulation/mod.rs
+++ b/crates/routing/examples/simulation/mod.rs
@@ -44,6 +44,8 @@
     /// Refuses new work.
     pub leaving: bool,
     pub received: u64,
+    /// When the last request reached it.
+    pub last_us: u64,
     running: usize,
     waiting: VecDeque<usize>,
     sequence: u64,
@@ -233,6 +235,7 @@
         let at = self.requests[number].server;
         let server = &mut self.servers[at];
         server.received += u64::from(now > 1_000_000);
+        server.last_us = now;
         if server.liar {
             self.requests[number].outcome = Outcome::Failure;
             self.reply(number, now + 100);
@@ -344,6 +347,7 @@
         liar: false,
         leaving: false,
         received: 0,
+        last_us: 0,
         running: 0,
         waiting: VecDeque::new(),
         sequence: 0,
--- /dev/null
+++ b/crates/routing/tests/table.rs
@@ -0,0 +1,256 @@
+//! Rules of the table: who may be chosen, which reports count, and what is learned.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
+use shallotrill_model::load::Report;
+use shallotrill_model::region;
+use shallotrill_model::service;
+use shallotrill_model::target::State;
+use shallotrill_model::target::Target;
+use shallotrill_model::time::Instant;
+use shallotrill_model::zone;
+use shallotrill_routing::Table;
+use shallotrill_routing::choice::Choice;
+use shallotrill_routing::choice::Query;
+use shallotrill_routing::choice::Refusal;
+use shallotrill_routing::config::Config;
+use shallotrill_routing::sample::Outcome;
+use shallotrill_routing::sample::Sample;
+
+fn target(name: &str, state: State) -> Target {
+    Target {
+        service: service::Name::new("portal").unwrap(),
+        instance: instance::Name::new(name).unwrap(),
+        incarnation: Incarnation(5),
+        zone: zone::Name::new("bodo").unwrap(),
+        region: region::Name::new("nordland").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        state,
+        slots: 6,
+    }
+}
+
+fn table(targets: &[Target]) -> Table {
+    let region = region::Name::new("nordland").unwrap();
+    let mut table = Table::new(Config::new(region, zone::Name::new("bodo").unwrap()));
+    table.apply(targets, Instant(0));
+    table
+}
+
+fn choose(table: &mut Table, exclude: &[&str], now: Instant, seed: u64) -> Result<Choice, Refusal> {
+    let names: Vec<_> = exclude
+        .iter()
+        .map(|n| instance::Name::new(n).unwrap())
+        .collect();
+    let mut state = seed;
+    let mut random = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        state ^ state.rotate_left(29)
+    };
+    let query = Query {
+        service: &service::Name::new("portal").unwrap(),
+        exclude: &names,
+        priority: 1,
+    };
+    table.choose(&query, now, &mut random)
+}
+
+fn fail(table: &mut Table, name: &str, times: u32) {
+    let instance = instance::Name::new(name).unwrap();
+    for _ in 0..times {
+        table.started(&instance, Instant(1));
+        let sample = Sample {
+            incarnation: Incarnation(5),
+            outcome: Outcome::Failure,
+            latency: Duration::from_micros(1),
+        };
+        table.finished(&instance, sample, Instant(2));
+    }
+}
+
+struct Eligible {
+    name: &'static str,
+    targets: &'static [(&'static str, State)],
+    failing: &'static [&'static str],
+    exclude: &'static [&'static str],
+    expected: Result<&'static str, Refusal>,
+}
+
+/// Guards against work for a target that drains, was tried already or fails, and against a refusal that names another cause.
+const ELIGIBLE: &[Eligible] = &[
+    Eligible {
+        name: "a ready target is taken",
+        targets: &[("a", State::Ready), ("b", State::Draining)],
+        failing: &[],
+        exclude: &[],
+        expected: Ok("a"),
+    },
+    Eligible {
+        name: "the target that was not tried is taken",
+        targets: &[("a", State::Ready), ("b", State::Ready)],
+        failing: &[],
+        exclude: &["a"],
+        expected: Ok("b"),
+    },
+    Eligible {
+        name: "the target that does not fail is taken",
+        targets: &[("a", State::Ready), ("b", State::Ready)],
+        failing: &["a"],
+        exclude: &[],
+        expected: Ok("b"),
+    },
+    Eligible {
+        name: "all drain",
+        targets: &[("a", State::Draining)],
+        failing: &[],
+        exclude: &[],
+        expected: Err(Refusal::AllDraining { draining: 1 }),
+    },
+    Eligible {
+        name: "all tried",
+        targets: &[("a", State::Ready), ("b", State::Draining)],
+        failing: &[],
+        exclude: &["a"],
+        expected: Err(Refusal::AllExcluded {
+            excluded: 1,
+            draining: 1,
+        }),
+    },
+    Eligible {
+        name: "all fail",
+        targets: &[("a", State::Ready), ("b", State::Ready)],
+        failing: &["a"],
+        exclude: &["b"],
+        expected: Err(Refusal::AllFailing {
+            failing: 1,
+            excluded: 1,
+            draining: 0,
+        }),
+    },
+];
+
+#[test]
+fn eligible_targets_only() {
+    for case in ELIGIBLE {
+        let targets: Vec<_> = case.targets.iter().map(|(n, s)| target(n, *s)).collect();
+        for seed in 0..200 {
+            let mut table = table(&targets);
+            case.failing
+                .iter()
+                .for_each(|name| fail(&mut table, name, 4));
+            let result = choose(&mut table, case.exclude, Instant(10), seed);
+            let result = result.map(|c| c.instance.as_str().to_owned());
+            let expected = case.expected.clone().map(str::to_owned);
+            assert_eq!(result, expected, "{}, seed {seed}", case.name);
+        }
+    }
+}
+
+struct Order {
+    name: &'static str,
+    /// Incarnation, sequence number and requests in flight.
+    reports: &'static [(u64, u64, u32)],
+    expected: f64,
+}
+
+/// Guards against an estimate that goes back to a report which came late.
+const ORDERS: &[Order] = &[
+    Order {
+        name: "the later report counts",
+        reports: &[(5, 1, 2), (5, 2, 4)],
+        expected: 4.0,
+    },
+    Order {
+        name: "a lower sequence number is ignored",
+        reports: &[(5, 2, 4), (5, 1, 2)],
+        expected: 4.0,
+    },
+    Order {
+        name: "a lower incarnation is ignored",
+        reports: &[(5, 2, 4), (4, 9, 1)],
+        expected: 4.0,
+    },
+    Order {
+        name: "a higher incarnation counts from any sequence number",
+        reports: &[(5, 2, 4), (6, 1, 1)],
+        expected: 1.0,
+    },
+];
+
+#[test]
+fn reports_never_go_back() {
+    for case in ORDERS {
+        let mut table = table(&[target("a", State::Ready)]);
+        let instance = instance::Name::new("a").unwrap();
+        for (incarnation, sequence, in_flight) in case.reports {
+            let report = Report {
+                incarnation: Incarnation(*incarnation),
+                sequence: *sequence,
+                in_flight: *in_flight,
+                limit: 6,
+                ..Report::default()
+            };
+            table.observe(&instance, report, Instant(1_000));
+        }
+        let choice = choose(&mut table, &[], Instant(1_000), 1).unwrap();
+        let ahead = choice.candidates[0].estimate.ahead;
+        assert!(
+            (ahead - case.expected).abs() < 0.1,
+            "{}: {ahead}",
+            case.name
+        );
+    }
+}
+
+struct Learned {
+    name: &'static str,
+    outcome: Outcome,
+    expected_us: f64,
+}
+
+/// Guards against a latency learned from an answer that did no work; 5 ms is the configured start.
+const LEARNED: &[Learned] = &[
+    Learned {
+        name: "a success teaches its latency",
+        outcome: Outcome::Success,
+        expected_us: 20_000.0,
+    },
+    Learned {
+        name: "a failure does not",
+        outcome: Outcome::Failure,
+        expected_us: 5_000.0,
+    },
+    Learned {
+        name: "a refusal does not",
+        outcome: Outcome::Refused,
+        expected_us: 5_000.0,
+    },
+];
+
+#[test]
+fn latency_is_learned_from_successes() {
+    for case in LEARNED {
+        let mut table = table(&[target("a", State::Ready)]);
+        let instance = instance::Name::new("a").unwrap();
+        table.started(&instance, Instant(0));
+        let sample = Sample {
+            incarnation: Incarnation(5),
+            outcome: case.outcome,
+            latency: Duration::from_millis(40),
+        };
+        table.finished(&instance, sample, Instant(40_000));
+        let choice = choose(&mut table, &[], Instant(40_000), 1).unwrap();
+        let latency_us = choice.candidates[0].estimate.latency_us;
+        let difference = (latency_us - case.expected_us).abs();
+        assert!(
+            difference < case.expected_us / 10.0,
+            "{}: {latency_us}",
+            case.name
+        );
+    }
+}
