--- a/crates/limits/src/fairness.rs
+++ b/crates/limits/src/fairness.rs
@@ -93,6 +93,12 @@
         })
     }
 
+    /// Waiting tickets of other partners, at most `turns` of each.
+    pub(crate) fn in_turn(&self, partner: &partner::Name, turns: u32) -> usize {
+        let others = self.accounts.iter().filter(|a| a.partner != *partner);
+        others.map(|a| a.queued.min(turns) as usize).sum()
+    }
+
     fn least_us(&self) -> f64 {
         let active = self.accounts.iter().filter(|a| a.active());
         let least = active.map(|a| a.served_us).fold(f64::INFINITY, f64::min);
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -162,7 +162,9 @@
             return Duration::ZERO;
         }
         let service = self.limit.service_us();
-        let ahead = self.queue.ahead(ticket, &self.accounts, service);
+        let ahead = self
+            .queue
+            .ahead(ticket, &self.accounts, self.config.low_every);
         let slots = f64::from(self.limit.get());
         Duration::from_micros(((ahead as f64 + 1.0) * service / slots) as u64)
     }
--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue.rs
@@ -1,5 +1,7 @@
 //! Waiting tickets in the order of arrival.
 
+use std::cmp::Ordering;
+
 use shallotrill_model::time::Instant;
 
 use crate::fairness::Accounts;
@@ -49,28 +51,39 @@
     }
 
     /// Tickets that are expected to run before a new one.
-    pub(crate) fn ahead(&self, ticket: &Ticket, accounts: &Accounts, service_us: f64) -> usize {
-        let own = accounts.received_us(&ticket.partner, service_us);
-        let before = |w: &&Waiting| {
-            let same = w.ticket.partner == ticket.partner;
-            w.ticket.priority > ticket.priority
-                || w.ticket.priority == ticket.priority
-                    && (same || accounts.received_us(&w.ticket.partner, service_us) <= own)
-        };
-        self.waiting.iter().filter(before).count()
+    pub(crate) fn ahead(&self, ticket: &Ticket, accounts: &Accounts, low_every: u32) -> usize {
+        let (mut higher, mut own, mut others, mut lower) = (0, 0, 0, 0);
+        for Waiting { ticket: other, .. } in &self.waiting {
+            match other.priority.cmp(&ticket.priority) {
+                Ordering::Greater => higher += 1,
+                Ordering::Less => lower += 1,
+                Ordering::Equal if other.partner == ticket.partner => own += 1,
+                Ordering::Equal => others += 1,
+            }
+        }
+        // Fairness runs about one ticket of each other partner for each own one.
+        let others = accounts
+            .in_turn(&ticket.partner, own as u32 + 1)
+            .min(others);
+        let same = own + others;
+        if lower == 0 {
+            // The lowest priority has one of `low_every` dispatches however many wait above it.
+            return (higher + same).min(low_every as usize * (same + 1));
+        }
+        higher + same
     }
 
     /// The ticket that gives way to a new one when the queue is full: the newest of the partner
-    /// with most tickets over its weight, among lower priorities first, then in the same one.
+    /// with most tickets over its weight, in the first class of priorities that must yield.
     pub(crate) fn victim(&self, ticket: &Ticket, accounts: &Accounts) -> Option<usize> {
-        let lower = self
-            .waiting
-            .iter()
-            .filter(|w| w.ticket.priority < ticket.priority)
-            .count();
-        if lower > self.waiting.len() / LOW_RESERVE {
+        let reserve = self.waiting.len().div_ceil(LOW_RESERVE);
+        let priorities = || self.waiting.iter().map(|w| w.ticket.priority);
+        if priorities().filter(|p| *p < ticket.priority).count() > reserve {
             return self.most(accounts, |w| w.ticket.priority < ticket.priority);
         }
+        if priorities().filter(|p| *p <= ticket.priority).count() < reserve {
+            return self.most(accounts, |w| w.ticket.priority > ticket.priority);
+        }
         let at = self.most(accounts, |w| w.ticket.priority == ticket.priority)?;
         let theirs = accounts.share(&self.waiting[at].ticket.partner, 0);
         let own = accounts.share(&ticket.partner, 1);
