--- a/crates/platform/src/settings/fault.rs
+++ b/crates/platform/src/settings/fault.rs
@@ -65,6 +65,13 @@
         /// What was found.
         found: SocketAddr,
     },
+    /// Other nodes cannot connect to an unspecified address, and no other one is stated.
+    AdvertiseNeeded,
+    /// An address is listed twice.
+    AddressTwice {
+        /// The address.
+        address: SocketAddr,
+    },
     /// Two listeners use the same port.
     PortUsed {
         /// The port.
@@ -122,6 +129,12 @@
                 f,
                 "no process can connect to {found}; state a specific IP address and a port from 1 to 65535"
             ),
+            Self::AdvertiseNeeded => f.write_str(
+                "the address is unspecified, so node.peer_advertise is needed; other nodes connect to it",
+            ),
+            Self::AddressTwice { address } => {
+                write!(f, "{address} is listed twice; addresses are unique")
+            }
             Self::PortUsed { port, other } => write!(
                 f,
                 "port {port} is already used by {other}; each listener needs its own"
--- a/crates/platform/src/settings/node.rs
+++ b/crates/platform/src/settings/node.rs
@@ -6,6 +6,7 @@
 
 use super::check::Check;
 use super::check::Number;
+use super::fault::Kind;
 use super::raw;
 use shallotrill_model::zone;
 
@@ -60,6 +61,13 @@
     let announce_listen = check.listen("node.announce_listen", &raw.announce_listen);
     let advertise = raw.peer_advertise.as_ref();
     let peer_advertise = advertise.map(|value| check.connect("node.peer_advertise", value));
+    if advertise.is_none() && peer_listen.is_some_and(|address| address.ip().is_unspecified()) {
+        check.fault(
+            "node.peer_listen",
+            raw.peer_listen.span(),
+            Kind::AdvertiseNeeded,
+        );
+    }
     let control = control(raw, check);
     let drain_ms = check.number(
         "node.drain_limit_ms",
@@ -105,11 +113,15 @@
 
 fn control(raw: &raw::Node, check: &mut Check<'_>) -> Vec<Control> {
     check.not_empty("node.control", &raw.control);
-    let mut list = Vec::new();
+    let mut list: Vec<Control> = Vec::new();
     for entry in raw.control.get_ref() {
         let address = check.connect("node.control.address", &entry.address);
         let zone = check.name("node.control.zone", &entry.zone, zone::Name::new);
         if let (Some(address), Some(zone)) = (address, zone) {
+            if list.iter().any(|other| other.address == address) {
+                let kind = Kind::AddressTwice { address };
+                check.fault("node.control.address", entry.address.span(), kind);
+            }
             list.push(Control { address, zone });
         }
     }
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -62,6 +62,7 @@
         from: "node]\ncaller_listen = \"127.0.0.1:8080\"     # HTTP/1.1 from callers\npeer_listen = \"127.0.0.1:8081\"",
         to: "node]\n\ncaller_listen = \"127.0.0.1:8082\"\npeer_listen = \"0.0.0.0:8082\"",
         expected: &[
+            "14:15: node.peer_listen: the address is unspecified",
             "14:15: node.peer_listen: port 8082 is already used by node.caller_listen",
             "16:19: node.announce_listen: port 8082 is already used by node.caller_listen",
         ],
@@ -97,6 +98,13 @@
         to: "[node]\ncaller_listen = \"127.0.0.1:1\"\npeer_listen = \"127.0.0.1:2\"\nannounce_listen = \"127.0.0.1:3\"\ncontrol = []\n[control]",
         expected: &["[node] and [control] are both there; exactly one is allowed"],
     },
+    Case {
+        name: "control address twice",
+        file: "node.toml",
+        from: "127.0.0.1:7002",
+        to: "127.0.0.1:7001",
+        expected: &["18:17: node.control.address: 127.0.0.1:7001 is listed twice"],
+    },
     Case {
         name: "unknown table",
         file: "control.toml",
