--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -82,10 +82,11 @@
 }
 
 impl Cause {
-    /// Whether the control process may have accepted the statement.
-    pub const fn is_sent(&self) -> bool {
+    /// Whether the control process may have accepted the statement, or may still do so.
+    pub const fn is_open(&self) -> bool {
         match self {
-            Self::Connect(_) | Self::Elsewhere(_) => false,
+            Self::Connect(_) => false,
+            Self::Elsewhere(failure) => failure.is_open(),
             Self::Broken(_) | Self::Timeout | Self::Form { .. } => true,
         }
     }
@@ -103,8 +104,8 @@
     /// Whether a change may have been accepted although there is no answer.
     pub fn is_open(&self) -> bool {
         match self {
-            Self::Refused { .. } => false,
-            Self::Unavailable { tries } => tries.iter().any(|one| one.cause.is_sent()),
+            Self::Refused { failure, .. } => failure.is_open(),
+            Self::Unavailable { tries } => tries.iter().any(|one| one.cause.is_open()),
         }
     }
 }
--- a/crates/operator/src/failure.rs
+++ b/crates/operator/src/failure.rs
@@ -42,6 +42,11 @@
     },
     /// No quorum can be reached, so nothing is accepted and nobody knows what is in force.
     NoQuorum,
+    /// The change was proposed, and the quorum was lost before it was known to be accepted. It may still be.
+    Undecided {
+        /// Id of the command, to ask about it or to send it again.
+        command: command::Id,
+    },
     /// Another control process leads.
     NotLeader {
         /// Operator address of the leader, if it is known.
@@ -85,6 +90,7 @@
             Self::Conflict { .. } => "conflict",
             Self::CommandReused { .. } => "command-reused",
             Self::NoQuorum => "no-quorum",
+            Self::Undecided { .. } => "undecided",
             Self::NotLeader { .. } => "not-leader",
             Self::UnknownName { .. } => "unknown-name",
             Self::Exists { .. } => "exists",
@@ -104,18 +110,27 @@
             Self::InvalidValue { .. } => 422,
             Self::Internal { .. } => 500,
             Self::NoQuorum => 503,
+            Self::Undecided { .. } => 504,
         }
     }
 
     /// Whether another control process may answer where this one does not.
     pub const fn is_elsewhere(&self) -> bool {
-        matches!(self, Self::NoQuorum | Self::NotLeader { .. })
+        matches!(
+            self,
+            Self::NoQuorum | Self::Undecided { .. } | Self::NotLeader { .. }
+        )
+    }
+
+    /// Whether a change may be accepted in spite of this failure.
+    pub const fn is_open(&self) -> bool {
+        matches!(self, Self::Undecided { .. } | Self::Internal { .. })
     }
 
     /// The exit code of the command line.
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::NoQuorum | Self::NotLeader { .. } => 3,
+            Self::NoQuorum | Self::Undecided { .. } | Self::NotLeader { .. } => 3,
             Self::Statement(_) => 2,
             _ => 1,
         }
@@ -146,6 +161,10 @@
             Self::NoQuorum => f.write_str(
                 "no quorum of control processes is reachable; nothing is accepted, and what is in force is not known here",
             ),
+            Self::Undecided { command } => write!(
+                f,
+                "the quorum was lost while command {command} was being accepted; it may still be accepted"
+            ),
             Self::NotLeader { leader: Some(leader) } => write!(f, "{leader} leads"),
             Self::NotLeader { leader: None } => {
                 f.write_str("this control process does not lead and knows no leader")
--- a/crates/operator/tests/client.rs
+++ b/crates/operator/tests/client.rs
@@ -15,12 +15,14 @@
 use shallotrill_operator::wire;
 
 use self::Fake::Answers;
+use self::Fake::Fails;
 use self::Fake::Gone;
 use self::Fake::Leads;
 use self::Fake::NoQuorum;
 use self::Fake::PointsToLeader;
 use self::Fake::Refuses;
 use self::Fake::Silent;
+use self::Fake::Undecided;
 
 /// How a fake control process behaves.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +32,8 @@
     PointsToLeader,
     NoQuorum,
     Refuses,
+    Undecided,
+    Fails,
     Silent,
     Gone,
 }
@@ -78,6 +82,9 @@
     case("all are cut off", &[NoQuorum, NoQuorum], 3, false, 2),
     case("all are gone", &[Gone, Gone], 3, false, 0),
     case("all are silent", &[Silent], 3, true, 0),
+    case("undecided, then known", &[Undecided, Answers], 0, false, 2),
+    case("undecided", &[Undecided, NoQuorum], 3, true, 2),
+    case("failure", &[Fails, Answers], 1, true, 1),
     case("no address", &[], 3, false, 0),
 ];
 
@@ -90,6 +97,12 @@
         seen.lock().expect("lock").push(id);
         match fake {
             NoQuorum => Err(Failure::NoQuorum),
+            Undecided => Err(Failure::Undecided {
+                command: order.command.expect("a change has an id"),
+            }),
+            Fails => Err(Failure::Internal {
+                reason: "disk".to_owned(),
+            }),
             PointsToLeader => Err(Failure::NotLeader { leader }),
             Refuses => Err(Failure::Exists {
                 kind: "service".to_owned(),
