Score each candidate once

The winner and the explanation were scored again after the draw, and the candidates were collected into a second vector. Keep what the draw computed.

--- a/crates/routing/src/draw.rs
+++ b/crates/routing/src/draw.rs
@@ -2,7 +2,9 @@
 
 use shallotrill_model::time::Instant;
 
+use crate::choice::Considered;
 use crate::choice::Query;
+use crate::choice::Reason;
 use crate::entry::Entry;
 use crate::member::Index;
 use crate::score;
@@ -13,7 +15,10 @@
 
 /// Candidates, and those when the first ones are old.
 const CANDIDATES: usize = 2;
-pub(crate) const CANDIDATES_OLD: usize = 3;
+const CANDIDATES_OLD: usize = 3;
+
+/// Most candidates of one choice: those of the own zone and one of another.
+pub(crate) const PICKS_MAX: usize = CANDIDATES_OLD + 1;
 
 /// Score of the local best, as a multiple of the median latency, above which another zone is always considered.
 const BUSY: f64 = 2.0;
@@ -24,7 +29,9 @@
     pub(crate) service: usize,
     pub(crate) query: &'query Query<'query>,
     pub(crate) now: Instant,
-    pub(crate) picks: Vec<(Index, f64)>,
+    pub(crate) picks: Vec<Considered>,
+    /// Entries of the picks, in the same order.
+    pub(crate) indices: [Index; PICKS_MAX],
     pub(crate) recovery: Option<Index>,
 }
 
@@ -51,16 +58,13 @@
     }
 
     fn old(&self) -> bool {
-        self.picks.iter().any(|(index, _)| {
-            let entry = self.table.entry(*index);
-            let age = entry.and_then(|entry| score::age(entry, self.now));
-            age.is_none_or(|age| age > self.table.config.old)
-        })
+        let old = self.table.config.old;
+        self.picks.iter().any(|p| p.age.is_none_or(|age| age > old))
     }
 
     fn local_busy(&self) -> bool {
         let median = self.table.services[self.service].latency.value;
-        self.picks.iter().all(|(_, score)| *score > BUSY * median)
+        self.picks.iter().all(|p| p.score > BUSY * median)
     }
 
     fn draw_group(&mut self, group: usize, wanted: usize, random: &mut dyn FnMut() -> u64) {
@@ -121,7 +125,7 @@
         let Some(entry) = self.table.entry(index) else {
             return;
         };
-        if self.picks.iter().any(|(known, _)| *known == index) || excluded(entry, self.query) {
+        if self.indices[..self.picks.len()].contains(&index) || excluded(entry, self.query) {
             return;
         }
         let config = &self.table.config;
@@ -139,7 +143,14 @@
         let estimate = score::estimate(entry, service, config, self.now);
         let round_trip = self.table.round_trip_us(entry);
         let score = score::score(&estimate, entry, round_trip, warmth);
-        self.picks.push((index, score));
+        self.indices[self.picks.len()] = index;
+        self.picks.push(Considered {
+            instance: entry.target.instance.clone(),
+            estimate,
+            age: score::age(entry, self.now),
+            score,
+            reason: Reason::Higher,
+        });
     }
 
     fn may_recover(&self, entry: &Entry) -> bool {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -7,8 +7,8 @@
 use crate::choice::Query;
 use crate::choice::Reason;
 use crate::choice::Refusal;
-use crate::draw;
 use crate::draw::Draw;
+use crate::draw::PICKS_MAX;
 use crate::draw::below;
 use crate::draw::excluded;
 use crate::member::Index;
@@ -65,47 +65,31 @@
         service,
         query,
         now,
-        picks: Vec::with_capacity(draw::CANDIDATES_OLD + 1),
+        picks: Vec::with_capacity(PICKS_MAX),
+        indices: [Index(0); PICKS_MAX],
         recovery: None,
     };
     draw.fill(random);
-    if let Some(index) = draw.recovery {
-        let Draw { mut picks, .. } = draw;
+    let Draw {
+        mut picks,
+        indices,
+        recovery,
+        ..
+    } = draw;
+    if let Some(index) = recovery {
         picks.clear();
-        let chosen = considered(table, service, index, now, Reason::Recovery);
+        picks.extend(considered(table, service, index, now, Reason::Recovery));
         if let Some(entry) = table.entries[index.0].as_mut() {
             entry.recovery = Some(now);
         }
-        return finish(table, index, chosen.into_iter().collect());
+        return finish(table, index, picks);
     }
-    let picks = draw.picks;
-    if picks.is_empty() {
+    let numbered = picks.iter().enumerate();
+    let Some((winner, _)) = numbered.min_by(|(_, a), (_, b)| a.score.total_cmp(&b.score)) else {
         return Err(refusal(table, service, query));
-    }
-    best(table, service, &picks, now)
-}
-
-/// The candidate of the lowest score.
-fn best(
-    table: &Table,
-    service: usize,
-    picks: &[(Index, f64)],
-    now: Instant,
-) -> Result<Choice, Refusal> {
-    let lowest = picks.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-    let Some((winner, _)) = lowest else {
-        return Err(Refusal::NoTargets);
     };
-    let mut candidates = Vec::with_capacity(picks.len());
-    for (index, _) in picks {
-        let reason = if index == winner {
-            Reason::Lowest
-        } else {
-            Reason::Higher
-        };
-        candidates.extend(considered(table, service, *index, now, reason));
-    }
-    finish(table, *winner, candidates)
+    picks[winner].reason = Reason::Lowest;
+    finish(table, indices[winner], picks)
 }
 
 fn random(
