--- /dev/null
+++ b/crates/bench/src/backend.rs
@@ -0,0 +1,264 @@
+//! A stand-in for a backend server.
+//!
+//! It serves HTTP/1.1 with a stated number of slots and a stated time for each
+//! request, announces itself to its node, and can be told through its control
+//! path to be slow, to fail fast, to shed, to crash on a path or to drain.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time;
+
+/// Interval of announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a stand-in does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u32)]
+pub enum Mode {
+    /// Answers after the service time.
+    Normal = 0,
+    /// Answers 500 at once.
+    FailFast = 1,
+    /// Answers 503 with `Retry-After` at once.
+    Shed = 2,
+    /// Announces that it drains.
+    Drain = 3,
+}
+
+impl Mode {
+    fn of(number: u32) -> Self {
+        match number {
+            1 => Self::FailFast,
+            2 => Self::Shed,
+            3 => Self::Drain,
+            _ => Self::Normal,
+        }
+    }
+}
+
+/// How a stand-in starts.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Announce address of its node, if it has one.
+    pub node: Option<SocketAddr>,
+    /// Service that it announces.
+    pub service: String,
+    /// Requests that it runs at once; more wait inside.
+    pub slots: u32,
+    /// Time for one request.
+    pub service_time: Duration,
+    /// A path that ends the process, to stand for a request that crashes its server.
+    pub crash_path: Option<String>,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Backend {
+    address: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    config: Config,
+    slots: Semaphore,
+    mode: AtomicU32,
+    service_us: AtomicU64,
+    executed: AtomicU64,
+    start: String,
+}
+
+impl Backend {
+    /// Starts a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the address cannot be listened on.
+    pub async fn start(config: Config) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(config.listen).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(State {
+            slots: Semaphore::new(config.slots as usize),
+            mode: AtomicU32::new(Mode::Normal as u32),
+            service_us: AtomicU64::new(config.service_time.as_micros() as u64),
+            executed: AtomicU64::new(0),
+            start: format!("{:032x}", rand::random::<u128>()),
+            config,
+        });
+        tokio::spawn(accept(listener, Arc::clone(&state)));
+        if let Some(node) = state.config.node {
+            tokio::spawn(announce(Arc::clone(&state), address, node));
+        }
+        Ok(Self { address, state })
+    }
+
+    /// Its address.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what it does with requests.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state.mode.store(mode as u32, Ordering::Relaxed);
+    }
+
+    /// Changes the time for one request.
+    pub fn set_service_time(&self, time: Duration) {
+        let micros = time.as_micros() as u64;
+        self.state.service_us.store(micros, Ordering::Relaxed);
+    }
+
+    /// Requests that it ran.
+    pub fn executed(&self) -> u64 {
+        self.state.executed.load(Ordering::Relaxed)
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<State>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(move |request| {
+                let state = Arc::clone(&state);
+                async move { Ok::<_, Infallible>(answer(&state, request).await) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A caller that disconnects ends its connection with an error, which is no concern here.
+            drop(connection.await);
+        });
+    }
+}
+
+async fn answer(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    if path == "/standin" {
+        return steer(state, request).await;
+    }
+    if path == "/health" {
+        return respond(StatusCode::OK, b"ok");
+    }
+    if state.config.crash_path.as_deref() == Some(path.as_str()) {
+        std::process::exit(3);
+    }
+    match Mode::of(state.mode.load(Ordering::Relaxed)) {
+        Mode::FailFast => return respond(StatusCode::INTERNAL_SERVER_ERROR, b"failed\n"),
+        Mode::Shed => {
+            let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, b"shed\n");
+            let after = http::HeaderValue::from_static("1");
+            response
+                .headers_mut()
+                .insert(http::header::RETRY_AFTER, after);
+            return response;
+        }
+        Mode::Normal | Mode::Drain => {}
+    }
+    let method = request.method().clone();
+    let Ok(body) = request.into_body().collect().await else {
+        return respond(StatusCode::BAD_REQUEST, b"body cut\n");
+    };
+    let Ok(_slot) = state.slots.acquire().await else {
+        return respond(StatusCode::INTERNAL_SERVER_ERROR, b"closed\n");
+    };
+    let micros = state.service_us.load(Ordering::Relaxed);
+    time::sleep(Duration::from_micros(micros)).await;
+    let count = state.executed.fetch_add(1, Ordering::Relaxed) + 1;
+    let text = json!({
+        "service": state.config.service,
+        "method": method.as_str(),
+        "path": path,
+        "bytes": body.to_bytes().len(),
+        "execution": count,
+        "server": state.start,
+    });
+    let mut response = respond(StatusCode::OK, format!("{text}\n").as_bytes());
+    let json = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// `POST /standin?mode=fail-fast` and `POST /standin?service-us=20000` change the behaviour.
+async fn steer(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.method() != Method::POST {
+        return respond(StatusCode::METHOD_NOT_ALLOWED, b"POST only\n");
+    }
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        match (key, value) {
+            ("mode", "normal") => state.mode.store(Mode::Normal as u32, Ordering::Relaxed),
+            ("mode", "fail-fast") => state.mode.store(Mode::FailFast as u32, Ordering::Relaxed),
+            ("mode", "shed") => state.mode.store(Mode::Shed as u32, Ordering::Relaxed),
+            ("mode", "drain") => state.mode.store(Mode::Drain as u32, Ordering::Relaxed),
+            ("service-us", micros) => match micros.parse() {
+                Ok(micros) => state.service_us.store(micros, Ordering::Relaxed),
+                Err(_) => return respond(StatusCode::BAD_REQUEST, b"service-us is a number\n"),
+            },
+            _ => return respond(StatusCode::BAD_REQUEST, b"unknown key or value\n"),
+        }
+    }
+    drop(request.into_body().collect().await);
+    respond(StatusCode::OK, b"done\n")
+}
+
+fn respond(status: StatusCode, body: &[u8]) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(body)));
+    *response.status_mut() = status;
+    response
+}
+
+async fn announce(state: Arc<State>, address: SocketAddr, node: SocketAddr) {
+    loop {
+        let mode = Mode::of(state.mode.load(Ordering::Relaxed));
+        let announcement = json!({
+            "service": state.config.service,
+            "address": address.to_string(),
+            "slots": state.config.slots,
+            "state": if mode == Mode::Drain { "draining" } else { "ready" },
+            "start": state.start,
+            "probe": "/health",
+        });
+        // The node may not be up yet; the announcement is repeated anyway.
+        drop(send(node, &announcement.to_string()).await);
+        time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn send(node: SocketAddr, body: &str) -> Result<StatusCode, Box<dyn std::error::Error>> {
+    let stream = TcpStream::connect(node).await?;
+    let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let request = Request::builder()
+        .method(Method::PUT)
+        .uri("/v1/announce")
+        .header(http::header::HOST, node.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body.to_owned())))?;
+    let response = sender.send_request(request).await?;
+    Ok(response.status())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,6 @@
 //! Benches, the slope tool and stand-ins for the outside systems.
+//!
+//! Nothing here is shipped. The stand-ins speak the published protocols of a
+//! backend server and a caller, so that the whole path can run on one machine.
+
+pub mod backend;
--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -12,11 +12,11 @@
 
 use log::error;
 use log::info;
-use shallotrill_consensus::config::Config;
+use shallotrill_consensus::Config;
+use shallotrill_consensus::Replica;
 use shallotrill_consensus::member::Id;
 use shallotrill_consensus::member::Peer;
 use shallotrill_consensus::member::Set;
-use shallotrill_consensus::replica::Replica;
 use shallotrill_replica::hello;
 use tokio::time;
 
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -8,12 +8,12 @@
 use log::warn;
 use shallotrill_catalog::command::Command;
 use shallotrill_catalog::state::State as Catalog;
+use shallotrill_consensus::Ready;
 use shallotrill_consensus::entry::Content;
 use shallotrill_consensus::entry::Entry;
 use shallotrill_consensus::entry::Index;
 use shallotrill_consensus::entry::Snapshot;
 use shallotrill_consensus::message::Body;
-use shallotrill_consensus::ready::Ready;
 use shallotrill_consensus::status::Role;
 use shallotrill_model::time::Instant;
 use shallotrill_replica::log as messages;
@@ -114,7 +114,7 @@
             state.announce_change();
         }
         None => {
-            error!(event = "snapshot-unreadable", index = index; "the leader's snapshot has an unknown form")
+            error!(event = "snapshot-unreadable", index = index; "the leader's snapshot has an unknown form");
         }
     }
 }
--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -1,7 +1,5 @@
 //! Who this process is, in the terms of each package.
 
-use std::net::SocketAddr;
-
 use shallotrill_catalog::member as listed;
 use shallotrill_claim::epoch;
 use shallotrill_consensus::disk;
@@ -21,7 +19,6 @@
     pub(crate) peer: member::Peer,
     /// This life as an owner of leases.
     pub(crate) owner: Owner,
-    pub(crate) operator: SocketAddr,
 }
 
 impl Identity {
--- a/crates/control/src/replace.rs
+++ b/crates/control/src/replace.rs
@@ -95,7 +95,9 @@
             .replica
             .as_mut()
             .ok_or(Step::Refused(Refusal::NotLeader(None)))?;
-        replica.change(now, change).map_err(step)?
+        replica
+            .change(now, change)
+            .map_err(|refusal| step(&refusal))?
     };
     state.wake.notify_one();
     let applied = state.wait_applied(position.index.0, CATCH_UP_LIMIT).await;
@@ -106,9 +108,9 @@
     }
 }
 
-fn step(refusal: failure::Refusal) -> Step {
+fn step(refusal: &failure::Refusal) -> Step {
     match refusal {
-        failure::Refusal::NotLeader(leader) => Step::Refused(Refusal::NotLeader(leader)),
+        failure::Refusal::NotLeader(leader) => Step::Refused(Refusal::NotLeader(*leader)),
         failure::Refusal::Behind { .. }
         | failure::Refusal::ChangePending(_)
         | failure::Refusal::NotEstablished
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -141,7 +141,7 @@
 pub async fn start(settings: &Settings, control: &control::Settings) -> Result<Control, Error> {
     let folder = Folder::open(&control.data_folder).map_err(Error::Disk)?;
     let mut store = Store::open(&folder).map_err(Error::Store)?;
-    let state = Arc::new(state(settings, control, &folder)?);
+    let state = Arc::new(build(settings, control, &folder)?);
     state.peers.start();
     let (rpc, rpc_address) = rpc::serve(Arc::clone(&state), control.rpc_listen)
         .await
@@ -154,13 +154,13 @@
     };
     let (failing, failed) = watch::channel(false);
     let voters = control.voters.clone();
-    let driven = Arc::clone(&state);
+    let shared = Arc::clone(&state);
     let driver = tokio::spawn(async move {
         // The folder is held, and with it locked, as long as the driver runs.
         let _folder = folder;
         let run = async {
-            bootstrap::run(&driven, &mut store, &voters).await?;
-            driver::run(driven, store).await
+            bootstrap::run(&shared, &mut store, &voters).await?;
+            driver::run(shared, store).await
         };
         if let Err(error) = run.await {
             error!(event = "log-failed"; "{error}");
@@ -190,7 +190,7 @@
     })
 }
 
-fn state(
+fn build(
     settings: &Settings,
     control: &control::Settings,
     folder: &Folder,
@@ -208,7 +208,6 @@
             name: settings.instance.clone(),
             start: clock.wall().0,
         },
-        operator: control.operator_listen,
     };
     let endpoints: Vec<Endpoint> = control
         .peers
--- a/crates/control/src/show.rs
+++ b/crates/control/src/show.rs
@@ -1,12 +1,11 @@
 //! Answers to queries, from what is applied here after a quorum confirmed that it is the latest.
 
 use shallotrill_claim::record::State as RecordState;
-use shallotrill_claim::table::Table as Registers;
+use shallotrill_language::Show;
+use shallotrill_language::Statement;
 use shallotrill_language::answer::Answer;
 use shallotrill_language::answer::Cell;
 use shallotrill_language::answer::Kind;
-use shallotrill_language::statement::Show;
-use shallotrill_language::statement::Statement;
 use shallotrill_model::class::Class;
 use shallotrill_model::command;
 use shallotrill_model::revision::Revision;
@@ -81,7 +80,7 @@
     }
 }
 
-fn text(value: impl ToString) -> Cell {
+fn text<T: ToString + ?Sized>(value: &T) -> Cell {
     Cell::Text(value.to_string())
 }
 
@@ -109,7 +108,7 @@
             count(spec.rules.len() as u64),
             count(entry.origin.revision.0),
             text(&entry.origin.operator),
-            text(calendar::rfc3339(entry.origin.at)),
+            text(&calendar::format(entry.origin.at)),
         ])?;
     }
     Ok(sheet.note(format!("revision {} is in force", catalog.revision())))
@@ -192,10 +191,10 @@
             text(&target.service),
             text(&target.instance),
             text(&target.zone),
-            text(target_state),
+            text(&target_state),
             count(target.slots),
             count(target.incarnation.0),
-            text(target.address),
+            text(&target.address),
         ])?;
     }
     let status = format!(
@@ -276,8 +275,8 @@
         let peer = progress.member.peer;
         sheet.row(vec![
             count(peer.id.0),
-            text(format!("{:?}", progress.member.role).to_lowercase()),
-            text(format!("{:032x}", peer.disk.0)),
+            text(&format!("{:?}", progress.member.role).to_lowercase()),
+            text(&format!("{:032x}", peer.disk.0)),
             Cell::Flag(status.leader == Some(peer)),
             progress.matched.map_or(Cell::Empty, |index| count(index.0)),
             progress.heard.map_or(Cell::Empty, |heard| {
@@ -339,10 +338,10 @@
     for change in catalog.history().last(last.unwrap_or(HISTORY_DEFAULT)) {
         sheet.row(vec![
             count(change.origin.revision.0),
-            text(calendar::rfc3339(change.origin.at)),
+            text(&calendar::format(change.origin.at)),
             text(&change.origin.operator),
-            text(change.command),
-            text(format!("{:?}", change.action)),
+            text(&change.command),
+            text(&format!("{:?}", change.action)),
         ])?;
     }
     Ok(sheet.note(format!("revision {} is in force", catalog.revision())))
@@ -359,8 +358,7 @@
         ("content", Kind::Text),
     ]);
     let claims = state.claims.lock();
-    let registers: &Registers = claims.acceptor.table();
-    for register in registers.after(None) {
+    for register in claims.acceptor.table().after(None) {
         let Some(accepted) = &register.accepted else {
             continue;
         };
@@ -369,11 +367,11 @@
             sheet.row(vec![
                 text(&register.key.partner),
                 text(&register.key.service),
-                text(register.key.id),
+                text(&register.key.id),
                 count(record.attempt.0),
                 text(&holder.instance),
-                text(calendar::rfc3339(register.key.time())),
-                text(record.digest),
+                text(&calendar::format(register.key.time())),
+                text(&record.digest),
             ])?;
         }
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use shallotrill_catalog::state::State as Catalog;
+use shallotrill_consensus::Replica;
 use shallotrill_consensus::read;
-use shallotrill_consensus::replica::Replica;
 use shallotrill_disk::journal::Journal;
 use shallotrill_locks::Mutex;
 use shallotrill_model::time::Instant;
--- a/crates/control/src/statements.rs
+++ b/crates/control/src/statements.rs
@@ -15,10 +15,10 @@
 use shallotrill_claim::record::Report;
 use shallotrill_claim::record::State as RecordState;
 use shallotrill_consensus::member::Peer;
+use shallotrill_language::Settlement;
+use shallotrill_language::Statement;
 use shallotrill_language::answer::Answer;
 use shallotrill_language::setting::Setting;
-use shallotrill_language::statement::Settlement;
-use shallotrill_language::statement::Statement;
 use shallotrill_model::class;
 use shallotrill_model::command::Id;
 use shallotrill_model::digest::Digest;
@@ -278,7 +278,7 @@
     };
     let change = Task::Change(Change::Settle { attempt, decision });
     match claims::run(state, key, change).await {
-        Ok(Report::Outcome(outcome)) => {
+        Ok(Report::Outcome { outcome, .. }) => {
             let text = format!("settled as {settlement}: {}", name(&outcome));
             Ok(Answer::note(&text))
         }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -25,8 +25,8 @@
 use shallotrill_disk::folder::Folder;
 use shallotrill_disk::journal;
 use shallotrill_disk::journal::Journal;
-use shallotrill_disk::journal::Refusal;
 use shallotrill_disk::position::Position;
+use shallotrill_disk::refusal::Refusal;
 use shallotrill_disk::replay::Event;
 use tokio::time;
 
@@ -212,10 +212,6 @@
             }
         }
     }
-
-    pub(crate) fn journal(&self) -> Arc<Journal> {
-        Arc::clone(&self.journal)
-    }
 }
 
 impl Stored {
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -109,9 +109,11 @@
     match ask {
         Ask::Command(command) => propose(state, command).await,
         Ask::Read => confirm(state).await,
-        Ask::Replace { old, new } => replace::run(state, old, new)
-            .await
-            .map(|()| Answer::Replaced),
+        Ask::Replace { old, new } => {
+            // Boxed, because a replacement itself submits commands.
+            let replacing = Box::pin(replace::run(state, old, new));
+            replacing.await.map(|()| Answer::Replaced)
+        }
     }
 }
 
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -159,7 +159,7 @@
             Ok(Ok(Report::Granted { attempt, grant })) if grant == id => {
                 Ok(Opened::Granted(Grant { id, attempt, asked }))
             }
-            Ok(Ok(Report::Outcome(outcome))) => Err(outcome_refusal(&outcome)),
+            Ok(Ok(Report::Outcome { outcome, .. })) => Err(outcome_refusal(&outcome)),
             Ok(Ok(_)) => Err(running_refusal("another attempt holds the grant")),
             Ok(Err(ClaimRefusal::Claim(proposer::Failure::Refused(record::Refusal::Done(
                 answer,
@@ -309,9 +309,15 @@
         Err(refusal) => return Fate::Settled(Err(refusal)),
     };
     match ask(state, plan, &key, Task::Change(change), RECORD_LIMIT).await {
-        Ok(Ok(Report::Outcome(Outcome::NotRun(_)))) => Fate::Fenced(attempt),
-        Ok(Ok(Report::Outcome(Outcome::Running))) => Fate::Settled(follow(state, plan).await),
-        Ok(Ok(Report::Outcome(outcome))) => Fate::Settled(settled(&outcome)),
+        Ok(Ok(Report::Outcome {
+            outcome: Outcome::NotRun(_),
+            ..
+        })) => Fate::Fenced(attempt),
+        Ok(Ok(Report::Outcome {
+            outcome: Outcome::Running,
+            ..
+        })) => Fate::Settled(follow(state, plan).await),
+        Ok(Ok(Report::Outcome { outcome, .. })) => Fate::Settled(settled(&outcome)),
         Ok(Ok(Report::Granted { .. } | Report::Absent)) => {
             Fate::Settled(Err(running_refusal("the attempt may still run")))
         }
@@ -342,8 +348,15 @@
         time::sleep(pause).await;
         pause = (pause * 2).min(LOOK_PAUSE_MAX);
         match ask(state, plan, &key, Task::Look, left.min(RECORD_LIMIT)).await {
-            Ok(Ok(Report::Outcome(Outcome::Running)) | Err(_)) | Err(_) => {}
-            Ok(Ok(Report::Outcome(outcome))) => return settled(&outcome),
+            Ok(
+                Ok(Report::Outcome {
+                    outcome: Outcome::Running,
+                    ..
+                })
+                | Err(_),
+            )
+            | Err(_) => {}
+            Ok(Ok(Report::Outcome { outcome, .. })) => return settled(&outcome),
             Ok(Ok(Report::Granted { .. } | Report::Absent)) => {
                 return Err(running_refusal(
                     "the request is running under an earlier attempt",
