--- /dev/null
+++ b/crates/bench/src/cluster.rs
@@ -0,0 +1,415 @@
+//! Starts the processes of one small installation on this machine.
+//!
+//! Each installation has an address of its own in the loopback range, so that
+//! several can run at once without agreeing on ports. Processes are ended by
+//! their ids only.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+/// First port of the RPC listeners of control processes.
+const RPC_PORT: u16 = 7000;
+/// First port of the operator listeners of control processes.
+const OPERATOR_PORT: u16 = 7100;
+/// First port of the caller listeners of nodes.
+const CALLER_PORT: u16 = 8000;
+/// First port of the peer listeners of nodes.
+const PEER_PORT: u16 = 9000;
+/// First port of the announce listeners of nodes.
+const ANNOUNCE_PORT: u16 = 10_000;
+/// First port of the stand-in backend servers.
+const BACKEND_PORT: u16 = 11_000;
+
+/// Pause between two looks whether a process has ended.
+const WAIT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A service with its targets.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name of the service.
+    pub name: &'static str,
+    /// Number of targets.
+    pub targets: u16,
+    /// Requests that one target runs at once.
+    pub slots: u32,
+    /// Time for one request.
+    pub service_time: Duration,
+    /// A path that ends the backend server.
+    pub crash_path: Option<&'static str>,
+}
+
+/// What is to be started.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Folder of the built programs.
+    pub programs: PathBuf,
+    /// Folder for settings, data and logs.
+    pub folder: PathBuf,
+    /// Address of all listeners.
+    pub ip: Ipv4Addr,
+    /// Region of all instances.
+    pub region: &'static str,
+    /// Availability zones; one control process runs in each.
+    pub zones: Vec<&'static str>,
+    /// The services.
+    pub services: Vec<Service>,
+    /// Level of the logs.
+    pub log: &'static str,
+}
+
+/// A process with what is needed to start it again.
+#[derive(Debug)]
+pub struct Process {
+    /// Name for people and for its log file.
+    pub name: String,
+    program: PathBuf,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A node with the stand-in beside it.
+#[derive(Debug)]
+pub struct Place {
+    /// Instance of the node.
+    pub instance: String,
+    /// Service of the backend server.
+    pub service: &'static str,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for announcements and the state dump.
+    pub announce: SocketAddr,
+    /// Address of the backend server.
+    pub backend_address: SocketAddr,
+    /// The node.
+    pub node: Process,
+    /// The backend server.
+    pub backend: Process,
+}
+
+/// A running installation.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The control processes.
+    pub controls: Vec<Process>,
+    /// Addresses for operators, in the order of the control processes.
+    pub operators: Vec<SocketAddr>,
+    /// The nodes with their backend servers.
+    pub places: Vec<Place>,
+}
+
+/// An address in the loopback range that no other running process of this kind has.
+pub fn own_ip() -> Ipv4Addr {
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    let number: u8 = rand::random();
+    // The second byte is never 0 and the last never 0 or 255, so 127.0.0.1 stays free.
+    Ipv4Addr::new(127, 1 + high % 250, low, 1 + number % 250)
+}
+
+/// Folder of the programs beside the running one, which may be a test or an example.
+///
+/// # Errors
+///
+/// Returns the error of the system when the path of the running program is not known.
+pub fn programs() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let mut folder = own.parent().map(Path::to_path_buf).unwrap_or_default();
+    while folder.ends_with("deps") || folder.ends_with("examples") {
+        folder.pop();
+    }
+    Ok(folder)
+}
+
+impl Process {
+    fn new(name: String, program: PathBuf, arguments: Vec<String>, folder: &Path) -> Self {
+        let log = folder.join(format!("{name}.log"));
+        Self {
+            name,
+            program,
+            arguments,
+            log,
+            child: None,
+        }
+    }
+
+    /// Starts the process; its output goes to its log file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|error| {
+                let program = self.program.display();
+                io::Error::new(error.kind(), format!("{program}: {error}"))
+            })?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Path of the log file.
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
+    /// Id of the process, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        match &self.child {
+            Some(child) => Ok(rustix::process::kill_process(
+                Pid::from_child(child),
+                signal,
+            )?),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends the process at once, as a crash would.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub fn kill(&mut self) -> io::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Asks the process to stop and waits for its end; it is killed after `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub fn stop(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
+        self.signal(Signal::TERM)?;
+        let end = Instant::now() + limit;
+        let Some(child) = &mut self.child else {
+            return Ok(None);
+        };
+        loop {
+            if let Some(status) = child.try_wait()? {
+                self.child = None;
+                return Ok(Some(status));
+            }
+            if Instant::now() >= end {
+                self.kill()?;
+                return Ok(None);
+            }
+            std::thread::sleep(WAIT_PAUSE);
+        }
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => matches!(child.try_wait(), Ok(None)),
+            None => false,
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that cannot be ended is reported by the system elsewhere; nothing is left to do here.
+        drop(self.kill());
+    }
+}
+
+impl Cluster {
+    /// Writes the settings and starts every process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when a file cannot be written or a program not started.
+    pub fn start(layout: &Layout) -> io::Result<Self> {
+        fs::create_dir_all(&layout.folder)?;
+        let mut controls = Vec::new();
+        let mut operators = Vec::new();
+        for index in 0..layout.zones.len() {
+            controls.push(layout.control(index)?);
+            operators.push(layout.address(OPERATOR_PORT, index));
+        }
+        let mut places = Vec::new();
+        for service in &layout.services {
+            for number in 0..service.targets {
+                places.push(layout.place(places.len(), service, number)?);
+            }
+        }
+        let mut cluster = Self {
+            controls,
+            operators,
+            places,
+        };
+        for control in &mut cluster.controls {
+            control.start()?;
+        }
+        for place in &mut cluster.places {
+            place.node.start()?;
+            place.backend.start()?;
+        }
+        Ok(cluster)
+    }
+
+    /// Stops every process gracefully: nodes first, then backend servers, then control processes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub fn stop(&mut self) -> io::Result<()> {
+        let limit = Duration::from_secs(10);
+        for place in &self.places {
+            place.node.signal(Signal::TERM)?;
+        }
+        for place in &mut self.places {
+            place.node.stop(limit)?;
+        }
+        for place in &mut self.places {
+            place.backend.kill()?;
+        }
+        for control in &self.controls {
+            control.signal(Signal::TERM)?;
+        }
+        for control in &mut self.controls {
+            control.stop(limit)?;
+        }
+        Ok(())
+    }
+}
+
+impl Layout {
+    fn address(&self, port: u16, index: usize) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), port + 1 + index as u16)
+    }
+
+    fn control_list(&self, except: Option<usize>, numbered: bool) -> String {
+        let lines: Vec<String> = self
+            .zones
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| Some(*index) != except)
+            .map(|(index, zone)| {
+                let address = self.address(RPC_PORT, index);
+                let id = if numbered {
+                    format!("id = {}, ", index + 1)
+                } else {
+                    String::new()
+                };
+                format!("    {{ {id}address = \"{address}\", zone = \"{zone}\" }},")
+            })
+            .collect();
+        lines.join("\n")
+    }
+
+    fn head(&self, instance: &str, zone: &str) -> String {
+        let region = self.region;
+        let log = self.log;
+        format!(
+            "[process]\ninstance = \"{instance}\"\nzone = \"{zone}\"\nregion = \"{region}\"\n\n\
+             [log]\nlevel = \"{log}\"\n\n"
+        )
+    }
+
+    fn control(&self, index: usize) -> io::Result<Process> {
+        let zone = self.zones[index];
+        let id = index + 1;
+        let name = format!("{zone}-control");
+        let data = self.folder.join(format!("{name}.data"));
+        let data = data.display();
+        let voters: Vec<String> = (1..=self.zones.len()).map(|id| id.to_string()).collect();
+        let text = format!(
+            "{}[control]\nid = {id}\nrpc_listen = \"{}\"\noperator_listen = \"{}\"\n\
+             data_folder = \"{data}\"\npeers = [\n{}\n]\nvoters = [{}]\n",
+            self.head(&name, zone),
+            self.address(RPC_PORT, index),
+            self.address(OPERATOR_PORT, index),
+            self.control_list(Some(index), true),
+            voters.join(", "),
+        );
+        self.process(name, &text)
+    }
+
+    fn place(&self, index: usize, service: &Service, number: u16) -> io::Result<Place> {
+        let zone = self.zones[index % self.zones.len()];
+        let instance = format!("{zone}-{}-{}", service.name, number + 1);
+        let announce = self.address(ANNOUNCE_PORT, index);
+        let caller = self.address(CALLER_PORT, index);
+        let text = format!(
+            "{}[node]\ncaller_listen = \"{caller}\"\npeer_listen = \"{}\"\n\
+             announce_listen = \"{announce}\"\ncontrol = [\n{}\n]\n",
+            self.head(&instance, zone),
+            self.address(PEER_PORT, index),
+            self.control_list(None, false),
+        );
+        let backend_address = self.address(BACKEND_PORT, index);
+        let mut arguments = vec![
+            "--listen".to_owned(),
+            backend_address.to_string(),
+            "--node".to_owned(),
+            announce.to_string(),
+            "--service".to_owned(),
+            service.name.to_owned(),
+            "--slots".to_owned(),
+            service.slots.to_string(),
+            "--service-us".to_owned(),
+            service.service_time.as_micros().to_string(),
+        ];
+        if let Some(path) = service.crash_path {
+            arguments.push("--crash-path".to_owned());
+            arguments.push(path.to_owned());
+        }
+        let program = self.programs.join("examples").join("backend");
+        let name = format!("{instance}-backend");
+        Ok(Place {
+            node: self.process(instance.clone(), &text)?,
+            backend: Process::new(name, program, arguments, &self.folder),
+            service: service.name,
+            instance,
+            caller,
+            announce,
+            backend_address,
+        })
+    }
+
+    fn process(&self, name: String, settings: &str) -> io::Result<Process> {
+        let path = self.folder.join(format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let arguments = vec![
+            "run".to_owned(),
+            "--settings".to_owned(),
+            path.display().to_string(),
+        ];
+        let program = self.programs.join("shallotrill");
+        Ok(Process::new(name, program, arguments, &self.folder))
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,3 +4,6 @@
 //! backend server and a caller, so that the whole path can run on one machine.
 
 pub mod backend;
+pub mod cluster;
+pub mod http;
+pub mod operate;
