Test recovery of failing targets and the pull of other zones

Nothing guarded the trickle to a failing target, nor when a request leaves its availability zone. Add a table for each.

--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -41,11 +41,21 @@
 }
 
 fn choose(table: &mut Table, exclude: &[&str], now: Instant, seed: u64) -> Result<Choice, Refusal> {
+    ask(table, 1, exclude, now, seed)
+}
+
+fn ask(
+    table: &mut Table,
+    priority: u8,
+    exclude: &[&str],
+    now: Instant,
+    seed: u64,
+) -> Result<Choice, Refusal> {
     let names: Vec<_> = exclude
         .iter()
         .map(|n| instance::Name::new(n).unwrap())
         .collect();
-    let mut state = seed;
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mut random = || {
         state = state
             .wrapping_mul(6_364_136_223_846_793_005)
@@ -55,7 +65,7 @@
     let query = Query {
         service: &service::Name::new("portal").unwrap(),
         exclude: &names,
-        priority: 1,
+        priority,
     };
     table.choose(&query, now, &mut random)
 }
@@ -254,3 +264,117 @@
         );
     }
 }
+
+struct Recovery {
+    name: &'static str,
+    priority: u8,
+    tried: &'static [&'static str],
+    expected: bool,
+}
+
+/// Guards against a failing target that is never tried again, and against a test of it with a request that matters more.
+const RECOVERIES: &[Recovery] = &[
+    Recovery {
+        name: "a first attempt of priority zero",
+        priority: 0,
+        tried: &[],
+        expected: true,
+    },
+    Recovery {
+        name: "a higher priority",
+        priority: 1,
+        tried: &[],
+        expected: false,
+    },
+    Recovery {
+        name: "a second attempt",
+        priority: 0,
+        tried: &["b"],
+        expected: false,
+    },
+];
+
+#[test]
+fn recovery_is_noticed() {
+    for case in RECOVERIES {
+        let mut table = table(&["a", "b", "c"].map(|name| target(name, State::Ready)));
+        fail(&mut table, "a", 4);
+        let chosen = (0..1_000).filter(|call| {
+            let now = Instant(call * 1_000);
+            let choice = ask(&mut table, case.priority, case.tried, now, *call);
+            choice.unwrap().instance.as_str() == "a"
+        });
+        let count = chosen.count();
+        assert_eq!(count > 0, case.expected, "{}: {count}", case.name);
+        assert!(count <= 10, "{}: {count}", case.name);
+    }
+}
+
+struct Zone {
+    name: &'static str,
+    /// Requests in flight at the target of the own availability zone, of 6 slots.
+    in_flight: u32,
+    share_min: f64,
+    share_max: f64,
+}
+
+/// Guards against requests that leave their availability zone for less than the round trip, and against a busy one that is not relieved.
+const ZONES: &[Zone] = &[
+    Zone {
+        name: "equal loads stay",
+        in_flight: 0,
+        share_min: 0.0,
+        share_max: 0.0,
+    },
+    Zone {
+        name: "a gain below the round trip stays",
+        in_flight: 1,
+        share_min: 0.0,
+        share_max: 0.0,
+    },
+    Zone {
+        name: "a larger gain crosses in proportion",
+        in_flight: 4,
+        share_min: 0.2,
+        share_max: 0.3,
+    },
+    Zone {
+        name: "an overloaded target is always compared",
+        in_flight: 12,
+        share_min: 1.0,
+        share_max: 1.0,
+    },
+];
+
+#[test]
+fn other_zones_win_by_the_round_trip() {
+    for case in ZONES {
+        let mut far = target("b", State::Ready);
+        far.zone = zone::Name::new("narvik").unwrap();
+        let mut table = table(&[target("a", State::Ready), far]);
+        // A round trip of 2 ms against 6 ms of latency: a third of the slots.
+        table.measured(
+            &zone::Name::new("narvik").unwrap(),
+            Duration::from_millis(2),
+        );
+        for (name, in_flight) in [("a", case.in_flight), ("b", 0)] {
+            let report = Report {
+                incarnation: Incarnation(5),
+                sequence: 1,
+                in_flight,
+                limit: 6,
+                latency_us: 6_000,
+                ..Report::default()
+            };
+            let instance = instance::Name::new(name).unwrap();
+            table.observe(&instance, report, Instant(2_000));
+        }
+        let crossed = (0..1_000).filter(|call| {
+            let choice = ask(&mut table, 0, &[], Instant(2_000), *call * 7_919);
+            choice.unwrap().instance.as_str() == "b"
+        });
+        let share = crossed.count() as f64 / 1_000.0;
+        let range = case.share_min..=case.share_max;
+        assert!(range.contains(&share), "{}: {share}", case.name);
+    }
+}
