Resize the gate and the probe budget

A backend server announces other slots and operators change the queue and the probe budget while requests run. Add resize to both; the property test of the gate now resizes at random. Resizing the probe budget has no test of its own yet.

--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -140,6 +140,21 @@
         self.draining = false;
     }
 
+    /// Takes other slots or another length of the queue. The newest tickets beyond it are refused as full.
+    pub fn resize(&mut self, slots: u32, queue: u32, now: Instant) -> Effect {
+        self.config.slots = slots.max(1);
+        self.config.queue = queue;
+        self.limit.resize(slots);
+        let mut effect = self.dispatch(now);
+        while self.queue.waiting.len() > queue as usize {
+            let at = self.queue.waiting.len() - 1;
+            effect
+                .refused
+                .push(self.refuse(at, Refusal::Full { queued: queue }));
+        }
+        effect
+    }
+
     /// The load as it is now, with the next sequence number.
     pub fn report(&mut self, now: Instant) -> Report {
         self.sequence += 1;
--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -67,6 +67,12 @@
         self.value as u32
     }
 
+    /// Takes a new number of slots. A raised limit is reached by the usual increase.
+    pub(crate) fn resize(&mut self, slots: u32) {
+        self.slots = f64::from(slots.max(1));
+        self.value = self.value.min(self.slots);
+    }
+
     /// Short-term average of the service time, in microseconds.
     pub(crate) fn service_us(&self) -> f64 {
         self.short_us
--- a/crates/limits/src/probe.rs
+++ b/crates/limits/src/probe.rs
@@ -107,6 +107,12 @@
         Ok(Permit { cost })
     }
 
+    /// Takes another rate from `now` on; the time before is credited at the old one.
+    pub fn resize(&mut self, slots: u32, ppm: u32, now: Instant) {
+        self.refill(now);
+        self.rate = u128::from(slots) * u128::from(ppm);
+    }
+
     /// Totals up to the last call of [`Budget::take`].
     pub fn totals(&self) -> Totals {
         Totals {
--- a/crates/limits/tests/property.rs
+++ b/crates/limits/tests/property.rs
@@ -39,6 +39,8 @@
     Wait(u64),
     Drain,
     Undrain,
+    /// Slots and length of the queue.
+    Resize(u32, u32),
 }
 
 /// Tickets without a final verdict.
@@ -96,6 +98,7 @@
         2 => (0..20_000_u64).prop_map(Step::Wait),
         1 => Just(Step::Drain),
         2 => Just(Step::Undrain),
+        1 => (1..=SLOTS, 0..=QUEUE).prop_map(|(slots, queue)| Step::Resize(slots, queue)),
     ]
 }
 
@@ -140,6 +143,11 @@
             assert!(model.waiting.is_empty());
         }
         Step::Undrain => gate.undrain(),
+        Step::Resize(slots, queue) => {
+            model.effect(&gate.resize(slots, queue, *now));
+            assert!(gate.report(*now).limit <= slots);
+            assert!(model.waiting.len() <= queue as usize);
+        }
     }
 }
 
