--- a/crates/routing/examples/simulate.rs
+++ b/crates/routing/examples/simulate.rs
@@ -1,9 +1,11 @@
 //! Prints latencies of the chosen policy and the baselines in virtual time.
 //!
-//! `cargo run --release -p shallotrill-routing --example simulate`
+//! `cargo run --release -p shallotrill-routing --example simulate [SEED]`
 
 mod simulation;
 
+use std::env;
+
 use shallotrill_routing::policy;
 
 use crate::simulation::World;
@@ -14,6 +16,8 @@
 const SEED: u64 = 7;
 
 fn main() {
+    let argument = env::args().nth(1);
+    let seed = argument.map_or(SEED, |text| text.parse().expect("the seed is a number"));
     println!(
         "scenario      policy             p50 ms  p99 ms p99.9 ms failed % refused % herding share of target 0 %"
     );
@@ -32,7 +36,7 @@
             policy::ROUND_ROBIN,
             policy::LEAST_IN_FLIGHT,
         ] {
-            let mut world = World::new(policy, scenario, CHOOSERS, SERVERS, SEED);
+            let mut world = World::new(policy, scenario, CHOOSERS, SERVERS, seed);
             world.run();
             let figures = &world.figures;
             let all = figures.latencies_us.len() as u64 + figures.failed + figures.refused;
