Count a refusal as load

A target that drains refuses at once and reports no load, so it looked idle and attracted requests until its state was known. Let a refusal stand for a full queue, with the half-life of a report.

The bound on the share of a draining target falls from 0.01 to 0.002; it failed once with the load of a refusal at zero.

--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -36,6 +36,8 @@
     /// Since when the target is ready; nothing while it starts.
     pub(crate) ready: Option<Instant>,
     pub(crate) recovery: Option<Instant>,
+    /// When its gate last refused an own request.
+    pub(crate) refused: Option<Instant>,
 }
 
 impl Entry {
@@ -51,6 +53,7 @@
             latency_us: 0.0,
             ready,
             recovery: None,
+            refused: None,
         }
     }
 
@@ -129,7 +132,11 @@
         let failed = match sample.outcome {
             Outcome::Success => 0.0,
             Outcome::Failure => 1.0,
-            Outcome::Refused | Outcome::Cancelled => return,
+            Outcome::Refused => {
+                self.refused = Some(now);
+                return;
+            }
+            Outcome::Cancelled => return,
         };
         self.failures += FAILURE_WEIGHT * (failed - self.failures);
         if sample.outcome == Outcome::Success {
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -12,6 +12,9 @@
 /// Factor on the score of a target that fails always; a partial failure rate counts in proportion.
 const FAILURE_PENALTY: f64 = 20.0;
 
+/// Requests ahead for each slot that a refusal stands for; it decays like a report.
+const REFUSED_LOAD: f64 = 4.0;
+
 /// Ratio to the median of the service up to which a latency counts as the median.
 const LATENCY_BAND: f64 = 2.0;
 
@@ -46,6 +49,12 @@
     let ahead = reported * fresh + usual * (1.0 - fresh) + entry.unreported() as f64;
     let latency = latency(entry, service, config, age);
     let oldest_us = entry.oldest(now).as_micros() as f64;
+    // A gate that refuses has no free slot for this node, whatever its report says.
+    let refused = entry.refused.map_or(0.0, |at| {
+        let age = now.since(at).as_secs_f64();
+        f64::from(limit) * REFUSED_LOAD * (-age / config.half_life.as_secs_f64()).exp2()
+    });
+    let ahead = ahead.max(refused);
     Estimate {
         ahead: ahead.max(entry.flight.len() as f64),
         limit,
--- a/crates/routing/tests/simulation.rs
+++ b/crates/routing/tests/simulation.rs
@@ -48,7 +48,7 @@
         name: "a drain ends new work once it is known",
         scenario: scenario::DRAIN,
         herding_max: 1.9,
-        share_max: 0.01,
+        share_max: 0.002,
         last_us_max: 1_050_500,
     },
 ];
