--- a/crates/backend/src/answer.rs
+++ b/crates/backend/src/answer.rs
@@ -12,12 +12,12 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
-use shallotrill_wire::body;
 use tokio::time;
 use tokio::time::Sleep;
 
 use crate::pool::Connection;
 use crate::pool::Pool;
+use shallotrill_wire::body;
 
 /// How an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -18,6 +18,12 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::answer::Answer;
+use crate::answer::Finish;
+use crate::failure::Failure;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_model::outcome::Run;
@@ -27,12 +33,6 @@
 use shallotrill_wire::hop;
 use shallotrill_wire::listen;
 use shallotrill_wire::refusal;
-use tokio::net::TcpStream;
-use tokio::time;
-
-use crate::answer::Answer;
-use crate::answer::Finish;
-use crate::failure::Failure;
 
 /// An idle connection that is not ready within this time after its answer ended is closed.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
--- a/crates/bench/examples/backend.rs
+++ b/crates/bench/examples/backend.rs
@@ -7,6 +7,7 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+
 use shallotrill_bench::backend::Backend;
 use shallotrill_bench::backend::Config;
 
--- a/crates/bench/examples/demo.rs
+++ b/crates/bench/examples/demo.rs
@@ -11,6 +11,7 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+
 use shallotrill_bench::cluster;
 use shallotrill_bench::cluster::Cluster;
 use shallotrill_bench::cluster::Layout;
--- a/crates/bench/src/operate.rs
+++ b/crates/bench/src/operate.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::time;
+
+use crate::cluster::Service;
 use shallotrill_language::answer::Answer;
 use shallotrill_operator::client::Client;
 use shallotrill_operator::client::Error;
 use shallotrill_operator::wire::Request;
-use tokio::time;
-
-use crate::cluster::Service;
 
 /// Longest time for one statement.
 const LIMIT: Duration = Duration::from_secs(10);
--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -9,6 +9,7 @@
 use http::header;
 use http::request::Parts;
 use http::uri::PathAndQuery;
+
 use shallotrill_model::service;
 use shallotrill_wire::body;
 use shallotrill_wire::context::DEPTH_MAX;
--- a/crates/claim/tests/model.rs
+++ b/crates/claim/tests/model.rs
@@ -9,7 +9,6 @@
 use proptest::test_runner::TestCaseError;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
-
 use world::Faults;
 use world::World;
 
--- a/crates/claim/tests/world/mod.rs
+++ b/crates/claim/tests/world/mod.rs
@@ -4,6 +4,9 @@
 
 use std::time::Duration;
 
+use self::node::Body;
+use self::node::Node;
+use self::node::Packet;
 use shallotrill_claim::ballot::Ballot;
 use shallotrill_claim::change;
 use shallotrill_claim::epoch;
@@ -21,10 +24,6 @@
 use shallotrill_model::outcome::Reason;
 use shallotrill_model::time;
 
-use self::node::Body;
-use self::node::Node;
-use self::node::Packet;
-
 const DIGEST: Digest = Digest([7; 32]);
 
 /// Which faults a schedule may hold.
--- a/crates/consensus/src/change.rs
+++ b/crates/consensus/src/change.rs
@@ -1,7 +1,5 @@
 //! Member changes, one at a time through the log.
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Content;
 use crate::entry::Position;
 use crate::failure::Refusal;
@@ -11,6 +9,7 @@
 use crate::member::Role;
 use crate::member::Set;
 use crate::replica::Replica;
+use shallotrill_model::time::Instant;
 
 /// One member change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -2,8 +2,6 @@
 
 use std::mem;
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Hard;
 use crate::entry::Position;
 use crate::entry::Term;
@@ -13,6 +11,7 @@
 use crate::read;
 use crate::replica::Replica;
 use crate::replica::State;
+use shallotrill_model::time::Instant;
 
 impl Replica {
     pub(crate) fn reset_deadline(&mut self, now: Instant) {
--- a/crates/consensus/src/feed.rs
+++ b/crates/consensus/src/feed.rs
@@ -2,8 +2,6 @@
 
 use std::mem;
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Entry;
 use crate::entry::Position;
 use crate::leader::Mode;
@@ -12,6 +10,7 @@
 use crate::message::Body;
 use crate::read;
 use crate::replica::Replica;
+use shallotrill_model::time::Instant;
 
 impl Replica {
     /// Queues the appends, chunks and heartbeats that are due.
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -1,13 +1,12 @@
 //! Entries received from a leader.
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Index;
 use crate::entry::Term;
 use crate::member::Peer;
 use crate::message::Append;
 use crate::message::Body;
 use crate::replica::Replica;
+use shallotrill_model::time::Instant;
 
 impl Replica {
     /// Follows the sender if it leads the current or a later term; answers an outdated one with the current term.
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -1,7 +1,5 @@
 //! The leader's side: replication, commit, quorum check and reads.
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Content;
 use crate::entry::Entry;
 use crate::entry::Index;
@@ -12,6 +10,7 @@
 use crate::read;
 use crate::replica::Replica;
 use crate::replica::State;
+use shallotrill_model::time::Instant;
 
 /// State of a leader.
 #[derive(Debug)]
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -3,8 +3,6 @@
 use std::mem;
 use std::sync::Arc;
 
-use shallotrill_model::time::Instant;
-
 use crate::config::Config;
 use crate::entry::Content;
 use crate::entry::Hard;
@@ -27,6 +25,7 @@
 use crate::ready::Write;
 use crate::restored::Restored;
 use crate::snapshots::Incoming;
+use shallotrill_model::time::Instant;
 
 /// One replica of the log.
 #[derive(Debug)]
--- a/crates/consensus/src/snapshots.rs
+++ b/crates/consensus/src/snapshots.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Index;
 use crate::entry::Position;
 use crate::entry::Snapshot;
@@ -13,6 +11,7 @@
 use crate::message::Body;
 use crate::message::Chunk;
 use crate::replica::Replica;
+use shallotrill_model::time::Instant;
 
 /// A snapshot of which a part has come; only chunks of one leader's term are put together.
 #[derive(Debug)]
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -4,14 +4,13 @@
 
 use serde::Serialize;
 
-use shallotrill_model::time::Instant;
-
 use crate::entry::Index;
 use crate::entry::Term;
 use crate::member::Member;
 use crate::member::Peer;
 use crate::replica::Replica;
 use crate::replica::State;
+use shallotrill_model::time::Instant;
 
 /// What the replica does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use crate::common::Group;
+use crate::common::peer;
 use shallotrill_consensus::Config;
 use shallotrill_consensus::Message;
 use shallotrill_consensus::Replica;
@@ -26,9 +28,6 @@
 use shallotrill_consensus::status::Role;
 use shallotrill_model::time::Instant;
 
-use crate::common::Group;
-use crate::common::peer;
-
 struct Scene {
     name: &'static str,
     replicas: usize,
--- a/crates/control-client/src/claim.rs
+++ b/crates/control-client/src/claim.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_claim::key::Key;
 use shallotrill_claim::proposer::Failure;
 use shallotrill_claim::proposer::Task;
--- a/crates/control-client/src/client.rs
+++ b/crates/control-client/src/client.rs
@@ -10,16 +10,16 @@
 use log::info;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use shallotrill_claim::proposer;
-use shallotrill_model::zone;
-use shallotrill_rpc::link;
-use shallotrill_rpc::link::Failure;
-use shallotrill_rpc::link::Link;
 use tokio::time;
 
 use crate::claim;
 use crate::feed;
 use crate::lease;
+use shallotrill_claim::proposer;
+use shallotrill_model::zone;
+use shallotrill_rpc::link;
+use shallotrill_rpc::link::Failure;
+use shallotrill_rpc::link::Link;
 
 /// Longest wait for the answer to a heartbeat.
 const LEASE_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/control-client/src/feed.rs
+++ b/crates/control-client/src/feed.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
+use crate::lease::Crash;
 use shallotrill_catalog::difference::Update;
 use shallotrill_membership::difference::Difference;
 use shallotrill_membership::version::Version;
@@ -9,8 +11,6 @@
 use shallotrill_model::revision::Revision;
 use shallotrill_model::service;
 
-use crate::lease::Crash;
-
 /// Name of the method.
 pub const METHOD: &str = "feed_pull";
 
--- a/crates/control-client/src/lease.rs
+++ b/crates/control-client/src/lease.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_membership::announcement::Announcement;
 use shallotrill_membership::change::Refusal;
 use shallotrill_membership::version::Version;
--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -12,18 +12,18 @@
 
 use log::error;
 use log::info;
-use shallotrill_consensus::Config;
-use shallotrill_consensus::Replica;
-use shallotrill_consensus::member::Id;
-use shallotrill_consensus::member::Peer;
-use shallotrill_consensus::member::Set;
-use shallotrill_replica::hello;
 use tokio::time;
 
 use crate::driver;
 use crate::state::State;
 use crate::store::Error;
 use crate::store::Store;
+use shallotrill_consensus::Config;
+use shallotrill_consensus::Replica;
+use shallotrill_consensus::member::Id;
+use shallotrill_consensus::member::Peer;
+use shallotrill_consensus::member::Set;
+use shallotrill_replica::hello;
 
 /// Longest wait for the answer of another process.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -7,6 +7,9 @@
 use futures_util::stream::FuturesUnordered;
 use log::error;
 use log::warn;
+use tokio::time;
+
+use crate::state::State;
 use shallotrill_claim::acceptor::Acceptor;
 use shallotrill_claim::ballot::Ballot;
 use shallotrill_claim::ballot::Sequence;
@@ -32,9 +35,6 @@
 use shallotrill_model::time::Instant;
 use shallotrill_model::time::Wall;
 use shallotrill_replica::claims as messages;
-use tokio::time;
-
-use crate::state::State;
 
 /// Kind of the journal's records: a write of the acceptor.
 pub(crate) const WRITE: u8 = 1;
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -6,6 +6,11 @@
 use log::error;
 use log::info;
 use log::warn;
+use tokio::time;
+
+use crate::state::State;
+use crate::store::Error;
+use crate::store::Store;
 use shallotrill_catalog::command::Command;
 use shallotrill_catalog::state::State as Catalog;
 use shallotrill_consensus::Ready;
@@ -17,11 +22,6 @@
 use shallotrill_consensus::status::Role;
 use shallotrill_model::time::Instant;
 use shallotrill_replica::log as messages;
-use tokio::time;
-
-use crate::state::State;
-use crate::store::Error;
-use crate::store::Store;
 
 /// Applied entries after which the log is compacted into a snapshot.
 const COMPACT_AFTER: u64 = 5_000;
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time;
+
+use crate::state::State;
 use shallotrill_catalog::difference::Update;
 use shallotrill_control_client::feed;
 use shallotrill_membership::difference::Difference;
 use shallotrill_model::revision::Revision;
-use tokio::time;
-
-use crate::state::State;
 
 /// Longest time that a pull is held back.
 const WAIT_MAX: Duration = Duration::from_secs(30);
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -5,6 +5,14 @@
 
 use log::info;
 use log::warn;
+use tokio::time;
+
+use crate::bootstrap;
+use crate::claims;
+use crate::identity;
+use crate::replace;
+use crate::state::State;
+use crate::submit;
 use shallotrill_catalog::action::Action;
 use shallotrill_catalog::group as listed_group;
 use shallotrill_catalog::member as listed;
@@ -14,14 +22,6 @@
 use shallotrill_claim::key::Key;
 use shallotrill_consensus::member::Role;
 use shallotrill_replica::copy;
-use tokio::time;
-
-use crate::bootstrap;
-use crate::claims;
-use crate::identity;
-use crate::replace;
-use crate::state::State;
-use crate::submit;
 
 /// Interval of looks at the configuration when no change wakes this task.
 const INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -5,6 +5,11 @@
 
 use log::debug;
 use log::info;
+use tokio::time;
+
+use crate::crashes::Crashes;
+use crate::nodes::Nodes;
+use crate::state::State;
 use shallotrill_control_client::lease;
 use shallotrill_control_client::lease::Standing;
 use shallotrill_membership::change::Change;
@@ -16,11 +21,6 @@
 use shallotrill_model::time::Instant;
 use shallotrill_replica::exchange;
 use shallotrill_replica::peers::Peer;
-use tokio::time;
-
-use crate::crashes::Crashes;
-use crate::nodes::Nodes;
-use crate::state::State;
 
 /// Length of a lease.
 const LEASE: Duration = Duration::from_secs(3);
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a control process.
 
 use prometheus::IntCounter;
+
 use shallotrill_claim::proposer::Failure;
 use shallotrill_control_client::claim;
 use shallotrill_control_client::feed;
--- a/crates/control/src/replace.rs
+++ b/crates/control/src/replace.rs
@@ -11,6 +11,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time;
+
+use crate::bootstrap;
+use crate::identity;
+use crate::state::State;
+use crate::submit;
 use shallotrill_catalog::action::Action;
 use shallotrill_catalog::command::Command;
 use shallotrill_catalog::group::Group;
@@ -23,12 +29,6 @@
 use shallotrill_consensus::member::Set;
 use shallotrill_model::command::Id as CommandId;
 use shallotrill_replica::forward::Refusal;
-use tokio::time;
-
-use crate::bootstrap;
-use crate::identity;
-use crate::state::State;
-use crate::submit;
 
 /// Longest time for the new member to catch up before the operator is told to repeat the command.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -3,6 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::bootstrap;
+use crate::claims;
+use crate::driver;
+use crate::feed;
+use crate::group;
+use crate::members;
+use crate::state::State;
+use crate::submit;
 use shallotrill_control_client::claim;
 use shallotrill_control_client::feed as node_feed;
 use shallotrill_control_client::lease;
@@ -16,15 +24,6 @@
 use shallotrill_rpc::server::Handle;
 use shallotrill_rpc::server::Methods;
 
-use crate::bootstrap;
-use crate::claims;
-use crate::driver;
-use crate::feed;
-use crate::group;
-use crate::members;
-use crate::state::State;
-use crate::submit;
-
 /// Most connections of nodes and control processes. One process feeds some 500 nodes at the target size.
 const CONNECTIONS_MAX: u32 = 5_000;
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -9,6 +9,28 @@
 
 use log::error;
 use log::info;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+use crate::bootstrap;
+use crate::claims;
+use crate::claims::Claims;
+use crate::driver;
+use crate::dump;
+use crate::group;
+use crate::identity;
+use crate::identity::Identity;
+use crate::members;
+use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::rpc;
+use crate::state::Log;
+use crate::state::State;
+use crate::statements;
+use crate::store;
+use crate::store::Store;
 use shallotrill_catalog::state::State as Catalog;
 use shallotrill_claim::acceptor;
 use shallotrill_claim::acceptor::Acceptor;
@@ -37,28 +59,6 @@
 use shallotrill_replica::peers::Peers;
 use shallotrill_rpc::link;
 use shallotrill_rpc::server;
-use tokio::sync::Notify;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tokio::time;
-
-use crate::bootstrap;
-use crate::claims;
-use crate::claims::Claims;
-use crate::driver;
-use crate::dump;
-use crate::group;
-use crate::identity;
-use crate::identity::Identity;
-use crate::members;
-use crate::members::Members;
-use crate::metrics::Metrics;
-use crate::rpc;
-use crate::state::Log;
-use crate::state::State;
-use crate::statements;
-use crate::store;
-use crate::store::Store;
 
 /// Name of the journal of claims in the data folder.
 const CLAIMS: &str = "claims";
--- a/crates/control/src/show.rs
+++ b/crates/control/src/show.rs
@@ -1,5 +1,7 @@
 //! Answers to queries, from what is applied here after a quorum confirmed that it is the latest.
 
+use crate::nodes;
+use crate::state::State;
 use shallotrill_claim::record::State as RecordState;
 use shallotrill_language::Show;
 use shallotrill_language::Statement;
@@ -13,9 +15,6 @@
 use shallotrill_operator::failure::Failure;
 use shallotrill_platform::calendar;
 
-use crate::nodes;
-use crate::state::State;
-
 /// Changes that are shown when no number is stated.
 const HISTORY_DEFAULT: usize = 20;
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -6,6 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::claims::Claims;
+use crate::identity::Identity;
+use crate::members::Members;
+use crate::metrics::Metrics;
 use shallotrill_catalog::state::State as Catalog;
 use shallotrill_consensus::Replica;
 use shallotrill_consensus::read;
@@ -15,14 +23,6 @@
 use shallotrill_platform::clock::Clock;
 use shallotrill_platform::process::Process;
 use shallotrill_replica::peers::Peers;
-use tokio::sync::Notify;
-use tokio::sync::oneshot;
-use tokio::sync::watch;
-
-use crate::claims::Claims;
-use crate::identity::Identity;
-use crate::members::Members;
-use crate::metrics::Metrics;
 
 /// A read that waits for its confirmation.
 #[derive(Debug)]
--- a/crates/control/src/statements.rs
+++ b/crates/control/src/statements.rs
@@ -2,6 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::claims;
+use crate::show;
+use crate::state::State;
+use crate::submit;
 use shallotrill_catalog::action::Action;
 use shallotrill_catalog::command::Command;
 use shallotrill_catalog::patch::Patch;
@@ -31,11 +35,6 @@
 use shallotrill_replica::forward::Refusal;
 use shallotrill_replica::hello;
 
-use crate::claims;
-use crate::show;
-use crate::state::State;
-use crate::submit;
-
 /// Status of the answer that a retry gets when an operator found that the request ran.
 const SETTLED_STATUS: u16 = 200;
 
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -14,6 +14,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time;
+
 use shallotrill_consensus::entry::Entry;
 use shallotrill_consensus::entry::Hard;
 use shallotrill_consensus::entry::Index;
@@ -28,7 +30,6 @@
 use shallotrill_disk::position::Position;
 use shallotrill_disk::refusal::Refusal;
 use shallotrill_disk::replay::Event;
-use tokio::time;
 
 /// Name of the journal in the data folder.
 const NAME: &str = "log";
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -3,6 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::replace;
+use crate::state::Reader;
+use crate::state::State;
 use shallotrill_catalog::command::Command;
 use shallotrill_catalog::reply::Reply as Outcome;
 use shallotrill_consensus::failure;
@@ -12,12 +18,6 @@
 use shallotrill_replica::forward::Ask;
 use shallotrill_replica::forward::Refusal;
 use shallotrill_replica::forward::Reply;
-use tokio::sync::oneshot;
-use tokio::time;
-
-use crate::replace;
-use crate::state::Reader;
-use crate::state::State;
 
 /// Longest wait for a quorum. An election takes up to twice its timeout of 1 s.
 const QUORUM_LIMIT: Duration = Duration::from_secs(4);
--- a/crates/disk/src/journal.rs
+++ b/crates/disk/src/journal.rs
@@ -11,9 +11,6 @@
 
 use tokio::sync::watch;
 
-use shallotrill_locks::Mutex;
-use shallotrill_locks::Rank;
-
 use crate::calls::Calls;
 use crate::counters::Cells;
 use crate::counters::Counters;
@@ -38,6 +35,8 @@
 use crate::writer::Shared;
 use crate::writer::Table;
 use crate::writer::Writer;
+use shallotrill_locks::Mutex;
+use shallotrill_locks::Rank;
 
 /// Parameters of a journal.
 #[derive(Debug)]
--- a/crates/disk/tests/damage.rs
+++ b/crates/disk/tests/damage.rs
@@ -6,15 +6,14 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use crate::common::NAME;
+use crate::common::fill;
+use crate::common::open;
 use shallotrill_disk::failure::Damage;
 use shallotrill_disk::failure::Failure;
 use shallotrill_disk::folder::Folder;
 use shallotrill_disk::journal::Config;
 
-use crate::common::NAME;
-use crate::common::fill;
-use crate::common::open;
-
 /// Frames of 57 bytes after a header of 48 bytes; 7, 7 and 6 in three segments.
 const FRAME: usize = 57;
 const HEADER: usize = 48;
--- a/crates/disk/tests/faults.rs
+++ b/crates/disk/tests/faults.rs
@@ -11,6 +11,11 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use crate::common::KIND;
+use crate::common::NAME;
+use crate::common::body;
+use crate::common::fill;
+use crate::common::open;
 use shallotrill_disk::calls::Calls;
 use shallotrill_disk::failure::Failure;
 use shallotrill_disk::failure::Operation;
@@ -20,12 +25,6 @@
 use shallotrill_disk::position::Position;
 use shallotrill_disk::refusal::Refusal;
 
-use crate::common::KIND;
-use crate::common::NAME;
-use crate::common::body;
-use crate::common::fill;
-use crate::common::open;
-
 /// Whether the fault is on.
 type Switch = Arc<AtomicBool>;
 
--- a/crates/limits/src/fairness.rs
+++ b/crates/limits/src/fairness.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
+use crate::config::Config;
 use shallotrill_model::partner;
 use shallotrill_model::time::Instant;
 
-use crate::config::Config;
-
 /// One partner with waiting or recent requests.
 #[derive(Clone, Debug)]
 pub(crate) struct Account {
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -2,10 +2,6 @@
 
 use std::time::Duration;
 
-use shallotrill_model::load::Report;
-use shallotrill_model::partner;
-use shallotrill_model::time::Instant;
-
 use crate::config::Config;
 use crate::fairness::Accounts;
 use crate::limit::Limit;
@@ -18,6 +14,9 @@
 use crate::ticket::Release;
 use crate::ticket::Ticket;
 use crate::ticket::Verdict;
+use shallotrill_model::load::Report;
+use shallotrill_model::partner;
+use shallotrill_model::time::Instant;
 
 /// A ticket that has a slot.
 #[derive(Clone, Debug)]
--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -9,10 +9,9 @@
 
 use std::time::Duration;
 
-use shallotrill_model::time::Instant;
-
 use crate::config::Config;
 use crate::ticket::Outcome;
+use shallotrill_model::time::Instant;
 
 /// Weight of one latency in the short-term average: about the last ten responses count.
 const SHORT_WEIGHT: f64 = 0.1;
--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue.rs
@@ -2,11 +2,10 @@
 
 use std::cmp::Ordering;
 
-use shallotrill_model::time::Instant;
-
 use crate::fairness::Accounts;
 use crate::ticket::Id;
 use crate::ticket::Ticket;
+use shallotrill_model::time::Instant;
 
 /// The part of the queue that higher priorities cannot take from lower ones, as a divisor.
 const LOW_RESERVE: usize = 8;
--- a/crates/membership/src/change.rs
+++ b/crates/membership/src/change.rs
@@ -8,10 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use shallotrill_model::incarnation::Incarnation;
-
 use crate::announcement::Session;
 use crate::row::Row;
+use shallotrill_model::incarnation::Incarnation;
 
 /// What happened to a row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shallotrill_model::time::Instant;
-
 use crate::change::Change;
 use crate::change::Kind;
 use crate::difference::Difference;
@@ -12,6 +10,7 @@
 use crate::row::Presence;
 use crate::row::Row;
 use crate::table::Table;
+use shallotrill_model::time::Instant;
 
 impl Table {
     /// Merges what another control process exported.
--- a/crates/membership/src/expiry.rs
+++ b/crates/membership/src/expiry.rs
@@ -6,9 +6,6 @@
 
 use std::sync::Arc;
 
-use shallotrill_model::instance;
-use shallotrill_model::time::Instant;
-
 use crate::change::Change;
 use crate::contact::Contact;
 use crate::lease::Lease;
@@ -17,6 +14,8 @@
 use crate::row::Row;
 use crate::table::Status;
 use crate::table::Table;
+use shallotrill_model::instance;
+use shallotrill_model::time::Instant;
 
 /// Expiries of leases that were renewed here, within the last lease time.
 #[derive(Debug, Default)]
--- a/crates/membership/src/row.rs
+++ b/crates/membership/src/row.rs
@@ -3,11 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use shallotrill_model::incarnation::Incarnation;
-use shallotrill_model::target::Target;
-
 use crate::announcement::Session;
 use crate::owner::Owner;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::target::Target;
 
 /// Total order of the rows of one instance. The greatest stamp wins in every table.
 ///
--- a/crates/membership/src/select.rs
+++ b/crates/membership/src/select.rs
@@ -2,10 +2,6 @@
 
 use std::sync::Arc;
 
-use shallotrill_model::instance;
-use shallotrill_model::service;
-use shallotrill_model::time::Instant;
-
 use crate::difference::Difference;
 use crate::difference::Heard;
 use crate::owner::Owner;
@@ -13,6 +9,9 @@
 use crate::table::Status;
 use crate::table::Table;
 use crate::version::Version;
+use shallotrill_model::instance;
+use shallotrill_model::service;
+use shallotrill_model::time::Instant;
 
 impl Table {
     /// The rows of the named services that changed since a version of this table.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -3,11 +3,6 @@
 use std::mem;
 use std::sync::Arc;
 
-use shallotrill_model::incarnation::Incarnation;
-use shallotrill_model::instance;
-use shallotrill_model::service;
-use shallotrill_model::time::Instant;
-
 use crate::announcement::Announcement;
 use crate::change::Change;
 use crate::change::Kind;
@@ -20,6 +15,10 @@
 use crate::row::Row;
 use crate::row::Stamp;
 use crate::version::Version;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
+use shallotrill_model::service;
+use shallotrill_model::time::Instant;
 
 /// A row with what only this process knows of it.
 #[derive(Debug)]
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -8,14 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shallotrill_model::incarnation::Incarnation;
-use shallotrill_model::instance;
-use shallotrill_model::time::Instant;
-
 use crate::announcement::Session;
 use crate::difference::Difference;
 use crate::row::Row;
 use crate::version::Version;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
+use shallotrill_model::time::Instant;
 
 /// Why a difference was not applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -10,6 +10,11 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+
+use crate::gate;
+use crate::plan::Plan;
+use crate::refuse;
+use crate::state::State;
 use shallotrill_model::attempt;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
@@ -28,11 +33,6 @@
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
-use crate::gate;
-use crate::plan::Plan;
-use crate::refuse;
-use crate::state::State;
-
 /// Life of the backend server that a forwarded request is meant for.
 pub(crate) const INCARNATION: HeaderName = HeaderName::from_static("shallotrill-incarnation");
 
--- a/crates/node/src/cache.rs
+++ b/crates/node/src/cache.rs
@@ -12,9 +12,9 @@
 use log::warn;
 use serde::Deserialize;
 use serde::Serialize;
-use shallotrill_catalog::view::View;
 
 use crate::state::State;
+use shallotrill_catalog::view::View;
 
 const FILE: &str = "configuration.json";
 const FILE_NEW: &str = "configuration.json.new";
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -15,6 +15,15 @@
 use http::StatusCode;
 use http::header;
 use log::warn;
+use tokio::time;
+
+use crate::gate;
+use crate::gate::Attempt;
+use crate::gate::Sent;
+use crate::plan::Plan;
+use crate::refuse;
+use crate::slot::Slot;
+use crate::state::State;
 use shallotrill_backend::failure::Failure;
 use shallotrill_backend::pool::Head;
 use shallotrill_claim::change::Change;
@@ -41,15 +50,6 @@
 use shallotrill_wire::refusal;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
-use tokio::time;
-
-use crate::gate;
-use crate::gate::Attempt;
-use crate::gate::Sent;
-use crate::plan::Plan;
-use crate::refuse;
-use crate::slot::Slot;
-use crate::state::State;
 
 /// Longest answer that is stored, in bytes; of longer ones only the status is kept.
 const STORED_MAX_BYTES: usize = 64 * 1024;
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -6,6 +6,18 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::Response;
+use tokio::time;
+
+use crate::attempt;
+use crate::attempt::Answered;
+use crate::attempt::Attempt;
+use crate::attempt::Failed;
+use crate::claims;
+use crate::claims::Fate;
+use crate::explain;
+use crate::plan::Plan;
+use crate::refuse;
+use crate::state::State;
 use shallotrill_model::attempt::Number;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
@@ -21,18 +33,6 @@
 use shallotrill_wire::body::Body;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
-use tokio::time;
-
-use crate::attempt;
-use crate::attempt::Answered;
-use crate::attempt::Attempt;
-use crate::attempt::Failed;
-use crate::claims;
-use crate::claims::Fate;
-use crate::explain;
-use crate::plan::Plan;
-use crate::refuse;
-use crate::state::State;
 
 /// Retry tokens that a call from outside withdraws for the calls nested below it.
 const NESTED_TOKENS: u32 = 2;
@@ -235,6 +235,9 @@
             refusal: failed.refusal.clone(),
             after: self.state.now().since(self.plan.arrived),
         });
+        if failed.refusal.code.is_final() {
+            return Err(failed.refusal);
+        }
         if self.plan.class == Class::NonIdempotent {
             match self.resolve(&mut failed).await {
                 Some(Ok(response)) => return Ok(After::Settled(response)),
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use log::warn;
-use shallotrill_control_client::lease::Crash;
-use shallotrill_model::digest::Digest;
-use shallotrill_model::incarnation::Incarnation;
-use shallotrill_model::service;
-use shallotrill_retry::containment::Fact;
 use tokio::net::TcpStream;
 use tokio::time;
 
 use crate::local::Lost;
 use crate::local::Server;
 use crate::state::State;
+use shallotrill_control_client::lease::Crash;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::service;
+use shallotrill_retry::containment::Fact;
 
 /// A backend server that refuses or ignores a connection for this long has ended.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,6 +7,12 @@
 use http::Response;
 use hyper::body::Incoming;
 use log::debug;
+
+use crate::course;
+use crate::plan::Plan;
+use crate::shared;
+use crate::state;
+use crate::state::State;
 use shallotrill_caller::call;
 use shallotrill_model::request;
 use shallotrill_model::time::Instant;
@@ -16,12 +22,6 @@
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
-use crate::course;
-use crate::plan::Plan;
-use crate::shared;
-use crate::state;
-use crate::state::State;
-
 /// Answers one request of a caller.
 pub(crate) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     let arrived = state.now();
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -6,6 +6,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+
 use shallotrill_model::attempt;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -9,6 +9,14 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+
+use crate::claims;
+use crate::crash;
+use crate::plan::Plan;
+use crate::refuse;
+use crate::slot;
+use crate::slot::Slot;
+use crate::state::State;
 use shallotrill_backend::answer::End;
 use shallotrill_backend::failure::Failure;
 use shallotrill_backend::pool::Head;
@@ -28,14 +36,6 @@
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
-use crate::claims;
-use crate::crash;
-use crate::plan::Plan;
-use crate::refuse;
-use crate::slot;
-use crate::slot::Slot;
-use crate::state::State;
-
 /// When a copy of a suspected request may be tried again.
 const SUSPECT_RETRY: Duration = Duration::from_secs(1);
 
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -6,6 +6,12 @@
 
 use log::info;
 use log::warn;
+use tokio::sync::oneshot;
+
+use crate::crash;
+use crate::slot::Answer;
+use crate::state::Identity;
+use crate::state::State;
 use shallotrill_backend::announce;
 use shallotrill_limits::config::Config as GateConfig;
 use shallotrill_limits::gate::Gate;
@@ -26,12 +32,6 @@
 use shallotrill_model::target;
 use shallotrill_model::target::Target;
 use shallotrill_model::time::Instant;
-use tokio::sync::oneshot;
-
-use crate::crash;
-use crate::slot::Answer;
-use crate::state::Identity;
-use crate::state::State;
 
 /// An announcement that is not repeated within this time counts as silence of the backend server.
 pub(crate) const ANNOUNCEMENT_VALIDITY: Duration = Duration::from_secs(3);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use prometheus::Histogram;
 use prometheus::IntCounter;
+
 use shallotrill_backend::answer::End;
 use shallotrill_limits::ticket;
 use shallotrill_platform::metrics::Counters;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,6 +6,13 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+
+use crate::attempt;
+use crate::gate;
+use crate::gate::Attempt;
+use crate::plan::Plan;
+use crate::state;
+use crate::state::State;
 use shallotrill_caller::call;
 use shallotrill_model::attempt::Number;
 use shallotrill_model::incarnation::Incarnation;
@@ -16,13 +23,6 @@
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
-use crate::attempt;
-use crate::gate;
-use crate::gate::Attempt;
-use crate::plan::Plan;
-use crate::state;
-use crate::state::State;
-
 /// Answers a request that another node forwarded.
 pub(crate) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     let arrived = state.now();
--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -8,6 +8,8 @@
 use http::Method;
 use http::header;
 use http::uri::PathAndQuery;
+
+use crate::state::State;
 use shallotrill_caller::call::Call;
 use shallotrill_claim::key::Key;
 use shallotrill_model::class;
@@ -21,8 +23,6 @@
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
-use crate::state::State;
-
 /// Partner of a request that names none.
 const ANONYMOUS: &str = "anonymous";
 
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -10,12 +10,12 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use log::debug;
+
+use crate::state::State;
 use shallotrill_limits::probe::Facts;
 use shallotrill_limits::probe::Permit;
 use shallotrill_limits::probe::Plan;
 
-use crate::state::State;
-
 /// Longest time that a probe may take.
 const LIMIT: Duration = Duration::from_millis(500);
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -9,6 +9,22 @@
 
 use log::info;
 use log::warn;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+use crate::cache;
+use crate::dump;
+use crate::entry;
+use crate::local;
+use crate::metrics::Metrics;
+use crate::peers;
+use crate::probe;
+use crate::state::Identity;
+use crate::state::Limits;
+use crate::state::Parts;
+use crate::state::State;
+use crate::sync;
 use shallotrill_backend::announce;
 use shallotrill_backend::announce::Handlers;
 use shallotrill_backend::pool;
@@ -27,22 +43,6 @@
 use shallotrill_rpc::link;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tokio::time;
-
-use crate::cache;
-use crate::dump;
-use crate::entry;
-use crate::local;
-use crate::metrics::Metrics;
-use crate::peers;
-use crate::probe;
-use crate::state::Identity;
-use crate::state::Limits;
-use crate::state::Parts;
-use crate::state::State;
-use crate::sync;
 
 /// Longest time for the body of a request to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -10,6 +10,13 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use crate::course;
+use crate::plan::Plan;
+use crate::state::State;
 use shallotrill_model::request;
 use shallotrill_retry::join;
 use shallotrill_retry::join::End;
@@ -22,13 +29,6 @@
 use shallotrill_wire::body::Prefix;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
-use tokio::sync::oneshot;
-use tokio::sync::watch;
-use tokio::task::AbortHandle;
-
-use crate::course;
-use crate::plan::Plan;
-use crate::state::State;
 
 /// Longest answer that is shared, in bytes. A longer one goes to the leader alone, and the others ask for themselves.
 const SHARED_MAX_BYTES: usize = 1024 * 1024;
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -3,6 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::plan::Plan;
+use crate::refuse;
+use crate::state::State;
 use shallotrill_limits::ticket;
 use shallotrill_limits::ticket::Release;
 use shallotrill_limits::ticket::Ticket;
@@ -12,12 +18,6 @@
 use shallotrill_model::time::Instant;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
-use tokio::sync::oneshot;
-use tokio::time;
-
-use crate::plan::Plan;
-use crate::refuse;
-use crate::state::State;
 
 /// The answer to a waiting ticket.
 pub(crate) type Answer = Result<(), ticket::Refusal>;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,6 +10,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+use tokio_util::task::TaskTracker;
+
+use crate::explain;
+use crate::local::Local;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+use crate::sync;
 use shallotrill_backend::pool;
 use shallotrill_catalog::view;
 use shallotrill_control_client::client::Client;
@@ -31,14 +39,6 @@
 use shallotrill_retry::ledger::Ledger;
 use shallotrill_routing::config::Config as RoutingConfig;
 use shallotrill_routing::table::Table as Routing;
-use tokio::sync::Notify;
-use tokio_util::task::TaskTracker;
-
-use crate::explain;
-use crate::local::Local;
-use crate::metrics::Metrics;
-use crate::shared::Shared;
-use crate::sync;
 
 /// Length of a target's lease; the view keeps unconfirmed targets for this time after a switch.
 const LEASE: Duration = Duration::from_secs(3);
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -11,6 +11,13 @@
 
 use log::info;
 use log::warn;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::cache;
+use crate::local;
+use crate::state::State;
+use crate::state::Targets;
 use shallotrill_catalog::difference::Update;
 use shallotrill_control_client::feed;
 use shallotrill_control_client::lease;
@@ -26,13 +33,6 @@
 use shallotrill_model::target;
 use shallotrill_model::target::Target;
 use shallotrill_wire::listen;
-use tokio::sync::watch;
-use tokio::time;
-
-use crate::cache;
-use crate::local;
-use crate::state::State;
-use crate::state::Targets;
 
 /// Interval of heartbeats, a third of the lease.
 const HEARTBEAT: Duration = Duration::from_secs(1);
--- a/crates/operator/tests/client.rs
+++ b/crates/operator/tests/client.rs
@@ -7,13 +7,6 @@
 
 use tokio::net::TcpListener;
 
-use shallotrill_language::answer::Answer;
-use shallotrill_operator::Failure;
-use shallotrill_operator::client::Client;
-use shallotrill_operator::client::Error;
-use shallotrill_operator::server;
-use shallotrill_operator::wire;
-
 use self::Fake::Answers;
 use self::Fake::Fails;
 use self::Fake::Gone;
@@ -23,6 +16,12 @@
 use self::Fake::Refuses;
 use self::Fake::Silent;
 use self::Fake::Undecided;
+use shallotrill_language::answer::Answer;
+use shallotrill_operator::Failure;
+use shallotrill_operator::client::Client;
+use shallotrill_operator::client::Error;
+use shallotrill_operator::server;
+use shallotrill_operator::wire;
 
 /// How a fake control process behaves.
 #[derive(Clone, Copy, Debug)]
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -14,11 +14,12 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
 use shallotrill_wire::body::Body;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
-use tokio::net::TcpStream;
-use tokio::sync::watch;
 
 /// Unacknowledged bytes to another node close its connection after this time.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -19,15 +19,15 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
-use shallotrill_locks::Mutex;
-use shallotrill_locks::Rank;
-use shallotrill_model::time::Instant;
-use shallotrill_wire::listen;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 use tokio::time;
 
 use crate::failure::Failure;
+use shallotrill_locks::Mutex;
+use shallotrill_locks::Rank;
+use shallotrill_model::time::Instant;
+use shallotrill_wire::listen;
 
 /// Parameters of the connections.
 #[derive(Clone, Copy, Debug)]
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -10,30 +10,53 @@
 use shallotrill_model::time::Wall;
 
 /// Keys that each line has; a pair with one of these keys is written with the prefix `field_`.
-const KEYS: [&str; 4] = ["time", "level", "module", "event"];
+const KEYS: [&str; 4] = ["time", "level", "module", "message"];
+
+/// Key that names what happened.
+const EVENT: &str = "event";
+
+/// Libraries that log each request or connection at the level of information.
+const CHATTY: [&str; 4] = ["dropshot", "jsonrpsee", "hyper", "h2"];
 
 /// Sends records of `level` and above to standard error. `RUST_LOG` takes precedence when it is set.
 ///
+/// Libraries are logged from warnings on, unless `RUST_LOG` says otherwise.
+///
 /// # Errors
 ///
 /// Returns an error when a logger is already set.
 pub fn start(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
     let mut builder = env_logger::Builder::new();
-    builder.filter_level(level).parse_default_env();
+    builder.filter_level(level);
+    for module in CHATTY {
+        builder.filter_module(module, level.min(log::LevelFilter::Warn));
+    }
+    builder.parse_default_env();
     builder.format(|out, record| writeln!(out, "{}", line(clock::wall(), record)));
     builder.try_init()
 }
 
 /// The line of a record, without the line break.
+///
+/// The key `event` of a record names what happened and its text becomes
+/// `message`; a record without that key has its text as `event`.
 pub fn line(time: Wall, record: &log::Record<'_>) -> String {
     let module = record.module_path().unwrap_or(record.target());
+    let message = record.args().to_string();
+    let named = record.key_values().get(kv::Key::from(EVENT));
+    let named = named.map(|name| name.to_string());
+    let has_name = named.is_some();
     let mut text = format!(
         "{{\"time\":\"{}\",\"level\":\"{}\",\"module\":{},\"event\":{}",
         calendar::format(time),
         record.level().as_str().to_ascii_lowercase(),
         quote(module),
-        quote(&record.args().to_string()),
+        quote(named.as_ref().unwrap_or(&message)),
     );
+    if has_name && !message.is_empty() {
+        text.push_str(",\"message\":");
+        text.push_str(&quote(&message));
+    }
     // A value that cannot be shown ends the pairs; the stable keys are written already.
     let _ = record.key_values().visit(&mut Pairs { text: &mut text });
     text.push('}');
@@ -52,6 +75,7 @@
 impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
         let key = match key.as_str() {
+            EVENT => return Ok(()),
             reserved if KEYS.contains(&reserved) => format!("field_{reserved}"),
             other => other.to_owned(),
         };
--- a/crates/platform/tests/log.rs
+++ b/crates/platform/tests/log.rs
@@ -88,3 +88,43 @@
         assert_eq!(text, case.expected, "{}", case.name);
     }
 }
+
+struct Named {
+    name: &'static str,
+    text: &'static str,
+    pairs: &'static [(&'static str, &'static str)],
+    expected: &'static str,
+}
+
+/// Guards against events that cannot be searched for, because their name stands under another key.
+const NAMED: &[Named] = &[
+    Named {
+        name: "event with text",
+        text: "it was asked to",
+        pairs: &[("event", "stopped")],
+        expected: r#"{"time":"1970-01-01T00:00:00.000Z","level":"info","module":"m","event":"stopped","message":"it was asked to"}"#,
+    },
+    Named {
+        name: "event alone",
+        text: "",
+        pairs: &[("event", "stopped"), ("id", "7")],
+        expected: r#"{"time":"1970-01-01T00:00:00.000Z","level":"info","module":"m","event":"stopped","id":"7"}"#,
+    },
+];
+
+#[test]
+fn events_have_names() {
+    for case in NAMED {
+        let pairs: &dyn kv::Source = &case.pairs;
+        let text = line(
+            Wall(0),
+            &log::Record::builder()
+                .level(log::Level::Info)
+                .module_path(Some("m"))
+                .key_values(pairs)
+                .args(format_args!("{}", case.text))
+                .build(),
+        );
+        assert_eq!(text, case.expected, "{}", case.name);
+    }
+}
--- a/crates/replica/src/claims.rs
+++ b/crates/replica/src/claims.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_claim::message::Message;
 use shallotrill_claim::message::Reply;
 
--- a/crates/replica/src/copy.rs
+++ b/crates/replica/src/copy.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_claim::acceptor::Page;
 use shallotrill_claim::epoch::Number;
 use shallotrill_claim::key::Key;
--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_control_client::lease::Crash;
 use shallotrill_membership::difference::Difference;
 use shallotrill_membership::version::Version;
--- a/crates/replica/src/forward.rs
+++ b/crates/replica/src/forward.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_catalog::command::Command;
 use shallotrill_catalog::reply::Reply as Outcome;
 use shallotrill_consensus::member::Peer;
--- a/crates/replica/src/hello.rs
+++ b/crates/replica/src/hello.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_consensus::member::Peer;
 use shallotrill_consensus::member::Set;
 use shallotrill_model::instance;
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use shallotrill_consensus::message::Message;
 
 /// Name of the method.
--- a/crates/replica/src/peers.rs
+++ b/crates/replica/src/peers.rs
@@ -7,6 +7,11 @@
 use log::debug;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::claims;
+use crate::log as log_message;
 use shallotrill_claim::message::Message as ClaimMessage;
 use shallotrill_claim::message::Reply as ClaimReply;
 use shallotrill_consensus::message::Message as LogMessage;
@@ -16,11 +21,6 @@
 use shallotrill_rpc::link;
 use shallotrill_rpc::link::Failure;
 use shallotrill_rpc::link::Link;
-use tokio::sync::Notify;
-use tokio::sync::oneshot;
-
-use crate::claims;
-use crate::log as log_message;
 
 /// Longest wait for the acknowledgement of log messages.
 const LOG_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/retry/src/call.rs
+++ b/crates/retry/src/call.rs
@@ -20,10 +20,9 @@
 use std::error;
 use std::fmt;
 
-use shallotrill_model::time::Instant;
-
 use crate::budget::Budget;
 use crate::budget::Exhausted;
+use shallotrill_model::time::Instant;
 
 /// Greatest depth of nested calls.
 pub const DEPTH_MAX: u8 = 13;
--- a/crates/retry/src/decision.rs
+++ b/crates/retry/src/decision.rs
@@ -5,13 +5,12 @@
 
 use std::time::Duration;
 
-use shallotrill_model::class::Class;
-use shallotrill_model::time::Instant;
-
 use crate::budget::Budget;
 use crate::call::Call;
 use crate::call::Outgoing;
 use crate::call::Refusal;
+use shallotrill_model::class::Class;
+use shallotrill_model::time::Instant;
 
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/retry/src/ledger.rs
+++ b/crates/retry/src/ledger.rs
@@ -6,11 +6,10 @@
 
 use std::cmp;
 
+use crate::call::TOKENS_MAX;
 use shallotrill_model::request;
 use shallotrill_model::time::Instant;
 
-use crate::call::TOKENS_MAX;
-
 #[derive(Clone, Copy, Debug)]
 struct Account {
     request: request::Id,
--- a/crates/routing/examples/simulate.rs
+++ b/crates/routing/examples/simulate.rs
@@ -6,10 +6,9 @@
 
 use std::env;
 
-use shallotrill_routing::policy;
-
 use crate::simulation::World;
 use crate::simulation::scenario;
+use shallotrill_routing::policy;
 
 const CHOOSERS: usize = 30;
 const SERVERS: usize = 24;
--- a/crates/routing/examples/simulation/mod.rs
+++ b/crates/routing/examples/simulation/mod.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use self::scenario::Scenario;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
 use shallotrill_model::load::Report;
@@ -27,8 +28,6 @@
 use shallotrill_routing::sample::Outcome;
 use shallotrill_routing::sample::Sample;
 
-use self::scenario::Scenario;
-
 pub const SLOTS: usize = 10;
 const QUEUE: usize = 40;
 const SERVICE_US: f64 = 6_000.0;
--- a/crates/routing/examples/simulation/scenario.rs
+++ b/crates/routing/examples/simulation/scenario.rs
@@ -1,10 +1,9 @@
 //! What happens to the targets of a simulation.
 
+use super::World;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::target::State;
 
-use super::World;
-
 /// What happens to the targets; `tick` is called each virtual millisecond.
 #[derive(Clone, Copy)]
 pub struct Scenario {
--- a/crates/routing/src/draw.rs
+++ b/crates/routing/src/draw.rs
@@ -1,7 +1,5 @@
 //! Drawing of random candidates: own availability zone first, then others in proportion.
 
-use shallotrill_model::time::Instant;
-
 use crate::choice::Considered;
 use crate::choice::Query;
 use crate::choice::Reason;
@@ -9,6 +7,7 @@
 use crate::member::Index;
 use crate::score;
 use crate::table::Table;
+use shallotrill_model::time::Instant;
 
 /// Draws for each candidate before the remaining targets are scanned.
 const DRAWS: usize = 4;
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
+use crate::config::Config;
+use crate::sample::Outcome;
+use crate::sample::Sample;
 use shallotrill_model::load::Report;
 use shallotrill_model::target::State;
 use shallotrill_model::target::Target;
 use shallotrill_model::time::Instant;
 
-use crate::config::Config;
-use crate::sample::Outcome;
-use crate::sample::Sample;
-
 /// Weight of one own sample in the failure rate; three failures in a row pass the default threshold.
 const FAILURE_WEIGHT: f64 = 0.3;
 
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -1,7 +1,5 @@
 //! Policies of the choice: the scored one, and baselines that the bench compares it with.
 
-use shallotrill_model::time::Instant;
-
 use crate::choice::Choice;
 use crate::choice::Considered;
 use crate::choice::Query;
@@ -15,6 +13,7 @@
 use crate::member::Service;
 use crate::score;
 use crate::table::Table;
+use shallotrill_model::time::Instant;
 
 /// The function of a policy.
 pub type Choose =
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use shallotrill_model::time::Instant;
-
 use crate::choice::Estimate;
 use crate::config::Config;
 use crate::entry::Entry;
 use crate::member::Service;
+use shallotrill_model::time::Instant;
 
 /// Factor on the score of a target that fails always; a partial failure rate counts in proportion.
 const FAILURE_PENALTY: f64 = 20.0;
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -2,14 +2,6 @@
 
 use std::time::Duration;
 
-use shallotrill_model::instance;
-use shallotrill_model::load::Report;
-use shallotrill_model::service;
-use shallotrill_model::target::State;
-use shallotrill_model::target::Target;
-use shallotrill_model::time::Instant;
-use shallotrill_model::zone;
-
 use crate::choice::Choice;
 use crate::choice::Query;
 use crate::choice::Refusal;
@@ -19,6 +11,13 @@
 use crate::member::Service;
 use crate::policy;
 use crate::sample::Sample;
+use shallotrill_model::instance;
+use shallotrill_model::load::Report;
+use shallotrill_model::service;
+use shallotrill_model::target::State;
+use shallotrill_model::target::Target;
+use shallotrill_model::time::Instant;
+use shallotrill_model::zone;
 
 /// Weight of one measured round trip in a distance.
 const DISTANCE_WEIGHT: f64 = 0.2;
--- a/crates/routing/tests/simulation.rs
+++ b/crates/routing/tests/simulation.rs
@@ -5,11 +5,10 @@
 #[path = "../examples/simulation/mod.rs"]
 mod simulation;
 
-use shallotrill_routing::policy;
-
 use crate::simulation::World;
 use crate::simulation::scenario;
 use crate::simulation::scenario::Scenario;
+use shallotrill_routing::policy;
 
 struct Case {
     name: &'static str,
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -13,13 +13,13 @@
 use jsonrpsee::ws_client::WsClientBuilder;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use shallotrill_locks::Mutex;
-use shallotrill_locks::Rank;
 use tokio::sync::OnceCell;
 use tokio::time;
 
 use crate::envelope;
 use crate::envelope::Envelope;
+use shallotrill_locks::Mutex;
+use shallotrill_locks::Rank;
 
 /// Parameters of a link.
 #[derive(Clone, Copy, Debug)]
--- a/crates/shallotrill/src/main.rs
+++ b/crates/shallotrill/src/main.rs
@@ -12,11 +12,12 @@
 use log::error;
 use log::info;
 use mimalloc::MiMalloc;
+use tokio::runtime::Builder;
+
 use shallotrill_platform::log as platform_log;
 use shallotrill_platform::settings::Role;
 use shallotrill_platform::settings::Settings;
 use shallotrill_platform::signal::Stop;
-use tokio::runtime::Builder;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
--- a/crates/wire/src/context.rs
+++ b/crates/wire/src/context.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+
 use shallotrill_model::attempt;
 use shallotrill_model::partner;
 use shallotrill_model::request;
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -9,6 +9,7 @@
 
 use http::HeaderName;
 use http::HeaderValue;
+
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::load::Report;
 
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -15,13 +15,13 @@
 use http::StatusCode;
 use http::header;
 use serde::Serialize;
-use shallotrill_model::attempt;
-use shallotrill_model::outcome::Run;
-use shallotrill_model::request;
 
 use crate::body;
 use crate::body::Body;
 use crate::context;
+use shallotrill_model::attempt;
+use shallotrill_model::outcome::Run;
+use shallotrill_model::request;
 
 /// Code of the refusal.
 pub const ERROR: HeaderName = HeaderName::from_static("shallotrill-error");
@@ -129,6 +129,23 @@
 }
 
 impl Code {
+    /// Whether every target would refuse the request for the same reason, so that no other attempt makes sense.
+    pub const fn is_final(self) -> bool {
+        matches!(
+            self,
+            Self::HeadUnsafe
+                | Self::HeaderInvalid
+                | Self::BodyLarge
+                | Self::DepthExceeded
+                | Self::KeyMissing
+                | Self::KeyInvalid
+                | Self::KeyExpired
+                | Self::KeyReused
+                | Self::Quarantined
+                | Self::OutcomeUnknown
+        )
+    }
+
     /// Finds a code by its text.
     pub fn parse(text: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|code| code.as_str() == text)
