--- a/crates/bench/examples/demo.rs
+++ b/crates/bench/examples/demo.rs
@@ -11,6 +11,8 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 
 use shallotrill_bench::cluster;
 use shallotrill_bench::cluster::Cluster;
@@ -104,7 +106,11 @@
     let mut cluster = Cluster::start(layout).context("a process could not be started")?;
     let result = present(layout, &cluster).await;
     if result.is_ok() {
-        tokio::signal::ctrl_c().await?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            pressed = tokio::signal::ctrl_c() => pressed?,
+            _ = terminate.recv() => {}
+        }
         println!("stopping gracefully");
     }
     cluster.stop()?;
