--- a/crates/control/src/show.rs
+++ b/crates/control/src/show.rs
@@ -39,7 +39,7 @@
         }
         Statement::InForce(revision) => in_force(state, *revision),
         Statement::Explain(request) => Ok(Answer::note(&format!(
-            "ask the node that took the request: GET /v1/explain/{request} at its announce address"
+            "a control process sees no requests; ask the nodes: shallotctl --node ANNOUNCE-ADDRESS explain {request}"
         ))),
         _ => Err(Failure::Internal {
             reason: "the statement is no query".to_owned(),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod failure;
 pub mod json;
+pub mod node;
 pub mod server;
 pub mod wire;
 
--- a/crates/shallotctl/src/main.rs
+++ b/crates/shallotctl/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' command line: sends statements to control processes.
 
+mod explain;
 mod options;
 mod output;
 mod send;
--- a/crates/shallotctl/src/options.rs
+++ b/crates/shallotctl/src/options.rs
@@ -20,6 +20,7 @@
 
   -                  reads statements from standard input, one a line; stops at the first that fails
   --control ADDR     IP address and port of a control process; may be repeated; tried in turn
+  --node ADDR        announce address of a node, which `explain` asks; may be repeated
   --json             prints JSON lines
   --operator NAME    name for the history (default: USER)
   --command ID       id of the command, to send a change again without making it twice
@@ -55,6 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct Options {
     pub(crate) control: Vec<SocketAddr>,
+    pub(crate) nodes: Vec<SocketAddr>,
     pub(crate) json: bool,
     pub(crate) operator: String,
     pub(crate) command: Option<command::Id>,
@@ -117,6 +119,10 @@
                     let text = arguments.value()?.string()?;
                     options.control.push(address(&text)?);
                 }
+                Arg::Long("node") => {
+                    let text = arguments.value()?.string()?;
+                    options.nodes.push(address(&text)?);
+                }
                 Arg::Long("json") => options.json = true,
                 Arg::Long("operator") => options.operator = arguments.value()?.string()?,
                 Arg::Long("command") => {
@@ -149,6 +155,7 @@
         let operator = if user.is_empty() { "unknown" } else { user };
         Self {
             control: Vec::new(),
+            nodes: Vec::new(),
             json: false,
             operator: operator.to_owned(),
             command: None,
--- a/crates/shallotctl/src/send.rs
+++ b/crates/shallotctl/src/send.rs
@@ -1,11 +1,16 @@
 //! Sending of one statement.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use anyhow::Context;
 use tokio::runtime;
 
 use crate::WRONG;
+use crate::explain;
 use crate::options::Options;
 use crate::output::Output;
+use shallotrill_language::Statement;
 use shallotrill_model::command;
 use shallotrill_operator::client::Client;
 use shallotrill_operator::wire;
@@ -18,6 +23,8 @@
     operator: String,
     command: Option<command::Id>,
     output: Output,
+    nodes: Vec<SocketAddr>,
+    timeout: Duration,
 }
 
 impl Sender {
@@ -32,6 +39,8 @@
             operator: options.operator.clone(),
             command: options.command,
             output,
+            nodes: options.nodes.clone(),
+            timeout: options.timeout,
         })
     }
 
@@ -44,6 +53,12 @@
                 return Ok(WRONG);
             }
         };
+        if let Statement::Explain(request) = statement
+            && !self.nodes.is_empty()
+        {
+            let asking = explain::run(&self.nodes, request, self.timeout, self.output.json);
+            return Ok(self.runtime.block_on(asking)?);
+        }
         let command = statement
             .is_change()
             .then(|| self.command.unwrap_or_else(|| command::Id(rand::random())));
