node: do not count the record of an earlier attempt as a failure of the target

Cause: a refusal with running or unknown outcome came from the claim record, but the entry node noted it as a failure of the target. A caller that repeated a deposit of unknown outcome made healthy targets look as if they failed. Change: refusals that come from the record count as refused. Ruled out: the dead node's target (it had been excluded; 'failing' named the two targets that live). Before: after a node was killed with a deposit in flight, every deposit was refused with no-target for at least 30 s. Seen to fail without it: the case 'its node is killed' in crates/bench/tests.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -118,6 +118,8 @@
         Err((kind, refusal)) => {
             tracked.sample.outcome = match kind {
                 Kind::Refused | Kind::Fenced | Kind::Quarantined => Outcome::Refused,
+                // The record of an earlier attempt says nothing of this target.
+                _ if refusal.code.is_recorded() => Outcome::Refused,
                 _ => Outcome::Failure,
             };
             Err(Failed {
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -146,6 +146,14 @@
         )
     }
 
+    /// Whether the refusal comes from the record of an earlier attempt, and not from the target.
+    pub const fn is_recorded(self) -> bool {
+        matches!(
+            self,
+            Self::Running | Self::OutcomeUnknown | Self::AnswerNotStored | Self::Fenced
+        )
+    }
+
     /// Finds a code by its text.
     pub fn parse(text: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|code| code.as_str() == text)
