node: take back grants that are not used, and look at the record before saying not run

Cause: (1) a question to open an attempt that got no answer could be decided all the same; nobody took the grant back, so the key stayed 'running' for a minute and then became unknown although nothing ran. (2) A retry that failed before its dispatch was answered 'not run' although an earlier attempt under the same key ran. (3) A grant was waited for until the caller's deadline, so a missing quorum looked like a target that does not answer. Change: the node fences such an attempt, or asks again with the same grant id and withdraws it when the grant is its own (two copies at one node have the same holder, the grant id tells them apart). Before 'not run' of a keyed request the entry node looks at the record. The wait for a grant ends 100 ms before the deadline. Ruled out: withdrawing by holder alone, which would withdraw the grant of a copy that runs. Limit: when no control process answers, 'not run' is about this attempt alone.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -24,6 +24,7 @@
 use crate::refuse;
 use crate::slot::Slot;
 use crate::state::State;
+use crate::withdraw;
 use shallotrill_backend::failure::Failure;
 use shallotrill_backend::pool::Head;
 use shallotrill_claim::change::Change;
@@ -61,6 +62,12 @@
 /// outcome that nobody knows.
 const ANSWER_GRACE: Duration = Duration::from_secs(10);
 
+/// Time before the deadline at which the node gives up waiting for a grant.
+///
+/// Its refusal then reaches the entry node as a proven not run. At the deadline itself the entry
+/// node counted the wait as a failure of the target.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(100);
+
 /// Longest time to record an outcome.
 const RECORD_LIMIT: Duration = Duration::from_secs(3);
 
@@ -152,8 +159,17 @@
             holder: self.holder.clone(),
             grant: id,
         };
-        let limit = self.plan.left(asked).min(VALIDITY);
-        let reply = self.change(open, limit).await;
+        let left = self.plan.left(asked);
+        let limit = left.saturating_sub(REFUSAL_MARGIN).min(VALIDITY);
+        let reply = self.change(open.clone(), limit).await;
+        if !withdraw::is_decided(&reply) {
+            self.state.tasks.spawn(withdraw::run(
+                Arc::clone(&self.state),
+                Arc::clone(&self.plan),
+                self.key.clone(),
+                open,
+            ));
+        }
         self.state.metrics.claimed(matches!(&reply, Ok(Ok(_))));
         match reply {
             Ok(Ok(Report::Granted { attempt, grant })) if grant == id => {
@@ -273,7 +289,12 @@
     Answered(Answer),
 }
 
-async fn ask(
+/// Asks the claim group of the service.
+///
+/// # Errors
+///
+/// Returns the reason when no control process answered in time.
+pub(crate) async fn ask(
     state: &State,
     plan: &Plan,
     key: &Key,
@@ -321,7 +342,14 @@
         Ok(Ok(Report::Granted { .. } | Report::Absent)) => {
             Fate::Settled(Err(running_refusal("the attempt may still run")))
         }
-        Ok(Err(refusal)) => Fate::Settled(Err(maybe_ran(refuse::claim(&refusal)))),
+        Ok(Err(refusal)) => {
+            let refusal = refuse::claim(&refusal);
+            // This content never gets a grant under a key that belongs to another content.
+            Fate::Settled(Err(match refusal.code {
+                Code::KeyReused => refusal,
+                _ => maybe_ran(refusal),
+            }))
+        }
         Err(message) => Fate::Settled(Err(maybe_ran(refuse::control(message)))),
     }
 }
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -18,6 +18,7 @@
 use crate::plan::Plan;
 use crate::refuse;
 use crate::state::State;
+use crate::withdraw;
 use shallotrill_model::attempt::Number;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
@@ -47,7 +48,10 @@
 /// Returns a [`Refusal`] that says whether the request can have run.
 pub(crate) async fn run(state: &Arc<State>, plan: &Arc<Plan>) -> Result<Response<Body>, Refusal> {
     let mut course = Course::new(state, plan)?;
-    let result = course.run().await;
+    let result = match course.run().await {
+        Err(refusal) => withdraw::confirm(state, plan, course.number, refusal).await,
+        answered => answered,
+    };
     course.explain(&result);
     result
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,3 +25,4 @@
 mod slot;
 mod state;
 mod sync;
+mod withdraw;
