bench: test installations of real processes under faults

Change: two tables of cases, each in one installation of nine processes: the whole path, copies at the same moment, frozen and killed nodes, killed backend servers, a crashing request; killed, frozen and replaced control processes. Stand-ins record executions for each idempotency key.

--- a/crates/bench/examples/backend.rs
+++ b/crates/bench/examples/backend.rs
@@ -15,7 +15,7 @@
 A stand-in backend server.
 
 Usage: backend --listen ADDRESS --service NAME [--node ANNOUNCE-ADDRESS] [--slots N]
-               [--service-us MICROSECONDS] [--crash-path PATH]
+               [--service-us MICROSECONDS] [--crash-path PATH] [--journal FILE]
 ";
 
 fn main() -> ExitCode {
@@ -49,6 +49,7 @@
         slots: 10,
         service_time: Duration::from_millis(5),
         crash_path: None,
+        journal: None,
     };
     let mut parser = Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -61,6 +62,7 @@
                 config.service_time = Duration::from_micros(parser.value()?.parse()?);
             }
             Arg::Long("crash-path") => config.crash_path = Some(parser.value()?.string()?),
+            Arg::Long("journal") => config.journal = Some(parser.value()?.into()),
             other => return Err(other.unexpected()),
         }
     }
--- a/crates/bench/src/backend.rs
+++ b/crates/bench/src/backend.rs
@@ -5,7 +5,10 @@
 //! path to be slow, to fail fast, to shed, to crash on a path or to drain.
 
 use std::convert::Infallible;
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -73,6 +76,8 @@
     pub service_time: Duration,
     /// A path that ends the process, to stand for a request that crashes its server.
     pub crash_path: Option<String>,
+    /// A file that gets a line with the idempotency key of each request before it runs.
+    pub journal: Option<PathBuf>,
 }
 
 /// A running stand-in.
@@ -90,6 +95,7 @@
     service_us: AtomicU64,
     executed: AtomicU64,
     start: String,
+    journal: Option<File>,
 }
 
 impl Backend {
@@ -101,7 +107,10 @@
     pub async fn start(config: Config) -> std::io::Result<Self> {
         let listener = TcpListener::bind(config.listen).await?;
         let address = listener.local_addr()?;
+        let open = |path| File::options().create(true).append(true).open(path);
+        let journal = config.journal.as_ref().map(open).transpose()?;
         let state = Arc::new(State {
+            journal,
             slots: Semaphore::new(config.slots as usize),
             mode: AtomicU32::new(Mode::Normal as u32),
             service_us: AtomicU64::new(config.service_time.as_micros() as u64),
@@ -178,12 +187,21 @@
         Mode::Normal | Mode::Drain => {}
     }
     let method = request.method().clone();
+    let key = request.headers().get("idempotency-key");
+    let key = key.and_then(|key| key.to_str().ok()).map(str::to_owned);
     let Ok(body) = request.into_body().collect().await else {
         return respond(StatusCode::BAD_REQUEST, b"body cut\n");
     };
     let Ok(_slot) = state.slots.acquire().await else {
         return respond(StatusCode::INTERNAL_SERVER_ERROR, b"closed\n");
     };
+    if let (Some(journal), Some(key)) = (&state.journal, &key) {
+        // One write of one line at the end of the file: it is kept when the process is killed.
+        let mut journal: &File = journal;
+        if journal.write_all(format!("{key}\n").as_bytes()).is_err() {
+            return respond(StatusCode::INTERNAL_SERVER_ERROR, b"journal\n");
+        }
+    }
     let micros = state.service_us.load(Ordering::Relaxed);
     time::sleep(Duration::from_micros(micros)).await;
     let count = state.executed.fetch_add(1, Ordering::Relaxed) + 1;
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -96,6 +96,8 @@
     pub announce: SocketAddr,
     /// Address of the backend server.
     pub backend_address: SocketAddr,
+    /// Keys of the requests that the backend server ran, one a line, over all its lives.
+    pub journal: PathBuf,
     /// The node.
     pub node: Process,
     /// The backend server.
@@ -390,6 +392,9 @@
         }
         let program = self.programs.join("examples").join("backend");
         let name = format!("{instance}-backend");
+        let journal = self.folder.join(format!("{name}.journal"));
+        arguments.push("--journal".to_owned());
+        arguments.push(journal.display().to_string());
         Ok(Place {
             node: self.process(instance.clone(), &text)?,
             backend: Process::new(name, program, arguments, &self.folder),
@@ -398,6 +403,7 @@
             caller,
             announce,
             backend_address,
+            journal,
         })
     }
 
--- /dev/null
+++ b/crates/bench/tests/processes/mod.rs
@@ -0,0 +1,5 @@
+//! Cases with real processes, and the installation that they use.
+
+pub(crate) mod control;
+pub(crate) mod deposits;
+mod scene;
