--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -18,6 +18,7 @@
 use crate::plan::Plan;
 use crate::refuse;
 use crate::state::State;
+use crate::withdraw;
 use shallotrill_model::attempt::Number;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
@@ -47,7 +48,10 @@
 /// Returns a [`Refusal`] that says whether the request can have run.
 pub(crate) async fn run(state: &Arc<State>, plan: &Arc<Plan>) -> Result<Response<Body>, Refusal> {
     let mut course = Course::new(state, plan)?;
-    let result = course.run().await;
+    let result = match course.run().await {
+        Err(refusal) => withdraw::confirm(state, plan, course.number, refusal).await,
+        answered => answered,
+    };
     course.explain(&result);
     result
 }
@@ -61,6 +65,8 @@
     /// When the attempt in flight started, for the hedge.
     started: Instant,
     hedge_refused: bool,
+    /// Attempts whose connection was lost, as happens when a request crashes its backend server.
+    lost: u32,
     steps: Vec<explain::Step>,
 }
 
@@ -86,6 +92,7 @@
             number: plan.given.attempt.unwrap_or(Number::FIRST),
             started: plan.arrived,
             hedge_refused: false,
+            lost: 0,
             steps: Vec::new(),
         })
     }
@@ -245,6 +252,13 @@
                 None => {}
             }
         }
+        if failed.refusal.code == Code::ConnectionLost {
+            self.lost += 1;
+        }
+        // Other nodes hear of a crash some milliseconds later, too late for the next attempt of this request.
+        if self.lost >= self.plan.service.crash_limit.max(1) {
+            return Err(failed.refusal);
+        }
         self.decision.in_flight = in_flight as u32;
         let now = self.state.now();
         let failure = Failure {
