--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -87,7 +87,8 @@
 }
 
 fn check_head(parts: &Parts) -> Result<(Given, service::Name), Refusal> {
-    hop::check(&parts.method, &parts.headers)
+    let seen = parts.extensions.get::<hop::Unsafe>().copied();
+    seen.map_or_else(|| hop::check(&parts.method, &parts.headers), Err)
         .map_err(|error| Refusal::not_run(Code::HeadUnsafe, error.to_string()))?;
     let given = Given::read(&parts.headers)
         .map_err(|error| Refusal::not_run(Code::HeaderInvalid, error.to_string()))?;
@@ -105,14 +106,12 @@
 /// Reads the service from the first label of `Host`, or of the URI's authority when the URI is absolute.
 fn service_of_host(parts: &Parts) -> Result<service::Name, Refusal> {
     let missing = |message: &str| Refusal::not_run(Code::ServiceMissing, message.to_owned());
-    let mut hosts = parts.headers.get_all(header::HOST).iter();
-    let host = match (parts.uri.host(), hosts.next(), hosts.next()) {
-        (_, _, Some(_)) => return Err(missing("Host is stated more than once")),
-        (Some(host), _, None) => host,
-        (None, Some(host), None) => host
+    let host = match (parts.uri.host(), parts.headers.get(header::HOST)) {
+        (Some(host), _) => host,
+        (None, Some(host)) => host
             .to_str()
             .or(Err(missing("the value of Host is not text")))?,
-        (None, None, None) => return Err(missing("the request has no Host")),
+        (None, None) => return Err(missing("the request has no Host")),
     };
     let label = host.split(['.', ':']).next().unwrap_or_default();
     service::Name::new(&label.to_ascii_lowercase()).map_err(|error| {
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,4 +4,5 @@
 //! reading of the caller's bytes happens here.
 
 pub mod call;
+pub mod head;
 pub mod listener;
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -4,10 +4,14 @@
 use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +21,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::head::Scan;
+use crate::head::Watched;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::hop::Unsafe;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
 
@@ -96,15 +103,29 @@
     if let Err(error) = listen::tune(&stream, USER_TIMEOUT) {
         debug!(event = "socket-option-failed"; "{error}");
     }
-    let service = service_fn(move |request| {
+    let scan = Scan::default();
+    let verdict = scan.verdict();
+    let requests = AtomicU64::new(0);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        if verdict.is_ambiguous(requests.fetch_add(1, Ordering::Relaxed)) {
+            request.extensions_mut().insert(Unsafe::TwoLengths);
+        }
+        let last = is_last(&request);
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let mut answer = answer.await;
+            if last {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(config.header_timeout)
         .max_buf_size(config.header_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Watched::new(stream, scan)), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
@@ -118,6 +139,15 @@
     }
 }
 
+/// Whether the connection must not carry another request after this one.
+///
+/// [`Scan`] does not follow chunked bodies. RFC 9112, section 6.1, asks for it
+/// where a length is stated too: what an earlier reader may have counted to
+/// another request is then never read as one.
+fn is_last(request: &Request<Incoming>) -> bool {
+    request.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 fn report(error: &hyper::Error) {
     let kind = if error.is_parse() {
         "invalid-http"
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -65,7 +65,9 @@
         body_bytes: state.limits.body_bytes,
         body: state.limits.body_timeout,
     };
-    let call = call::read(request, &limits).await?;
+    let mut call = call::read(request, &limits).await?;
+    // Attempts are counted by this node: a backend server copies the number of its own call into nested ones.
+    call.given.attempt = None;
     let plan = Arc::new(Plan::new(state, call, id, arrived)?);
     state.want(&plan.service.name);
     if plan.join {
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -40,6 +40,8 @@
     Method,
     /// The request asks to change the protocol.
     Upgrade,
+    /// `Host` is stated more than once.
+    RepeatedHost,
 }
 
 impl fmt::Display for Unsafe {
@@ -50,6 +52,7 @@
             Self::Coding => "the transfer coding must be exactly chunked",
             Self::Method => "the methods CONNECT and TRACE are not served",
             Self::Upgrade => "a change of protocol is not served",
+            Self::RepeatedHost => "Host is stated more than once",
         })
     }
 }
@@ -68,6 +71,10 @@
     if headers.contains_key(header::UPGRADE) {
         return Err(Unsafe::Upgrade);
     }
+    // RFC 9112, section 3.2: readers could take different ones, also where another header names the service.
+    if headers.get_all(header::HOST).iter().count() > 1 {
+        return Err(Unsafe::RepeatedHost);
+    }
     let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
