Measure the data path and select a baseline policy by a setting

The stand-in has a noise schedule with a seed, a cold start and counters of requests that were started and finished. Entry nodes without a backend server let each policy run through real nodes before the same targets.

node: `routing_policy` in [node] selects random, round-robin or least-in-flight for comparison; the scored choice stays the default.

Seen to fail: configured_policy_chooses with the table fixed to the scored choice.

--- a/crates/bench/src/backend.rs
+++ b/crates/bench/src/backend.rs
@@ -7,6 +7,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -28,8 +30,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
 use tokio::time;
 
+use crate::noise;
+use crate::noise::NORMAL;
+
 /// Interval of announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -88,7 +94,11 @@
     slots: Semaphore,
     mode: AtomicU32,
     service_us: AtomicU64,
+    started: AtomicU64,
     executed: AtomicU64,
+    /// Factor on the service time, in thousandths.
+    slowness: AtomicU64,
+    noise: Mutex<Option<AbortHandle>>,
     start: String,
 }
 
@@ -105,7 +115,10 @@
             slots: Semaphore::new(config.slots as usize),
             mode: AtomicU32::new(Mode::Normal as u32),
             service_us: AtomicU64::new(config.service_time.as_micros() as u64),
+            started: AtomicU64::new(0),
             executed: AtomicU64::new(0),
+            slowness: AtomicU64::new(NORMAL),
+            noise: Mutex::new(None),
             start: format!("{:032x}", rand::random::<u128>()),
             config,
         });
@@ -154,7 +167,7 @@
     }
 }
 
-async fn answer(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(state: &Arc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
     if path == "/standin" {
         return steer(state, request).await;
@@ -184,8 +197,13 @@
     let Ok(_slot) = state.slots.acquire().await else {
         return respond(StatusCode::INTERNAL_SERVER_ERROR, b"closed\n");
     };
+    state.started.fetch_add(1, Ordering::Relaxed);
     let micros = state.service_us.load(Ordering::Relaxed);
-    time::sleep(Duration::from_micros(micros)).await;
+    let micros = micros * state.slowness.load(Ordering::Relaxed) / NORMAL;
+    if micros > 0 {
+        // Even a sleep of nothing lasts to the next tick of the timer, up to 1 ms.
+        time::sleep(Duration::from_micros(micros)).await;
+    }
     let count = state.executed.fetch_add(1, Ordering::Relaxed) + 1;
     let text = json!({
         "service": state.config.service,
@@ -203,10 +221,35 @@
     response
 }
 
-/// `POST /standin?mode=fail-fast` and `POST /standin?service-us=20000` change the behaviour.
-async fn steer(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Changes the slowness over time: a noisy neighbour with a seed, or a cold start.
+fn vary(state: &Arc<State>, variation: Option<noise::Variation>) {
+    let mut noise = state.noise.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(running) = noise.take() {
+        running.abort();
+    }
+    state.slowness.store(NORMAL, Ordering::Relaxed);
+    let Some(variation) = variation else { return };
+    let varied = Arc::clone(state);
+    let set = move |slowness| varied.slowness.store(slowness, Ordering::Relaxed);
+    *noise = Some(tokio::spawn(noise::run(variation, set)).abort_handle());
+}
+
+/// The counters: requests that got a slot, and those of them that were not cancelled.
+fn counters(state: &State) -> Response<Full<Bytes>> {
+    let text = json!({
+        "started": state.started.load(Ordering::Relaxed),
+        "executed": state.executed.load(Ordering::Relaxed),
+    });
+    respond(StatusCode::OK, text.to_string().as_bytes())
+}
+
+/// `GET /standin` answers the counters; `POST /standin?noise=7`, `POST /standin?cold-ms=3000`, `POST /standin?mode=fail-fast` and `POST /standin?service-us=20000` change the behaviour.
+async fn steer(state: &Arc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.method() == Method::GET {
+        return counters(state);
+    }
     if request.method() != Method::POST {
-        return respond(StatusCode::METHOD_NOT_ALLOWED, b"POST only\n");
+        return respond(StatusCode::METHOD_NOT_ALLOWED, b"GET or POST\n");
     }
     let query = request.uri().query().unwrap_or_default().to_owned();
     for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
@@ -215,6 +258,18 @@
             ("mode", "fail-fast") => state.mode.store(Mode::FailFast as u32, Ordering::Relaxed),
             ("mode", "shed") => state.mode.store(Mode::Shed as u32, Ordering::Relaxed),
             ("mode", "drain") => state.mode.store(Mode::Drain as u32, Ordering::Relaxed),
+            ("noise", seed) => match seed.parse() {
+                Ok(0) => vary(state, None),
+                Ok(seed) => vary(state, Some(noise::Variation::Neighbour { seed })),
+                Err(_) => return respond(StatusCode::BAD_REQUEST, b"noise is a seed or 0\n"),
+            },
+            ("cold-ms", millis) => match millis.parse() {
+                Ok(millis) => vary(
+                    state,
+                    Some(noise::Variation::Cold(Duration::from_millis(millis))),
+                ),
+                Err(_) => return respond(StatusCode::BAD_REQUEST, b"cold-ms is a number\n"),
+            },
             ("service-us", micros) => match micros.parse() {
                 Ok(micros) => state.service_us.store(micros, Ordering::Relaxed),
                 Err(_) => return respond(StatusCode::BAD_REQUEST, b"service-us is a number\n"),
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -102,6 +102,17 @@
     pub backend: Process,
 }
 
+/// A node without a backend server.
+#[derive(Debug)]
+pub struct Entry {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for the state dump.
+    pub announce: SocketAddr,
+    /// The node.
+    pub node: Process,
+}
+
 /// A running installation.
 #[derive(Debug)]
 pub struct Cluster {
@@ -359,18 +370,42 @@
         self.process(name, &text)
     }
 
+    /// Prepares a node without a backend server; `settings` are added to its `[node]`.
+    ///
+    /// `index` picks its ports and its availability zone, and lies above those of the places.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when its settings cannot be written.
+    pub fn entry(&self, index: usize, instance: &str, settings: &str) -> io::Result<Entry> {
+        let zone = self.zones[index % self.zones.len()];
+        let text = self.node(index, instance, zone, settings);
+        Ok(Entry {
+            caller: self.address(CALLER_PORT, index),
+            announce: self.address(ANNOUNCE_PORT, index),
+            node: self.process(instance.to_owned(), &text)?,
+        })
+    }
+
+    /// The settings of a node.
+    fn node(&self, index: usize, instance: &str, zone: &str, settings: &str) -> String {
+        format!(
+            "{}[node]\ncaller_listen = \"{}\"\npeer_listen = \"{}\"\n\
+             announce_listen = \"{}\"\ncontrol = [\n{}\n]\n{settings}",
+            self.head(instance, zone),
+            self.address(CALLER_PORT, index),
+            self.address(PEER_PORT, index),
+            self.address(ANNOUNCE_PORT, index),
+            self.control_list(None, false),
+        )
+    }
+
     fn place(&self, index: usize, service: &Service, number: u16) -> io::Result<Place> {
         let zone = self.zones[index % self.zones.len()];
         let instance = format!("{zone}-{}-{}", service.name, number + 1);
         let announce = self.address(ANNOUNCE_PORT, index);
         let caller = self.address(CALLER_PORT, index);
-        let text = format!(
-            "{}[node]\ncaller_listen = \"{caller}\"\npeer_listen = \"{}\"\n\
-             announce_listen = \"{announce}\"\ncontrol = [\n{}\n]\n",
-            self.head(&instance, zone),
-            self.address(PEER_PORT, index),
-            self.control_list(None, false),
-        );
+        let text = self.node(index, &instance, zone, "");
         let backend_address = self.address(BACKEND_PORT, index);
         let mut arguments = vec![
             "--listen".to_owned(),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,4 +6,8 @@
 pub mod backend;
 pub mod cluster;
 pub mod http;
+pub mod load;
+pub mod noise;
 pub mod operate;
+pub mod scenario;
+pub mod usage;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -40,6 +40,8 @@
 use shallotrill_platform::process::Process;
 use shallotrill_platform::settings::Settings;
 use shallotrill_platform::settings::node;
+use shallotrill_routing::policy;
+use shallotrill_routing::policy::Policy;
 use shallotrill_rpc::link;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
@@ -212,6 +214,7 @@
             body_bytes: node.body_limit_bytes,
             body_timeout: BODY_TIMEOUT,
         },
+        policy: policy(node.routing_policy),
         cache: node.cache_folder.clone(),
         clock,
         process: Process::start(env!("CARGO_PKG_VERSION")),
@@ -222,6 +225,15 @@
     }))
 }
 
+const fn policy(setting: node::Policy) -> Policy {
+    match setting {
+        node::Policy::Scored => policy::SCORED,
+        node::Policy::Random => policy::RANDOM,
+        node::Policy::RoundRobin => policy::ROUND_ROBIN,
+        node::Policy::LeastInFlight => policy::LEAST_IN_FLIGHT,
+    }
+}
+
 fn caller_handler(state: &Arc<State>) -> listener::Handler {
     let state = Arc::clone(state);
     Arc::new(move |request| Box::pin(entry::answer(Arc::clone(&state), request)))
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -38,6 +38,7 @@
 use shallotrill_retry::latency::Window;
 use shallotrill_retry::ledger::Ledger;
 use shallotrill_routing::config::Config as RoutingConfig;
+use shallotrill_routing::policy::Policy;
 use shallotrill_routing::table::Table as Routing;
 
 /// Length of a target's lease; the view keeps unconfirmed targets for this time after a switch.
@@ -150,6 +151,7 @@
 pub(crate) struct Parts {
     pub(crate) identity: Identity,
     pub(crate) limits: Limits,
+    pub(crate) policy: Policy,
     pub(crate) clock: Clock,
     pub(crate) process: Process,
     pub(crate) control: Client,
@@ -162,7 +164,8 @@
 impl State {
     pub(crate) fn new(parts: Parts) -> Self {
         let identity = parts.identity;
-        let routing = RoutingConfig::new(identity.region.clone(), identity.zone.clone());
+        let routing =
+            RoutingConfig::new(identity.region.clone(), identity.zone.clone()).policy(parts.policy);
         let targets = Targets {
             view: Membership::new(LEASE),
             interest: Vec::new(),
--- a/crates/platform/src/settings/check.rs
+++ b/crates/platform/src/settings/check.rs
@@ -8,6 +8,7 @@
 
 use super::fault::Fault;
 use super::fault::Kind;
+use super::node::Policy;
 use shallotrill_model::Invalid;
 
 /// Default and range of a number.
@@ -76,6 +77,18 @@
         }
     }
 
+    pub(super) fn policy(&mut self, key: &str, value: Option<&Spanned<String>>) -> Option<Policy> {
+        let Some(value) = value else {
+            return Some(Policy::Scored);
+        };
+        let policy = Policy::parse(value.get_ref());
+        if policy.is_none() {
+            let found = value.get_ref().clone();
+            self.fault(key, value.span(), Kind::Policy { found });
+        }
+        policy
+    }
+
     pub(super) fn level(&mut self, key: &str, value: &Spanned<String>) -> Option<log::LevelFilter> {
         let level = value.get_ref().parse().ok();
         if level.is_none() {
--- a/crates/platform/src/settings/fault.rs
+++ b/crates/platform/src/settings/fault.rs
@@ -55,6 +55,11 @@
         /// What was found.
         found: String,
     },
+    /// The policy of the choice of targets is unknown.
+    Policy {
+        /// What was found.
+        found: String,
+    },
     /// The text is not an IP address with a port.
     Address {
         /// What was found.
@@ -121,6 +126,10 @@
                 f,
                 "level {found:?} is not one of off, error, warn, info, debug and trace"
             ),
+            Self::Policy { found } => write!(
+                f,
+                "policy {found:?} is not one of scored, random, round-robin and least-in-flight"
+            ),
             Self::Address { found } => write!(
                 f,
                 "{found:?} is not an IP address with a port, such as 127.0.0.1:7000; host names are not allowed"
--- a/crates/platform/src/settings/node.rs
+++ b/crates/platform/src/settings/node.rs
@@ -27,6 +27,8 @@
     pub cache_folder: Option<PathBuf>,
     /// Longest graceful stop.
     pub drain_limit: Duration,
+    /// How targets are chosen.
+    pub routing_policy: Policy,
     /// Threads of the runtime.
     pub workers: usize,
     /// Most bytes of the headers of a request.
@@ -39,6 +41,32 @@
     pub call_connections_max: usize,
 }
 
+/// How a node chooses targets. All but the first are meant for comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The best score of a few random candidates.
+    Scored,
+    /// Any target.
+    Random,
+    /// Targets in turn.
+    RoundRobin,
+    /// The target with the fewest requests of this node in flight.
+    LeastInFlight,
+}
+
+impl Policy {
+    /// Reads the value of the setting.
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            "scored" => Some(Self::Scored),
+            "random" => Some(Self::Random),
+            "round-robin" => Some(Self::RoundRobin),
+            "least-in-flight" => Some(Self::LeastInFlight),
+            _ => None,
+        }
+    }
+}
+
 /// A control process as a node knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Control {
@@ -74,6 +102,7 @@
         raw.drain_limit_ms.as_ref(),
         DRAIN_LIMIT_MS,
     );
+    let policy = check.policy("node.routing_policy", raw.routing_policy.as_ref());
     let workers = check.number("node.workers", raw.workers.as_ref(), WORKERS);
     let header_bytes = check.number(
         "node.header_limit_bytes",
@@ -103,6 +132,7 @@
         control,
         cache_folder: raw.cache_folder.clone(),
         drain_limit: Duration::from_millis(drain_ms),
+        routing_policy: policy?,
         workers: workers as usize,
         header_limit_bytes: header_bytes as usize,
         body_limit_bytes: body_bytes as usize,
--- a/crates/platform/src/settings/raw.rs
+++ b/crates/platform/src/settings/raw.rs
@@ -38,6 +38,7 @@
     pub(super) control: Spanned<Vec<Address>>,
     pub(super) cache_folder: Option<PathBuf>,
     pub(super) drain_limit_ms: Option<Spanned<u64>>,
+    pub(super) routing_policy: Option<Spanned<String>>,
     pub(super) workers: Option<Spanned<u64>>,
     pub(super) header_limit_bytes: Option<Spanned<u64>>,
     pub(super) body_limit_bytes: Option<Spanned<u64>>,
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -74,6 +74,13 @@
         to: "drain_limit_ms = 1    ",
         expected: &["22:18: node.drain_limit_ms: 1 is not in the range 100 to 3600000"],
     },
+    Case {
+        name: "unknown policy of the choice of targets",
+        file: "node.toml",
+        from: "# routing_policy = \"scored\"",
+        to: "routing_policy = \"least\"",
+        expected: &["28:18: node.routing_policy: policy \"least\" is not one of scored"],
+    },
     Case {
         name: "empty list",
         file: "control.toml",
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::policy;
+use crate::policy::Policy;
 use shallotrill_model::region;
 use shallotrill_model::zone;
 
@@ -10,6 +12,7 @@
 pub struct Config {
     pub(crate) region: region::Name,
     pub(crate) zone: zone::Name,
+    pub(crate) policy: Policy,
     pub(crate) half_life: Duration,
     pub(crate) latency_half_life: Duration,
     pub(crate) old: Duration,
@@ -30,6 +33,7 @@
         Self {
             region,
             zone,
+            policy: policy::SCORED,
             half_life: Duration::from_millis(50),
             latency_half_life: Duration::from_secs(1),
             old: Duration::from_millis(50),
@@ -45,6 +49,13 @@
         }
     }
 
+    /// Policy of the choice; the scored one by default. The others are for comparison.
+    #[must_use]
+    pub const fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Time in which the weight of a load report against the median of its service halves.
     #[must_use]
     pub fn half_life(mut self, half_life: Duration) -> Self {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -58,7 +58,7 @@
     now: Instant,
     random: &mut dyn FnMut() -> u64,
 ) -> Result<Choice, Refusal> {
-    let service = find(table, query)?;
+    let service = service(table, query)?;
     let mut draw = Draw {
         table,
         service,
@@ -97,7 +97,7 @@
     now: Instant,
     random: &mut dyn FnMut() -> u64,
 ) -> Result<Choice, Refusal> {
-    let service = find(table, query)?;
+    let service = service(table, query)?;
     let start = below(table.services[service].len().max(1), random);
     first_from(table, service, query, start, now)
 }
@@ -108,7 +108,7 @@
     now: Instant,
     _random: &mut dyn FnMut() -> u64,
 ) -> Result<Choice, Refusal> {
-    let service = find(table, query)?;
+    let service = service(table, query)?;
     let length = table.services[service].len().max(1);
     let start = table.services[service].cursor % length;
     table.services[service].cursor = start + 1;
@@ -121,7 +121,7 @@
     now: Instant,
     random: &mut dyn FnMut() -> u64,
 ) -> Result<Choice, Refusal> {
-    let service = find(table, query)?;
+    let service = service(table, query)?;
     let start = below(table.services[service].len().max(1), random);
     let lowest = table.services[service]
         .members_from(start)
@@ -151,7 +151,7 @@
     finish(table, index, chosen.into_iter().collect())
 }
 
-fn find(table: &Table, query: &Query<'_>) -> Result<usize, Refusal> {
+fn service(table: &Table, query: &Query<'_>) -> Result<usize, Refusal> {
     let unknown = || Refusal::UnknownService(query.service.clone());
     table.service_index(query.service).ok_or_else(unknown)
 }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -9,7 +9,6 @@
 use crate::entry::Entry;
 use crate::member::Index;
 use crate::member::Service;
-use crate::policy;
 use crate::sample::Sample;
 use shallotrill_model::instance;
 use shallotrill_model::load::Report;
@@ -143,7 +142,7 @@
         now: Instant,
         random: &mut dyn FnMut() -> u64,
     ) -> Result<Choice, Refusal> {
-        (policy::SCORED.choose)(self, query, now, random)
+        (self.config.policy.choose)(self, query, now, random)
     }
 
     /// Number of known targets of a service that do not drain.
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -17,6 +17,8 @@
 use shallotrill_routing::choice::Query;
 use shallotrill_routing::choice::Refusal;
 use shallotrill_routing::config::Config;
+use shallotrill_routing::policy;
+use shallotrill_routing::policy::Policy;
 use shallotrill_routing::sample::Outcome;
 use shallotrill_routing::sample::Sample;
 
@@ -378,3 +380,40 @@
         assert!(range.contains(&share), "{}: {share}", case.name);
     }
 }
+
+struct Selected {
+    name: &'static str,
+    policy: Policy,
+    /// Whether four choices in a row visit four targets in turn.
+    in_turn: bool,
+}
+
+/// Guards against a configured baseline that still runs the scored choice, which would compare it with itself.
+const SELECTED: &[Selected] = &[
+    Selected {
+        name: "scored",
+        policy: policy::SCORED,
+        in_turn: false,
+    },
+    Selected {
+        name: "round robin",
+        policy: policy::ROUND_ROBIN,
+        in_turn: true,
+    },
+];
+
+#[test]
+fn configured_policy_chooses() {
+    for case in SELECTED {
+        let region = region::Name::new("nordland").unwrap();
+        let zone = zone::Name::new("bodo").unwrap();
+        let mut table = Table::new(Config::new(region, zone).policy(case.policy));
+        let names = ["a", "b", "c", "d"];
+        table.apply(&names.map(|name| target(name, State::Ready)), Instant(0));
+        let in_turn = (0..4).all(|turn| {
+            let choice = choose(&mut table, &[], Instant(1), 3).unwrap();
+            choice.instance.as_str() == names[turn]
+        });
+        assert_eq!(in_turn, case.in_turn, "{}", case.name);
+    }
+}
