Keep the limit when latency rises by the jitter of the machine

Cause: the gradient lowers the limit when the average latency passes twice its minimum. For a backend server that answers in 0.1 ms, scheduling delays of a shared machine do that without any congestion: the limit fell to one slot and the gate refused requests of an idle backend server.

Change: a rise of up to 5 ms above the minimum never lowers the limit.

Ruled out: the queue length and deadlines; every refusal was 'overloaded', and the offered load kept less than one of ten slots busy.

Seen to fail: 'jitter of the machine does not' with the tolerance at zero.

--- a/crates/limits/src/config.rs
+++ b/crates/limits/src/config.rs
@@ -14,6 +14,7 @@
     pub(crate) weights: Vec<(partner::Name, u32)>,
     pub(crate) service_time: Duration,
     pub(crate) tolerance: f64,
+    pub(crate) jitter: Duration,
     pub(crate) decrease: f64,
     pub(crate) low_every: u32,
     pub(crate) idle: Duration,
@@ -29,6 +30,7 @@
             weights: Vec::new(),
             service_time: Duration::from_millis(5),
             tolerance: 2.0,
+            jitter: Duration::from_millis(5),
             decrease: 0.7,
             low_every: 8,
             idle: Duration::from_secs(10),
@@ -59,6 +61,16 @@
         self
     }
 
+    /// Rise of the short-term average latency above its long-term minimum that never lowers the limit.
+    ///
+    /// The scheduler of a shared machine delays an answer by a few milliseconds without any congestion
+    /// at the backend server, which is many times the service time of a fast one.
+    #[must_use]
+    pub fn jitter(mut self, rise: Duration) -> Self {
+        self.jitter = rise;
+        self
+    }
+
     /// Factor on the limit after a shedding answer or a timeout.
     #[must_use]
     pub fn decrease(mut self, factor: f64) -> Self {
--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -134,7 +134,9 @@
         // The minimum of averages, not of single latencies: service times vary without any congestion.
         self.minimum_us[0] = self.minimum_us[0].min(self.short_us);
         let minimum = self.minimum_us[0].min(self.minimum_us[1]);
-        let gradient = config.tolerance * minimum / self.short_us.max(1.0);
+        let jitter = config.jitter.as_micros() as f64;
+        let tolerated = (config.tolerance * minimum).max(minimum + jitter);
+        let gradient = tolerated / self.short_us.max(1.0);
         if gradient < 1.0 {
             self.down(gradient.max(GRADIENT_MIN), now);
         } else if busy {
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -234,6 +234,12 @@
         limit_min: 1,
         limit_max: 5,
     },
+    Adapt {
+        name: "jitter of the machine does not",
+        phases: &[(100, 1, Outcome::Success), (40, 5, Outcome::Success)],
+        limit_min: 10,
+        limit_max: 10,
+    },
     Adapt {
         name: "it recovers",
         phases: &[
