--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod cluster;
 pub mod http;
 pub mod operate;
+pub mod slopes;
