--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod noise;
 pub mod operate;
 pub mod scenario;
+pub mod slopes;
 pub mod usage;
