--- a/crates/claim/src/acceptor.rs
+++ b/crates/claim/src/acceptor.rs
@@ -129,6 +129,19 @@
     /// when the group does not list this member with this disk, or when it
     /// would vote without having copied from every survivor.
     pub fn enter(&mut self, group: &Group) -> Result<Write, Refusal> {
+        let write = self.entry(group)?;
+        if self.group.as_ref() != Some(group) {
+            self.restore(write.clone());
+        }
+        Ok(write)
+    }
+
+    /// The write that enters an epoch, to be restored once the journal has taken it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] as [`Acceptor::enter`] does.
+    pub fn entry(&self, group: &Group) -> Result<Write, Refusal> {
         let seat = group
             .seat(self.config.member)
             .filter(|seat| seat.disk == self.config.disk)
@@ -142,11 +155,7 @@
         if seat.standing == Standing::Voting && !self.may_vote(group.epoch) {
             return Err(Refusal::NotCopied);
         }
-        let write = Write::Enter(group.clone());
-        if self.group.as_ref() != Some(group) {
-            self.restore(write.clone());
-        }
-        Ok(write)
+        Ok(Write::Enter(group.clone()))
     }
 
     /// Promises to accept no ballot of the key below `ballot`.
@@ -156,6 +165,12 @@
     /// Returns [`Refusal`] when the ballot is too low or of another epoch, the
     /// key is expired, the table is full or this member is copying.
     pub fn prepare(&mut self, key: &Key, ballot: Ballot) -> Result<Promise, Refusal> {
+        let promise = self.promise(key, ballot)?;
+        self.restore(promise.write.clone());
+        Ok(promise)
+    }
+
+    fn promise(&self, key: &Key, ballot: Ballot) -> Result<Promise, Refusal> {
         if self.check(key, ballot)? == Standing::Copying {
             return Err(Refusal::Copying);
         }
@@ -163,7 +178,6 @@
         let accepted = register.and_then(|r| r.accepted.clone());
         self.check_space(key, 0)?;
         let write = Write::Promise(key.clone(), ballot);
-        self.restore(write.clone());
         Ok(Promise { accepted, write })
     }
 
@@ -173,26 +187,43 @@
     ///
     /// Returns [`Refusal`] as [`Acceptor::prepare`] does, but a copying member accepts too.
     pub fn accept(&mut self, key: &Key, ballot: Ballot, record: &Record) -> Result<Write, Refusal> {
+        let write = self.acceptance(key, ballot, record)?;
+        self.restore(write.clone());
+        Ok(write)
+    }
+
+    fn acceptance(&self, key: &Key, ballot: Ballot, record: &Record) -> Result<Write, Refusal> {
         self.check(key, ballot)?;
         self.check_promise(key, ballot)?;
         self.check_space(key, record.heap_bytes())?;
-        let write = Write::Accept(key.clone(), ballot, record.clone());
-        self.restore(write.clone());
-        Ok(write)
+        Ok(Write::Accept(key.clone(), ballot, record.clone()))
     }
 
     /// Answers a message; the write, if any, is synced before the reply is sent.
     pub fn step(&mut self, message: &Message) -> (Reply, Option<Write>) {
+        let (reply, write) = self.decide(message);
+        if let Some(write) = &write {
+            self.restore(write.clone());
+        }
+        (reply, write)
+    }
+
+    /// Decides on a message and changes nothing.
+    ///
+    /// The write is restored once the journal has taken it. A journal without
+    /// space takes nothing, and a record that is held here without being in the
+    /// journal would be reported to a later round as if it were durable.
+    pub fn decide(&self, message: &Message) -> (Reply, Option<Write>) {
         let result = match message {
             Message::Prepare { key, ballot } => self
-                .prepare(key, *ballot)
+                .promise(key, *ballot)
                 .map(|promise| (Reply::Promised(promise.accepted), promise.write)),
             Message::Accept {
                 key,
                 ballot,
                 record,
             } => self
-                .accept(key, *ballot, record)
+                .acceptance(key, *ballot, record)
                 .map(|write| (Reply::Accepted, write)),
         };
         match result {
@@ -203,15 +234,17 @@
 
     /// Raises the horizon, rounded down to a whole bucket, and drops the registers below it.
     pub fn retire(&mut self, horizon: time::Wall) -> Option<Write> {
-        let floor = time::Wall(hour(horizon) * crate::table::BUCKET_MS);
-        if floor <= self.horizon {
-            return None;
-        }
-        let write = Write::Retire(floor);
+        let write = self.retirement(horizon)?;
         self.restore(write.clone());
         Some(write)
     }
 
+    /// The write that raises the horizon, if it rises by a whole bucket.
+    pub fn retirement(&self, horizon: time::Wall) -> Option<Write> {
+        let floor = time::Wall(hour(horizon) * crate::table::BUCKET_MS);
+        (floor > self.horizon).then_some(Write::Retire(floor))
+    }
+
     /// Reads registers after a key, at least one and then up to `limit_bytes`, for a copying member.
     ///
     /// # Errors
--- a/crates/claim/src/change.rs
+++ b/crates/claim/src/change.rs
@@ -63,6 +63,9 @@
         attempt: attempt::Number,
         /// Process that would have dispatched it.
         holder: Holder,
+        /// Grant that it asked for. Copies of a request at one node ask for the
+        /// same attempt, and one of them must not disown the grant of another.
+        grant: grant::Id,
         /// Why it did not.
         reason: Reason,
     },
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key;
 pub mod lapse;
 pub mod message;
+pub mod pace;
 pub mod proposer;
 pub mod record;
 pub mod table;
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -46,6 +46,8 @@
     Unknown {
         /// Process that held the grant.
         holder: Holder,
+        /// Identifier of the grant.
+        grant: grant::Id,
     },
 }
 
@@ -156,8 +158,9 @@
                 digest,
                 attempt,
                 holder,
+                grant,
                 reason,
-            } => not_run(current, *digest, *attempt, holder, *reason),
+            } => not_run(current, *digest, *attempt, (holder, *grant), *reason),
             Change::Fence { digest, attempt } => fence(current, *digest, *attempt),
             Change::Lapse { attempt } => lapse(current, *attempt),
             Change::Settle { attempt, decision } => settle(current, *attempt, decision),
@@ -198,7 +201,7 @@
     /// Estimate of the memory that the record takes beside itself.
     pub fn heap_bytes(&self) -> usize {
         match &self.state {
-            State::Open { holder, .. } | State::Unknown { holder } => {
+            State::Open { holder, .. } | State::Unknown { holder, .. } => {
                 holder.instance.as_str().len() + 16
             }
             State::Done { answer } => {
@@ -237,10 +240,18 @@
         }
     }
 
+    /// The grant of an attempt that is not decided.
+    const fn grant(&self) -> Option<grant::Id> {
+        match &self.state {
+            State::Open { grant, .. } | State::Unknown { grant, .. } => Some(*grant),
+            State::Done { .. } | State::NotRun { .. } => None,
+        }
+    }
+
     /// Whether `holder` has or had the grant of `attempt`, and the attempt is not decided.
     fn is_held(&self, attempt: attempt::Number, holder: &Holder) -> bool {
         match &self.state {
-            State::Open { holder: own, .. } | State::Unknown { holder: own } => {
+            State::Open { holder: own, .. } | State::Unknown { holder: own, .. } => {
                 self.attempt == attempt && own == holder
             }
             State::Done { .. } | State::NotRun { .. } => false,
@@ -309,14 +320,14 @@
     current: Option<&Record>,
     digest: Digest,
     attempt: attempt::Number,
-    holder: &Holder,
+    (holder, grant): (&Holder, grant::Id),
     reason: Reason,
 ) -> Result<Record, Refusal> {
     let Some(record) = current else {
         return fenced(digest, attempt, reason);
     };
     record.check_digest(digest)?;
-    if record.is_held(attempt, holder) {
+    if record.is_held(attempt, holder) && record.grant() == Some(grant) {
         return Ok(record.with(State::NotRun { reason }));
     }
     match record.state {
@@ -356,9 +367,10 @@
 fn lapse(current: Option<&Record>, attempt: attempt::Number) -> Result<Record, Refusal> {
     let record = current.ok_or(Refusal::NoGrant)?;
     match &record.state {
-        State::Open { holder, .. } if record.attempt == attempt => {
+        State::Open { holder, grant } if record.attempt == attempt => {
             let holder = holder.clone();
-            Ok(record.with(State::Unknown { holder }))
+            let grant = *grant;
+            Ok(record.with(State::Unknown { holder, grant }))
         }
         State::Unknown { .. } if record.attempt == attempt => Ok(record.clone()),
         _ => Err(record.refusal()),
--- a/crates/claim/tests/acceptor.rs
+++ b/crates/claim/tests/acceptor.rs
@@ -12,7 +12,9 @@
 use shallotrill_claim::epoch::Standing;
 use shallotrill_claim::key;
 use shallotrill_claim::key::Key;
+use shallotrill_claim::message::Message;
 use shallotrill_claim::message::Refusal;
+use shallotrill_claim::message::Reply;
 use shallotrill_claim::record::Record;
 use shallotrill_claim::record::State;
 use shallotrill_claim::table::BUCKET_MS;
@@ -168,6 +170,21 @@
         },
         expected: None,
     },
+    Case {
+        name: "decision that the journal did not take: nothing is promised or held",
+        run: |a| {
+            let accept = Message::Accept {
+                key: key(HOUR, 1),
+                ballot: ballot(2, 9),
+                record: record(),
+            };
+            let before: Vec<_> = a.snapshot().collect();
+            assert_eq!(a.decide(&accept).0, Reply::Accepted);
+            assert!(a.snapshot().eq(before));
+            a.prepare(&key(HOUR, 1), ballot(2, 1)).err()
+        },
+        expected: None,
+    },
     Case {
         name: "disk that is not the one of the seat",
         run: |a| {
--- /dev/null
+++ b/crates/claim/tests/pace.rs
@@ -0,0 +1,73 @@
+//! How far the horizon rises when the calendar is wrong.
+
+use std::time::Duration;
+
+use shallotrill_claim::pace::ABSENCE_MAX;
+use shallotrill_claim::pace::Pace;
+use shallotrill_model::time::Instant;
+use shallotrill_model::time::Wall;
+
+const DAY_MS: u64 = 86_400_000;
+const RETENTION: Duration = Duration::from_hours(72);
+const ABSENCE_MS: u64 = ABSENCE_MAX.as_millis() as u64;
+
+struct Case {
+    name: &'static str,
+    durable: u64,
+    wall: u64,
+    elapsed_ms: u64,
+    expected: u64,
+}
+
+/// Guards against a wrong calendar that deletes records whose keys may still be resent.
+const CASES: &[Case] = &[
+    Case {
+        name: "an empty disk takes the calendar",
+        durable: 0,
+        wall: 100 * DAY_MS,
+        elapsed_ms: 0,
+        expected: 97 * DAY_MS,
+    },
+    Case {
+        name: "a short absence",
+        durable: 96 * DAY_MS,
+        wall: 100 * DAY_MS,
+        elapsed_ms: 0,
+        expected: 97 * DAY_MS,
+    },
+    Case {
+        name: "a calendar years ahead at the start",
+        durable: 96 * DAY_MS,
+        wall: 3_000 * DAY_MS,
+        elapsed_ms: 0,
+        expected: 96 * DAY_MS + ABSENCE_MS,
+    },
+    Case {
+        name: "a calendar behind at the start stays below the durable horizon",
+        durable: 96 * DAY_MS,
+        wall: 10 * DAY_MS,
+        elapsed_ms: 0,
+        expected: 7 * DAY_MS,
+    },
+    Case {
+        name: "within a life it rises with elapsed time",
+        durable: 96 * DAY_MS,
+        wall: 100 * DAY_MS,
+        elapsed_ms: DAY_MS,
+        expected: 98 * DAY_MS,
+    },
+];
+
+#[test]
+fn the_horizon_follows_elapsed_time() {
+    for case in CASES {
+        let pace = Pace::new(
+            Wall(case.durable),
+            Wall(case.wall),
+            RETENTION,
+            Instant(1_000),
+        );
+        let now = Instant(1_000 + case.elapsed_ms * 1_000);
+        assert_eq!(pace.horizon(now), Wall(case.expected), "{}", case.name);
+    }
+}
--- a/crates/claim/tests/record.rs
+++ b/crates/claim/tests/record.rs
@@ -69,6 +69,12 @@
         steps: "open 1 a = granted 1; finish 1 b = refused: open; not-run 1 b = refused: open; \
                 not-run 2 a = refused: open",
     },
+    Case {
+        name: "a copy of the request at the same node cannot disown the grant of the first",
+        steps: "open 1 a = granted 1; again 1 a = refused: open; \
+                not-run-again 1 a = refused: open; lapse 1 = unknown; \
+                not-run-again 1 a = refused: unknown; not-run 1 a = not run 1",
+    },
     Case {
         name: "settled as not run: the late response is refused, the next runs",
         steps: "open 1 a = granted 1; settle-not-run 1 = refused: open; lapse 1 = unknown; \
@@ -95,7 +101,7 @@
         incarnation: Incarnation(1),
     };
     let digest = Digest([u8::from(words[0] == "open-other"); 32]);
-    let grant = grant::Id(u64::from(words[0] == "again"));
+    let grant = grant::Id(u64::from(words[0].ends_with("again")));
     let reason = Reason::Refused;
     let answer = Answer {
         status: 200,
@@ -110,10 +116,11 @@
             holder,
             answer,
         },
-        "not-run" => Change::NotRun {
+        "not-run" | "not-run-again" => Change::NotRun {
             digest,
             attempt,
             holder,
+            grant,
             reason,
         },
         "fence" => Change::Fence { digest, attempt },
--- a/crates/claim/tests/world/mod.rs
+++ b/crates/claim/tests/world/mod.rs
@@ -337,6 +337,7 @@
             digest: DIGEST,
             attempt: runner.grant.attempt,
             holder: runner.holder.clone(),
+            grant: runner.grant.id,
             reason: Reason::Refused,
         }))
     }
--- a/crates/control-client/src/claim.rs
+++ b/crates/control-client/src/claim.rs
@@ -32,6 +32,12 @@
     NoGroup,
     /// The control process has no seat in the claim group.
     NotMember,
+    /// The control process belongs to this other region, whose claim group does not keep the key.
+    Region(region::Name),
+    /// The key says that it was issued this many milliseconds in the future.
+    Ahead(u64),
+    /// The control process has not yet counted its start on its disk.
+    Starting,
 }
 
 /// The answer.
--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -61,6 +61,7 @@
     };
     if store.formed().is_none() {
         store.form(members.clone()).await?;
+        state.log.lock().formed = Some(members.clone());
     }
     let own = state.identity.peer;
     if let Some(snapshot) = &store.restored().snapshot {
@@ -104,7 +105,10 @@
                 formed: Some(members),
                 ..
             }) if !members.all().is_empty() => return adopt(own, members),
-            Some(reply) if reply.own.id == Id(id) => peers.push(reply.own),
+            // A process that has joined a group without a vote proves that there is one.
+            Some(reply) if reply.own.id == Id(id) && reply.formed.is_none() => {
+                peers.push(reply.own);
+            }
             _ => missing.push(id),
         }
     }
@@ -144,7 +148,7 @@
         instance: state.identity.instance.clone(),
         zone: state.identity.zone.clone(),
         region: state.identity.region.clone(),
-        formed: members(&state),
+        formed: members(&state).or_else(|| state.log.lock().formed.clone()),
     }
 }
 
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -19,6 +19,7 @@
 use shallotrill_claim::key::Key;
 use shallotrill_claim::lapse::Clock;
 use shallotrill_claim::message::Message;
+use shallotrill_claim::message::Refusal as MessageRefusal;
 use shallotrill_claim::message::Reply;
 use shallotrill_claim::proposer::Envelope;
 use shallotrill_claim::proposer::Failure;
@@ -33,7 +34,6 @@
 use shallotrill_membership::row::Row;
 use shallotrill_model::attempt;
 use shallotrill_model::time::Instant;
-use shallotrill_model::time::Wall;
 use shallotrill_replica::claims as messages;
 
 /// Kind of the journal's records: a write of the acceptor.
@@ -54,11 +54,12 @@
 /// An open record whose holder is alive is left to the holder for this time.
 const HOLDER_LIMIT: Duration = Duration::from_mins(1);
 
-/// Interval of raises of the horizon.
-const RETIRE_INTERVAL: Duration = Duration::from_mins(1);
+/// How far in the future a new key may be issued. Callers' clocks differ, and a
+/// key that is further ahead would be kept that much longer.
+const KEY_AHEAD_MAX: Duration = Duration::from_mins(5);
 
-/// Bytes of the journal after which it is replaced by a snapshot.
-const SHRINK_BYTES: u64 = 256 * 1024 * 1024;
+/// Pause before a start that could not be counted is counted again; the disk needs time to have space.
+const COUNT_PAUSE: Duration = Duration::from_millis(500);
 
 /// An expired grant whose holder is alive.
 #[derive(Clone, Debug)]
@@ -76,9 +77,11 @@
     pub(crate) sequence: Sequence,
     held: Vec<Held>,
     /// Number of this start of the process.
-    start: u64,
+    pub(crate) start: u64,
+    /// Whether the start is counted on the disk. Before that a crash could lead to a second start of this number.
+    counted: bool,
     /// Bytes of the journal at its last snapshot.
-    shrunk_at: u64,
+    pub(crate) shrunk_at: u64,
 }
 
 impl Claims {
@@ -88,24 +91,72 @@
             clock: Clock::new(),
             sequence: Sequence::new(member, start),
             start,
+            counted: false,
             held: Vec::new(),
             shrunk_at: 0,
         }
     }
 }
 
+/// Counts this start on the disk, after which rounds may be run.
+///
+/// Two starts of one number would use the same ballots for different records.
+pub(crate) async fn count(state: Arc<State>) {
+    let start = state.claims.lock().start;
+    let bytes = postcard::to_allocvec(&start).expect("numbers can be encoded");
+    let position = loop {
+        match state.claims_journal.append(START, &bytes) {
+            Ok(position) => break position,
+            Err(refusal @ (Refusal::Full { .. } | Refusal::Busy { .. })) => {
+                warn!(event = "start-not-counted"; "{refusal}");
+                time::sleep(COUNT_PAUSE).await;
+            }
+            Err(refusal) => {
+                error!(event = "start-not-counted"; "{refusal}");
+                return;
+            }
+        }
+    };
+    if state.claims_journal.durable(position).await.is_ok() {
+        state.claims.lock().counted = true;
+    }
+}
+
 /// Answers a question of a node.
 pub(crate) async fn ask(state: Arc<State>, ask: claim::Ask) -> claim::Reply {
-    let result = run(&state, ask.key, ask.task).await;
+    let result = match check(&state, &ask) {
+        Ok(()) => run(&state, ask.key, ask.task).await,
+        Err(refusal) => Err(refusal),
+    };
     state.metrics.claim_asked(&result);
     result
 }
 
+/// Refuses a question that this region's registers must not decide.
+fn check(state: &State, ask: &claim::Ask) -> Result<(), claim::Refusal> {
+    // Two groups that keep one key could each grant it.
+    if ask.region != state.identity.region {
+        return Err(claim::Refusal::Region(state.identity.region.clone()));
+    }
+    let now = state.clock.wall();
+    let opens = matches!(ask.task, Task::Change(Change::Open { .. }));
+    if opens && ask.key.is_ahead(now, KEY_AHEAD_MAX) {
+        return Err(claim::Refusal::Ahead(ask.key.time().0 - now.0));
+    }
+    Ok(())
+}
+
 /// Runs rounds for one key until one decides or the time is up.
 pub(crate) async fn run(state: &Arc<State>, key: Key, task: Task) -> claim::Reply {
     let deadline = state.now() + ASK_LIMIT;
     loop {
-        let group = state.claims.lock().acceptor.group().cloned();
+        let (counted, group) = {
+            let claims = state.claims.lock();
+            (claims.counted, claims.acceptor.group().cloned())
+        };
+        if !counted {
+            return Err(claim::Refusal::Starting);
+        }
         let group = group.ok_or(claim::Refusal::NoGroup)?;
         if group.seat(state.identity.member()).is_none() {
             return Err(claim::Refusal::NotMember);
@@ -207,25 +258,27 @@
     {
         let mut claims = state.claims.lock();
         for message in &messages {
-            let (reply, write) = claims.acceptor.step(message);
-            if let Message::Accept { key, record, .. } = message
-                && reply == Reply::Accepted
-            {
-                claims.clock.observe(key, record, now);
-            }
+            let (reply, write) = claims.acceptor.decide(message);
+            let Some(write) = write else {
+                if matches!(reply, Reply::Refused(MessageRefusal::Expired(_))) {
+                    // A key is expired for good only once the horizon is on the disk.
+                    last = last.max(Some(state.claims_journal.appended()));
+                }
+                replies.push(Some(reply));
+                continue;
+            };
             // Appended under the lock, so that the journal has the order of the acceptor's decisions.
-            let appended = write.map(|write| append(state, &write));
-            replies.push(match appended {
-                None => Some(reply),
-                Some(Ok(position)) => {
+            match append(state, &write) {
+                Ok(position) => {
+                    claims.take(write, now);
                     last = Some(position);
-                    Some(reply)
+                    replies.push(Some(reply));
                 }
-                Some(Err(refusal)) => {
+                Err(refusal) => {
                     warn!(event = "claim-not-written"; "{refusal}");
-                    None
+                    replies.push(None);
                 }
-            });
+            }
         }
     }
     match last {
@@ -290,6 +343,27 @@
 }
 
 impl Claims {
+    /// Takes over a write that the journal has taken.
+    pub(crate) fn take(&mut self, write: Write, now: Instant) {
+        match &write {
+            Write::Accept(key, _, record) => self.clock.observe(key, record, now),
+            Write::Retire(horizon) => self.clock.retire(*horizon),
+            _ => {}
+        }
+        self.acceptor.restore(write);
+    }
+
+    /// Starts the count of the open records that were copied.
+    pub(crate) fn observe(&mut self, writes: &[Write], now: Instant) {
+        for write in writes {
+            if let Write::Copy(register) = write
+                && let Some(accepted) = &register.accepted
+            {
+                self.clock.observe(&register.key, &accepted.record, now);
+            }
+        }
+    }
+
     /// Starts the count of all open records that were read back.
     pub(crate) fn observe_all(&mut self) {
         let origin = Instant(0);
@@ -326,56 +400,3 @@
         }
     }
 }
-
-/// Raises the horizon as time passes, and keeps the journal short.
-pub(crate) async fn retire(state: Arc<State>) {
-    loop {
-        let retention = state.retention.as_millis() as u64;
-        let horizon = Wall(state.clock.wall().0.saturating_sub(retention));
-        {
-            let mut claims = state.claims.lock();
-            if let Some(write) = claims.acceptor.retire(horizon) {
-                claims.clock.retire(horizon);
-                if let Err(refusal) = append(&state, &write) {
-                    warn!(event = "horizon-not-written"; "{refusal}");
-                }
-            }
-        }
-        shrink(&state).await;
-        time::sleep(RETIRE_INTERVAL).await;
-    }
-}
-
-/// Replaces the journal by a snapshot of the registers when it has grown.
-async fn shrink(state: &Arc<State>) {
-    let written = state.claims_journal.counters().bytes;
-    let snapshot = {
-        let mut claims = state.claims.lock();
-        if written < claims.shrunk_at + SHRINK_BYTES {
-            return;
-        }
-        claims.shrunk_at = written;
-        let start = claims.start;
-        let writes: Vec<Write> = claims.acceptor.snapshot().collect();
-        let bytes = postcard::to_allocvec(&(start, writes)).expect("writes can be encoded");
-        // A frame of its own marks the place in the journal that the snapshot covers.
-        let marker = Write::Retire(claims.acceptor.horizon());
-        append(state, &marker).map(|position| (position, bytes))
-    };
-    let (covers, bytes) = match snapshot {
-        Ok(snapshot) => snapshot,
-        Err(refusal) => {
-            warn!(event = "claims-not-shrunk"; "{refusal}");
-            return;
-        }
-    };
-    if state.claims_journal.durable(covers).await.is_err() {
-        return;
-    }
-    let state = Arc::clone(state);
-    let written =
-        tokio::task::spawn_blocking(move || state.claims_journal.snapshot(covers, &bytes));
-    if let Ok(Err(refusal)) = written.await {
-        warn!(event = "claims-not-shrunk"; "{refusal}");
-    }
-}
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -20,6 +20,7 @@
 use shallotrill_claim::epoch::Group;
 use shallotrill_claim::epoch::Standing;
 use shallotrill_claim::key::Key;
+use shallotrill_claim::message::Refusal;
 use shallotrill_consensus::member::Role;
 use shallotrill_replica::copy;
 
@@ -140,17 +141,20 @@
     let appended = {
         let mut claims = state.claims.lock();
         if claims.acceptor.group() == Some(group) {
-            return true;
-        }
-        match claims.acceptor.enter(group) {
-            Ok(write) => claims::append(state, &write),
-            Err(refusal) => {
-                warn!(event = "epoch-not-entered", epoch = group.epoch.0; "{refusal:?}");
-                return false;
+            Ok(state.claims_journal.appended())
+        } else {
+            match claims.acceptor.entry(group) {
+                Ok(write) => claims::append(state, &write).inspect(|_| {
+                    claims.take(write, state.now());
+                    info!(event = "epoch-entered", epoch = group.epoch.0; "");
+                }),
+                Err(refusal) => {
+                    warn!(event = "epoch-not-entered", epoch = group.epoch.0; "{refusal:?}");
+                    return false;
+                }
             }
         }
     };
-    info!(event = "epoch-entered", epoch = group.epoch.0; "");
     match appended {
         Ok(position) => state.claims_journal.durable(position).await.is_ok(),
         Err(refusal) => {
@@ -197,6 +201,7 @@
             let Ok(writes) = claims.acceptor.merge(&page) else {
                 return false;
             };
+            claims.observe(&writes, state.now());
             let positions: Result<Vec<_>, _> = writes
                 .iter()
                 .map(|write| claims::append(state, write))
@@ -220,8 +225,17 @@
 
 /// Answers a member that copies.
 pub(crate) async fn page(state: Arc<State>, ask: copy::Ask) -> copy::Reply {
-    let claims = state.claims.lock();
-    claims
-        .acceptor
-        .page(ask.epoch, ask.after.as_ref(), PAGE_BYTES)
+    let (page, position) = {
+        let claims = state.claims.lock();
+        let page = claims
+            .acceptor
+            .page(ask.epoch, ask.after.as_ref(), PAGE_BYTES);
+        (page, state.claims_journal.appended())
+    };
+    // A survivor that forgot in a crash that it entered the epoch could accept
+    // records of the earlier one that are not in its pages.
+    match state.claims_journal.durable(position).await {
+        Ok(()) => page,
+        Err(_) => Err(Refusal::Stranger(state.identity.member())),
+    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod nodes;
 mod replace;
+mod retention;
 mod rpc;
 pub mod run;
 mod show;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -55,7 +55,11 @@
             Err(claim::Refusal::Claim(Failure::Full)) => "full",
             Err(claim::Refusal::Claim(Failure::NoQuorum { .. })) => "no-quorum",
             Err(claim::Refusal::Claim(Failure::Epoch(_))) => "epoch",
-            Err(claim::Refusal::NoGroup | claim::Refusal::NotMember) => "not-member",
+            Err(
+                claim::Refusal::NoGroup | claim::Refusal::NotMember | claim::Refusal::Region(_),
+            ) => "not-member",
+            Err(claim::Refusal::Ahead(_)) => "ahead",
+            Err(claim::Refusal::Starting) => "starting",
         };
         self.claims.of(result).inc();
     }
--- a/crates/control/src/replace.rs
+++ b/crates/control/src/replace.rs
@@ -104,7 +104,7 @@
     if applied {
         Ok(())
     } else {
-        Err(Step::Refused(Refusal::NoQuorum))
+        Err(Step::Refused(Refusal::Undecided))
     }
 }
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -25,6 +25,7 @@
 use crate::members;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::retention;
 use crate::rpc;
 use crate::state::Log;
 use crate::state::State;
@@ -142,6 +143,8 @@
     let folder = Folder::open(&control.data_folder).map_err(Error::Disk)?;
     let mut store = Store::open(&folder).map_err(Error::Store)?;
     let state = Arc::new(build(settings, control, &folder)?);
+    // Known before the first question is answered: others must not take this process for a new one.
+    state.log.lock().formed = store.formed().cloned();
     state.peers.start();
     let (rpc, rpc_address) = rpc::serve(Arc::clone(&state), control.rpc_listen)
         .await
@@ -172,8 +175,9 @@
         driver,
         tokio::spawn(members::expire(Arc::clone(&state))),
         tokio::spawn(group::run(Arc::clone(&state))),
+        tokio::spawn(claims::count(Arc::clone(&state))),
         tokio::spawn(claims::lapse(Arc::clone(&state))),
-        tokio::spawn(claims::retire(Arc::clone(&state))),
+        tokio::spawn(retention::retire(Arc::clone(&state))),
     ];
     info!(
         event = "control-started",
@@ -240,7 +244,7 @@
     })
 }
 
-/// Reads the registers back and counts this start durably, so that no ballot of an earlier start is used again.
+/// Reads the registers back. The start is counted by [`claims::count`], before any round is run.
 fn open_claims(
     control: &control::Settings,
     folder: &Folder,
@@ -266,13 +270,7 @@
     if let Some(position) = unreadable {
         return Err(Error::Claims(position));
     }
-    let start = start + 1;
-    let bytes = postcard::to_allocvec(&start).expect("numbers can be encoded");
-    let counted = journal.append(claims::START, &bytes);
-    if let Err(refusal) = counted {
-        error!(event = "start-not-counted"; "{refusal}");
-    }
-    let mut claims = Claims::new(acceptor, identity.member(), start);
+    let mut claims = Claims::new(acceptor, identity.member(), start + 1);
     claims.observe_all();
     Ok((claims, journal))
 }
--- a/crates/control/src/show.rs
+++ b/crates/control/src/show.rs
@@ -362,7 +362,7 @@
             continue;
         };
         let record = &accepted.record;
-        if let RecordState::Unknown { holder } = &record.state {
+        if let RecordState::Unknown { holder, .. } = &record.state {
             sheet.row(vec![
                 text(&register.key.partner),
                 text(&register.key.service),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use shallotrill_catalog::state::State as Catalog;
 use shallotrill_consensus::Replica;
+use shallotrill_consensus::member::Set;
 use shallotrill_consensus::read;
 use shallotrill_disk::journal::Journal;
 use shallotrill_locks::Mutex;
@@ -36,6 +37,8 @@
 pub(crate) struct Log {
     pub(crate) replica: Option<Replica>,
     pub(crate) readers: Vec<Reader>,
+    /// First members of the group as the disk has them, also before there is a replica.
+    pub(crate) formed: Option<Set>,
     /// Why there is no replica, for operators.
     pub(crate) waiting: Option<String>,
 }
--- a/crates/control/src/statements.rs
+++ b/crates/control/src/statements.rs
@@ -15,10 +15,11 @@
 use shallotrill_claim::change::Decision;
 use shallotrill_claim::key;
 use shallotrill_claim::key::Key;
+use shallotrill_claim::proposer;
 use shallotrill_claim::proposer::Task;
 use shallotrill_claim::record::Report;
-use shallotrill_claim::record::State as RecordState;
 use shallotrill_consensus::member::Peer;
+use shallotrill_control_client::claim;
 use shallotrill_language::Settlement;
 use shallotrill_language::Statement;
 use shallotrill_language::answer::Answer;
@@ -58,7 +59,7 @@
     if !statement.is_change() {
         submit::read(state)
             .await
-            .map_err(|refusal| refused(state, refusal))?;
+            .map_err(|refusal| refused(state, Id(0), refusal))?;
         return show::run(state, &statement);
     }
     let id = command.ok_or(Failure::CommandMissing)?;
@@ -68,8 +69,11 @@
             service,
             key,
             settlement,
-        } => settle(state, partner, service, key.0, settlement).await,
-        Statement::Replace { old, new } => replace(state, old, new).await,
+        } => {
+            let key = settled_key(partner, service, key.0)?;
+            settle(state, id, key, settlement).await
+        }
+        Statement::Replace { old, new } => replace(state, id, old, new).await,
         other => change(state, id, operator, other).await,
     }
 }
@@ -89,7 +93,7 @@
         action,
     };
     let reply = submit::command(state, command).await;
-    match reply.map_err(|refusal| refused(state, refusal))? {
+    match reply.map_err(|refusal| refused(state, id, refusal))? {
         Reply::Accepted(revision) => {
             let text = format!("accepted as revision {revision}; command {id}");
             Ok(Answer::note(&text))
@@ -186,8 +190,9 @@
 }
 
 /// A refusal on the way to a decision.
-pub(crate) fn refused(state: &State, refusal: Refusal) -> Failure {
+fn refused(state: &State, command: Id, refusal: Refusal) -> Failure {
     match refusal {
+        Refusal::Undecided => Failure::Undecided { command },
         Refusal::NoQuorum | Refusal::NotLeader(_) => Failure::NoQuorum,
         Refusal::Overloaded => Failure::Request {
             status: 503,
@@ -238,34 +243,37 @@
     made.map(|change| change.command)
 }
 
-async fn settle(
-    state: &Arc<State>,
-    partner: partner::Name,
-    service: service::Name,
-    key: u128,
-    settlement: Settlement,
-) -> Result<Answer, Failure> {
+fn settled_key(partner: partner::Name, service: service::Name, key: u128) -> Result<Key, Failure> {
     let invalid = |error: key::Invalid| Failure::InvalidValue {
         key: "key".to_owned(),
         allowed: error.to_string(),
     };
-    let key = Key {
-        id: key::Id::new(key).map_err(invalid)?,
+    let id = key::Id::new(key).map_err(invalid)?;
+    Ok(Key {
+        id,
         partner,
         service,
+    })
+}
+
+async fn settle(
+    state: &Arc<State>,
+    command: Id,
+    key: Key,
+    settlement: Settlement,
+) -> Result<Answer, Failure> {
+    // Asked of a majority: this member may have missed the record. What is settled
+    // already is asked for again too, so that a resent statement gets its answer.
+    let attempt = match claims::run(state, key.clone(), Task::Look).await {
+        Ok(Report::Outcome { attempt, .. }) => attempt,
+        Ok(Report::Granted { .. } | Report::Absent) => {
+            return Err(Failure::UnknownName {
+                kind: "request of unknown outcome".to_owned(),
+                name: key.id.to_string(),
+            });
+        }
+        Err(refusal) => return Err(not_settled(&refusal)),
     };
-    let attempt = {
-        let claims = state.claims.lock();
-        let register = claims.acceptor.table().get(&key);
-        register
-            .and_then(|register| register.accepted.as_ref())
-            .filter(|accepted| matches!(accepted.record.state, RecordState::Unknown { .. }))
-            .map(|accepted| accepted.record.attempt)
-    };
-    let attempt = attempt.ok_or_else(|| Failure::UnknownName {
-        kind: "request of unknown outcome".to_owned(),
-        name: key.id.to_string(),
-    })?;
     let decision = match settlement {
         Settlement::NotRun => Decision::NotRun,
         Settlement::Done => Decision::Done(outcome::Answer {
@@ -284,13 +292,35 @@
         Ok(Report::Granted { .. } | Report::Absent) => Err(Failure::Internal {
             reason: "the claim group answered another question".to_owned(),
         }),
-        Err(refusal) => Err(Failure::Request {
-            status: 409,
-            reason: format!("{refusal:?}"),
+        Err(refusal) => Err(match not_settled(&refusal) {
+            // The rounds may have reached some members, and a later round may complete them.
+            Failure::NoQuorum => Failure::Undecided { command },
+            failure => failure,
         }),
     }
 }
 
+fn not_settled(refusal: &claim::Refusal) -> Failure {
+    match refusal {
+        claim::Refusal::Claim(proposer::Failure::Refused(refusal)) => Failure::Request {
+            status: 409,
+            reason: refusal.to_string(),
+        },
+        claim::Refusal::Claim(proposer::Failure::Expired(_)) => Failure::UnknownName {
+            kind: "request whose record is kept".to_owned(),
+            name: refusal_text(refusal),
+        },
+        _ => Failure::NoQuorum,
+    }
+}
+
+fn refusal_text(refusal: &claim::Refusal) -> String {
+    match refusal {
+        claim::Refusal::Claim(failure) => failure.to_string(),
+        other => format!("{other:?}"),
+    }
+}
+
 /// The outcome in a word.
 pub(crate) const fn name(outcome: &outcome::Outcome) -> &'static str {
     match outcome {
@@ -301,11 +331,11 @@
     }
 }
 
-async fn replace(state: &Arc<State>, old: u64, new: u64) -> Result<Answer, Failure> {
+async fn replace(state: &Arc<State>, id: Id, old: u64, new: u64) -> Result<Answer, Failure> {
     let peer = disk_of(state, new).await?;
     submit::replace(state, old, peer)
         .await
-        .map_err(|refusal| refused(state, refusal))?;
+        .map_err(|refusal| refused(state, id, refusal))?;
     let text = format!(
         "member {old} is replaced by {new} on disk {:032x}",
         peer.disk.0
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -22,6 +22,9 @@
 /// Longest wait for a quorum. An election takes up to twice its timeout of 1 s.
 const QUORUM_LIMIT: Duration = Duration::from_secs(4);
 
+/// Longest wait for a replacement: its own limit and the steps around it.
+const REPLACE_LIMIT: Duration = Duration::from_secs(40);
+
 /// Pause before a leader is looked for again.
 const LEADER_PAUSE: Duration = Duration::from_millis(100);
 
@@ -64,7 +67,7 @@
 
 /// Asks the leader, which may be this process, until one answers or the time is up.
 async fn ask(state: &Arc<State>, ask: &Ask) -> Reply {
-    let deadline = state.now() + QUORUM_LIMIT;
+    let deadline = state.now() + limit(ask);
     loop {
         let reply = match leader(state) {
             Some(leader) if leader == state.identity.peer => serve(state, ask.clone()).await,
@@ -81,6 +84,15 @@
     }
 }
 
+/// Longest wait for the leader's answer.
+const fn limit(ask: &Ask) -> Duration {
+    match ask {
+        Ask::Command(_) | Ask::Read => QUORUM_LIMIT,
+        // The new member first has to hold the log.
+        Ask::Replace { .. } => REPLACE_LIMIT,
+    }
+}
+
 pub(crate) fn leader(state: &State) -> Option<Peer> {
     let now = state.now();
     let log = state.log.lock();
@@ -91,12 +103,20 @@
     let Some(peer) = state.peers.get(leader.id.0) else {
         return Err(Refusal::NotLeader(None));
     };
-    let asked = peer.ask(forward::METHOD, ask, QUORUM_LIMIT).await;
+    let asked = peer.ask(forward::METHOD, ask, limit(ask)).await;
     match asked {
         Ok(reply) => reply,
         // A question that was not sent may be asked again; what was sent may have been accepted.
         Err(failure) if failure.is_not_sent() => Err(Refusal::NotLeader(None)),
-        Err(_) => Err(Refusal::NoQuorum),
+        Err(_) => Err(open(ask)),
+    }
+}
+
+/// What may have become of a question whose answer is lost.
+const fn open(ask: &Ask) -> Refusal {
+    match ask {
+        Ask::Command(_) | Ask::Replace { .. } => Refusal::Undecided,
+        Ask::Read => Refusal::NoQuorum,
     }
 }
 
@@ -129,7 +149,7 @@
     state.wake.notify_one();
     let index = position.index.0;
     if !state.wait_applied(index, QUORUM_LIMIT).await {
-        return Err(Refusal::NoQuorum);
+        return Err(Refusal::Undecided);
     }
     // Another leader's entry may have taken the place; then there is no reply to this command.
     let outcome = state.catalog.lock().reply(id).cloned();
--- a/crates/disk/src/journal.rs
+++ b/crates/disk/src/journal.rs
@@ -254,6 +254,11 @@
         seen.failure.map_or(Ok(()), |f| Err(Refusal::Failed(f)))
     }
 
+    /// Last position that was put in line.
+    pub fn appended(&self) -> Position {
+        Position(self.shared.table.lock().next.0 - 1)
+    }
+
     /// Last position on the disk.
     pub fn durable_position(&self) -> Position {
         self.shared.progress.borrow().durable
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -9,14 +9,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::HeaderValue;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use log::warn;
 use tokio::time;
 
+use crate::fate::RECORD_LIMIT;
+use crate::fate::ask;
+use crate::fate::key;
+use crate::fate::outcome_refusal;
+use crate::fate::running_refusal;
+use crate::fate::stored;
 use crate::gate;
 use crate::gate::Attempt;
 use crate::gate::Sent;
@@ -36,18 +39,13 @@
 use shallotrill_claim::proposer::Task;
 use shallotrill_claim::record;
 use shallotrill_claim::record::Report;
-use shallotrill_control_client::claim::Ask;
 use shallotrill_control_client::claim::Refusal as ClaimRefusal;
-use shallotrill_model::attempt;
 use shallotrill_model::digest::Digest;
 use shallotrill_model::outcome::Answer;
-use shallotrill_model::outcome::Outcome;
 use shallotrill_model::outcome::Reason;
-use shallotrill_model::outcome::Run;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
 use shallotrill_wire::body::Prefix;
-use shallotrill_wire::refusal;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
@@ -61,12 +59,12 @@
 /// outcome that nobody knows.
 const ANSWER_GRACE: Duration = Duration::from_secs(10);
 
-/// Longest time to record an outcome.
-const RECORD_LIMIT: Duration = Duration::from_secs(3);
+/// How long the node goes on recording an outcome that no quorum took at first.
+const LATER_LIMIT: Duration = Duration::from_mins(5);
 
-/// Pause between two looks at a running request; it doubles up to the second value.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
-const LOOK_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// Pause before it is recorded again; it doubles up to the second value.
+const LATER_PAUSE: Duration = Duration::from_millis(500);
+const LATER_PAUSE_MAX: Duration = Duration::from_secs(10);
 
 /// Runs a non-idempotent attempt that has a slot.
 ///
@@ -83,6 +81,7 @@
         state: Arc::clone(state),
         plan: Arc::clone(plan),
         attempt,
+        grant: Id(rand::random()),
         key: key(plan)?,
         holder: Holder {
             instance: state.identity.instance.clone(),
@@ -99,24 +98,12 @@
     }
 }
 
-fn key(plan: &Plan) -> Result<Key, Refusal> {
-    plan.key.clone().ok_or_else(|| {
-        let message = "a non-idempotent request reached its target without a key".to_owned();
-        Refusal::not_run(Code::KeyMissing, message)
-    })
-}
-
-fn running_refusal(message: &str) -> Refusal {
-    Refusal {
-        run: Run::Running,
-        ..Refusal::unknown(Code::Running, message.to_owned())
-    }
-}
-
 struct Work {
     state: Arc<State>,
     plan: Arc<Plan>,
     attempt: Attempt,
+    /// Identifier of the grant that this work asks for; other copies of the request have others.
+    grant: Id,
     key: Key,
     holder: Holder,
 }
@@ -144,7 +131,7 @@
     }
 
     async fn open(&self) -> Result<Opened, Refusal> {
-        let id = Id(rand::random());
+        let id = self.grant;
         let asked = self.state.now();
         let open = Change::Open {
             digest: self.plan.content,
@@ -155,6 +142,10 @@
         let limit = self.plan.left(asked).min(VALIDITY);
         let reply = self.change(open, limit).await;
         self.state.metrics.claimed(matches!(&reply, Ok(Ok(_))));
+        if !is_decided(&reply) {
+            // The grant may still be decided. It is never used, and only this node can prove that.
+            self.record_later(self.not_run(Reason::Expired));
+        }
         match reply {
             Ok(Ok(Report::Granted { attempt, grant })) if grant == id => {
                 Ok(Opened::Granted(Grant { id, attempt, asked }))
@@ -233,13 +224,17 @@
     }
 
     async fn record_not_run(&self, reason: Reason) -> bool {
-        self.record(Change::NotRun {
+        self.record(self.not_run(reason)).await
+    }
+
+    fn not_run(&self, reason: Reason) -> Change {
+        Change::NotRun {
             digest: self.plan.content,
             attempt: self.attempt.number,
             holder: self.holder.clone(),
+            grant: self.grant,
             reason,
-        })
-        .await
+        }
     }
 
     async fn record_unknown(&self) {
@@ -248,7 +243,27 @@
     }
 
     async fn record(&self, change: Change) -> bool {
-        matches!(self.change(change, RECORD_LIMIT).await, Ok(Ok(_)))
+        let reply = self.change(change.clone(), RECORD_LIMIT).await;
+        if !is_decided(&reply) {
+            self.record_later(change);
+        }
+        matches!(reply, Ok(Ok(_)))
+    }
+
+    /// Goes on recording an outcome that no quorum took. It ends with the
+    /// process, since a planned stop must not wait for control.
+    fn record_later(&self, change: Change) {
+        let Ok(permit) = Arc::clone(&self.state.recording).try_acquire_owned() else {
+            warn!(event = "outcome-not-recorded", request = self.plan.request.to_string().as_str(); "too many outcomes wait for a quorum");
+            return;
+        };
+        let state = Arc::clone(&self.state);
+        let plan = Arc::clone(&self.plan);
+        let key = self.key.clone();
+        drop(tokio::spawn(async move {
+            record_until(&state, &plan, &key, change).await;
+            drop(permit);
+        }));
     }
 
     async fn change(
@@ -267,147 +282,36 @@
     }
 }
 
-enum Opened {
-    Granted(Grant),
-    /// The request ran before; this was its answer.
-    Answered(Answer),
-}
-
-async fn ask(
-    state: &State,
-    plan: &Plan,
-    key: &Key,
-    task: Task,
-    limit: Duration,
-) -> Result<Result<Report, ClaimRefusal>, String> {
-    let ask = Ask {
-        region: plan.service.claim_region.clone(),
-        key: key.clone(),
-        task,
-    };
-    let reply = state.control.claim(&ask, limit).await;
-    reply.map_err(|error| error.to_string())
-}
-
-/// What an entry node found out about an attempt that it lost sight of.
-#[derive(Debug)]
-pub(crate) enum Fate {
-    /// The attempt never runs; a later one may.
-    Fenced(attempt::Number),
-    /// The request has an outcome.
-    Settled(Result<Response<Body>, Refusal>),
-}
-
-/// Fences an attempt of which the target's node gave no answer, or waits for its outcome.
-pub(crate) async fn fence(state: &State, plan: &Plan, attempt: attempt::Number) -> Fate {
-    let change = Change::Fence {
-        digest: plan.content,
-        attempt,
-    };
-    let key = match key(plan) {
-        Ok(key) => key,
-        Err(refusal) => return Fate::Settled(Err(refusal)),
-    };
-    match ask(state, plan, &key, Task::Change(change), RECORD_LIMIT).await {
-        Ok(Ok(Report::Outcome {
-            outcome: Outcome::NotRun(_),
-            ..
-        })) => Fate::Fenced(attempt),
-        Ok(Ok(Report::Outcome {
-            outcome: Outcome::Running,
-            ..
-        })) => Fate::Settled(follow(state, plan).await),
-        Ok(Ok(Report::Outcome { outcome, .. })) => Fate::Settled(settled(&outcome)),
-        Ok(Ok(Report::Granted { .. } | Report::Absent)) => {
-            Fate::Settled(Err(running_refusal("the attempt may still run")))
+/// Records a change as soon as a quorum takes it, for a limited time.
+async fn record_until(state: &State, plan: &Plan, key: &Key, change: Change) {
+    let end = state.now() + LATER_LIMIT;
+    let mut pause = LATER_PAUSE;
+    while state.now() + pause < end {
+        // Half of the pause is random, so that the nodes do not come back all at once.
+        time::sleep(pause / 2 + pause.mul_f64(rand::random::<f64>() / 2.0)).await;
+        pause = (pause * 2).min(LATER_PAUSE_MAX);
+        let task = Task::Change(change.clone());
+        if is_decided(&ask(state, plan, key, task, RECORD_LIMIT).await) {
+            return;
         }
-        Ok(Err(refusal)) => Fate::Settled(Err(maybe_ran(refuse::claim(&refusal)))),
-        Err(message) => Fate::Settled(Err(maybe_ran(refuse::control(message)))),
     }
+    warn!(event = "outcome-not-recorded", request = plan.request.to_string().as_str(); "no quorum in {LATER_LIMIT:?}");
 }
 
-/// Without a fence the attempt may run, whatever the claim group's refusal says of itself.
-fn maybe_ran(refusal: Refusal) -> Refusal {
-    Refusal {
-        run: Run::Unknown,
-        ..refusal
-    }
-}
-
-/// Waits until a request that runs elsewhere has an outcome, or the deadline passes.
-pub(crate) async fn follow(state: &State, plan: &Plan) -> Result<Response<Body>, Refusal> {
-    let key = key(plan)?;
-    let mut pause = LOOK_PAUSE;
-    loop {
-        let left = plan.left(state.now());
-        if left <= pause {
-            return Err(running_refusal(
-                "the request is running under an earlier attempt",
-            ));
-        }
-        time::sleep(pause).await;
-        pause = (pause * 2).min(LOOK_PAUSE_MAX);
-        match ask(state, plan, &key, Task::Look, left.min(RECORD_LIMIT)).await {
-            Ok(
-                Ok(Report::Outcome {
-                    outcome: Outcome::Running,
-                    ..
-                })
-                | Err(_),
-            )
-            | Err(_) => {}
-            Ok(Ok(Report::Outcome { outcome, .. })) => return settled(&outcome),
-            Ok(Ok(Report::Granted { .. } | Report::Absent)) => {
-                return Err(running_refusal(
-                    "the request is running under an earlier attempt",
-                ));
-            }
-        }
-    }
-}
-
-fn settled(outcome: &Outcome) -> Result<Response<Body>, Refusal> {
-    match outcome {
-        Outcome::Answer(answer) => Ok(stored(answer)),
-        other => Err(outcome_refusal(other)),
-    }
+/// Whether the claim group decided on a question, so that asking again gives the same answer.
+const fn is_decided(reply: &Result<Result<Report, ClaimRefusal>, String>) -> bool {
+    matches!(
+        reply,
+        Ok(Ok(_)
+            | Err(ClaimRefusal::Ahead(_)
+                | ClaimRefusal::Claim(
+                    proposer::Failure::Refused(_) | proposer::Failure::Expired(_)
+                )))
+    )
 }
 
-fn outcome_refusal(outcome: &Outcome) -> Refusal {
-    match outcome {
-        Outcome::Running => running_refusal("the request is running"),
-        Outcome::NotRun(reason) => {
-            Refusal::not_run(Code::Fenced, format!("the request did not run: {reason:?}"))
-        }
-        Outcome::Unknown => {
-            let message = "the request may have run and is not run again".to_owned();
-            Refusal::unknown(Code::OutcomeUnknown, message)
-        }
-        Outcome::Answer(_) => Refusal {
-            run: Run::Ran,
-            ..Refusal::unknown(Code::AnswerNotStored, "the request ran".to_owned())
-        },
-    }
-}
-
-/// The answer to a request that ran before, as it was stored.
-fn stored(answer: &Answer) -> Response<Body> {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    let body = answer.body.clone().map(Bytes::from);
-    let missing = body.is_none();
-    let mut response = Response::new(body::full(body.unwrap_or_default()));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    if let Ok(value) = HeaderValue::from_str(&answer.content_type)
-        && !answer.content_type.is_empty()
-    {
-        headers.insert(header::CONTENT_TYPE, value);
-    }
-    headers.insert(refusal::RUN, HeaderValue::from_static(Run::Ran.as_str()));
-    if missing {
-        // The body is absent, which a reader must be able to tell from an empty one.
-        let code = HeaderValue::from_static(Code::AnswerNotStored.as_str());
-        headers.insert(refusal::ERROR, code);
-    }
-    response
+enum Opened {
+    Granted(Grant),
+    /// The request ran before; this was its answer.
+    Answered(Answer),
 }
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -12,9 +12,9 @@
 use crate::attempt::Answered;
 use crate::attempt::Attempt;
 use crate::attempt::Failed;
-use crate::claims;
-use crate::claims::Fate;
 use crate::explain;
+use crate::fate;
+use crate::fate::Fate;
 use crate::plan::Plan;
 use crate::refuse;
 use crate::state::State;
@@ -47,7 +47,12 @@
 /// Returns a [`Refusal`] that says whether the request can have run.
 pub(crate) async fn run(state: &Arc<State>, plan: &Arc<Plan>) -> Result<Response<Body>, Refusal> {
     let mut course = Course::new(state, plan)?;
-    let result = course.run().await;
+    let result = match course.run().await {
+        Err(refusal) if plan.class == Class::NonIdempotent => {
+            fate::confirm(state, plan, refusal).await
+        }
+        result => result,
+    };
     course.explain(&result);
     result
 }
@@ -274,12 +279,12 @@
     /// Finds out what became of a non-idempotent attempt; returns the outcome if there is one.
     async fn resolve(&self, failed: &mut Failed) -> Option<Result<Response<Body>, Refusal>> {
         if failed.refusal.code == Code::Running {
-            return Some(claims::follow(self.state, self.plan).await);
+            return Some(fate::follow(self.state, self.plan).await);
         }
         if failed.kind.proves_not_run() || failed.refusal.code == Code::OutcomeUnknown {
             return None;
         }
-        match claims::fence(self.state, self.plan, failed.attempt.number).await {
+        match fate::fence(self.state, self.plan, failed.attempt.number).await {
             Fate::Fenced(attempt) => {
                 failed.kind = decision::Kind::Fenced;
                 failed.refusal =
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod dump;
 mod entry;
 mod explain;
+mod fate;
 mod gate;
 mod local;
 mod metrics;
--- a/crates/node/src/refuse.rs
+++ b/crates/node/src/refuse.rs
@@ -70,15 +70,23 @@
 pub(crate) fn claim(refusal: &claim::Refusal) -> Refusal {
     let failure = match refusal {
         claim::Refusal::Claim(failure) => failure,
-        claim::Refusal::NoGroup | claim::Refusal::NotMember => {
+        claim::Refusal::NoGroup
+        | claim::Refusal::NotMember
+        | claim::Refusal::Region(_)
+        | claim::Refusal::Starting => {
             let message = "the control process has no claim group for the service".to_owned();
             return Refusal::not_run(Code::ClaimUnavailable, message).retry_after(RETRY_AFTER);
         }
+        claim::Refusal::Ahead(ahead_ms) => {
+            let message = format!("the key was issued {ahead_ms} ms in the future");
+            return Refusal::not_run(Code::KeyInvalid, message);
+        }
     };
     let message = failure.to_string();
     match failure {
         proposer::Failure::Refused(refusal) => record(refusal),
-        proposer::Failure::Expired(_) => Refusal::not_run(Code::KeyExpired, message),
+        // The record is gone, and with it what is known of attempts before the key expired.
+        proposer::Failure::Expired(_) => Refusal::unknown(Code::KeyExpired, message),
         proposer::Failure::Full => Refusal::not_run(Code::ClaimFull, message),
         proposer::Failure::Conflict { .. }
         | proposer::Failure::Epoch(_)
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio_util::task::TaskTracker;
 
 use crate::explain;
@@ -40,6 +41,9 @@
 use shallotrill_routing::config::Config as RoutingConfig;
 use shallotrill_routing::table::Table as Routing;
 
+/// Most outcomes that wait for a quorum. Each holds a plan, and a node without control must not grow without limit.
+const RECORDING_MAX: usize = 1_000;
+
 /// Length of a target's lease; the view keeps unconfirmed targets for this time after a switch.
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -142,6 +146,8 @@
     pub(crate) sync: Mutex<sync::Pending>,
     /// Work that goes on when its caller disconnects; a stop waits for it.
     pub(crate) tasks: TaskTracker,
+    /// Places for outcomes that wait for a quorum of a claim group.
+    pub(crate) recording: Arc<Semaphore>,
     next: AtomicU64,
 }
 
@@ -197,6 +203,7 @@
             stopping: AtomicBool::new(false),
             contact: AtomicU64::new(0),
             tasks: TaskTracker::new(),
+            recording: Arc::new(Semaphore::new(RECORDING_MAX)),
             next: AtomicU64::new(1),
         }
     }
--- a/crates/replica/src/forward.rs
+++ b/crates/replica/src/forward.rs
@@ -31,6 +31,8 @@
 pub enum Refusal {
     /// This process does not lead; holds the leader if it is known.
     NotLeader(Option<Peer>),
+    /// The question was passed on, and no answer came in time: it may still be accepted.
+    Undecided,
     /// No quorum confirmed in time. A command may still be accepted; its id tells.
     NoQuorum,
     /// Too much waits for a quorum.
--- a/crates/replica/src/peers.rs
+++ b/crates/replica/src/peers.rs
@@ -181,6 +181,8 @@
     loop {
         let batch: Vec<Waiting> = {
             let mut claims = peer.claims.lock();
+            // What a lost connection held up is of no use to a proposer that has given up.
+            claims.retain(|waiting| !waiting.reply.is_closed());
             let count = claims.len().min(CLAIM_BATCH_MAX);
             claims.drain(..count).collect()
         };
