--- /dev/null
+++ b/crates/bench/src/forward.rs
@@ -0,0 +1,126 @@
+//! A TCP forwarder that delays bytes or swallows them.
+//!
+//! It stands for the network between two processes. A cut is silent: both
+//! ends keep their connections and hear nothing. A connection that was cut
+//! stays silent after the cut ends, while new ones work.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::time;
+
+/// Bytes that are read at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Chunks under way in one direction of one connection.
+const CHUNKS: usize = 1_024;
+
+/// Which directions are cut.
+#[derive(Debug, Default)]
+struct Cuts {
+    there: AtomicBool,
+    back: AtomicBool,
+}
+
+/// A listener that passes connections on to one address.
+#[derive(Debug)]
+pub struct Forward {
+    address: SocketAddr,
+    cuts: Arc<Cuts>,
+}
+
+impl Forward {
+    /// Listens at `listen` and passes connections on to `to`, with `delay` in each direction.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the address cannot be listened on.
+    pub async fn start(listen: SocketAddr, to: SocketAddr, delay: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let cuts = Arc::new(Cuts::default());
+        let shared = Arc::clone(&cuts);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(pass(near, to, delay, Arc::clone(&shared)));
+            }
+        });
+        Ok(Self { address, cuts })
+    }
+
+    /// Address to connect to.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts or restores what the opener of the connections sends (`there`) and what it hears (`back`).
+    pub fn cut(&self, there: bool, back: bool) {
+        self.cuts.there.store(there, Ordering::Relaxed);
+        self.cuts.back.store(back, Ordering::Relaxed);
+    }
+}
+
+async fn pass(near: TcpStream, to: SocketAddr, delay: Duration, cuts: Arc<Cuts>) {
+    let Ok(far) = TcpStream::connect(to).await else {
+        return;
+    };
+    if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
+        return;
+    }
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let there = |cuts: &Cuts| cuts.there.load(Ordering::Relaxed);
+    let back = |cuts: &Cuts| cuts.back.load(Ordering::Relaxed);
+    tokio::join!(
+        direction(near_read, far_write, delay, &cuts, there),
+        direction(far_read, near_write, delay, &cuts, back),
+    );
+}
+
+async fn direction(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    delay: Duration,
+    cuts: &Cuts,
+    is_cut: impl Fn(&Cuts) -> bool,
+) {
+    let (sender, mut receiver) = mpsc::channel::<(time::Instant, Vec<u8>)>(CHUNKS);
+    let reading = async move {
+        let mut silent = false;
+        let mut buffer = vec![0; CHUNK_BYTES];
+        while let Ok(count @ 1..) = from.read(&mut buffer).await {
+            silent |= is_cut(cuts);
+            let chunk = buffer[..count].to_vec();
+            if !silent
+                && sender
+                    .send((time::Instant::now() + delay, chunk))
+                    .await
+                    .is_err()
+            {
+                return;
+            }
+        }
+    };
+    let writing = async move {
+        while let Some((due, chunk)) = receiver.recv().await {
+            if !delay.is_zero() {
+                time::sleep_until(due).await;
+            }
+            if to.write_all(&chunk).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(reading, writing);
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod backend;
 pub mod cluster;
+pub mod forward;
+pub mod group;
 pub mod http;
 pub mod operate;
