--- a/crates/bench/src/forward.rs
+++ b/crates/bench/src/forward.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -26,11 +27,12 @@
 /// Chunks under way in one direction of one connection.
 const CHUNKS: usize = 1_024;
 
-/// Which directions are cut.
+/// Which directions are cut, and what passed.
 #[derive(Debug, Default)]
 struct Cuts {
     there: AtomicBool,
     back: AtomicBool,
+    bytes: AtomicU64,
 }
 
 /// A listener that passes connections on to one address.
@@ -64,6 +66,11 @@
         self.address
     }
 
+    /// Bytes read in both directions.
+    pub fn bytes(&self) -> u64 {
+        self.cuts.bytes.load(Ordering::Relaxed)
+    }
+
     /// Cuts or restores what the opener of the connections sends (`there`) and what it hears (`back`).
     pub fn cut(&self, there: bool, back: bool) {
         self.cuts.there.store(there, Ordering::Relaxed);
@@ -101,6 +108,7 @@
         let mut buffer = vec![0; CHUNK_BYTES];
         while let Ok(count @ 1..) = from.read(&mut buffer).await {
             silent |= is_cut(cuts);
+            cuts.bytes.fetch_add(count as u64, Ordering::Relaxed);
             let chunk = buffer[..count].to_vec();
             if !silent
                 && sender
--- a/crates/bench/src/group.rs
+++ b/crates/bench/src/group.rs
@@ -217,6 +217,7 @@
     async fn try_start(&self, index: usize) -> io::Result<Running> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(2)
+            .thread_name(format!("control-{}", index + 1))
             .enable_all()
             .build()?;
         let settings = self.settings[index].clone();
@@ -249,6 +250,17 @@
         }
     }
 
+    /// Bytes that the connections between the processes have carried, in both directions.
+    pub fn wire_bytes(&self) -> u64 {
+        let forwards = self.forwards.iter().flatten().flatten();
+        forwards.map(Forward::bytes).sum()
+    }
+
+    /// Address of one process as another one reaches it, through the network between them.
+    pub fn address_from(&self, from: usize, to: usize) -> Option<SocketAddr> {
+        self.forwards[from][to].as_ref().map(Forward::address)
+    }
+
     /// The connection to the RPC listener of a process, for questions of any kind.
     pub fn link(&self, index: usize) -> &Link {
         &self.links[index]
--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -75,6 +75,7 @@
         "journal": {
             "appends": counters.appends,
             "syncs": counters.syncs,
+            "sync_us": counters.sync_us,
             "bytes": counters.bytes,
             "failure": failure,
         },
--- a/crates/control/tests/claims.rs
+++ b/crates/control/tests/faults/claims.rs
@@ -1,11 +1,9 @@
 //! Faults at every step of a claim, through real control processes with real disks.
 
-mod scene;
-
 use std::time::Duration;
 
-use scene::Rogue;
-
+use crate::scene;
+use crate::scene::Rogue;
 use shallotrill_bench::cluster;
 use shallotrill_bench::group::Group;
 use shallotrill_bench::operate;
--- a/crates/control/tests/operators.rs
+++ b/crates/control/tests/faults/operators.rs
@@ -1,17 +1,16 @@
 //! Statements of operators and questions of nodes, through real control processes.
 
-mod scene;
-
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use scene::PATIENCE;
-use scene::Rogue;
 use tempfile::TempDir;
 use tokio::time;
 
+use crate::scene;
+use crate::scene::PATIENCE;
+use crate::scene::Rogue;
 use shallotrill_bench::cluster;
 use shallotrill_bench::group::Group;
 use shallotrill_bench::operate;
@@ -19,7 +18,6 @@
 use shallotrill_claim::key::Key;
 use shallotrill_claim::proposer::Task;
 use shallotrill_control_client::claim;
-use shallotrill_language::answer::Cell;
 use shallotrill_model::attempt::Number as Attempt;
 use shallotrill_model::region;
 use shallotrill_operator::client::Cause;
@@ -243,19 +241,8 @@
 async fn leader(group: &Group) -> usize {
     let end = time::Instant::now() + PATIENCE;
     loop {
-        let request = Request {
-            statement: "show members".to_owned(),
-            command: None,
-            operator: "test".to_owned(),
-        };
-        let client = Client::new(group.operators()[1..].to_vec(), scene::LIMIT);
-        let answer = client.send(&request).await;
-        let leads = |row: &Vec<Cell>| row.contains(&Cell::Flag(true));
-        if let Ok(answer) = &answer
-            && let Some(row) = answer.rows.iter().find(|row| leads(row))
-            && let Some(Cell::Count(number)) = row.first()
-        {
-            return *number as usize - 1;
+        if let Some(number) = scene::leader(group.operators()[1]).await {
+            return number as usize - 1;
         }
         assert!(time::Instant::now() < end, "no leader");
         time::sleep(Duration::from_millis(100)).await;
--- a/crates/control/tests/scene/mod.rs
+++ b/crates/control/tests/faults/scene.rs
@@ -1,5 +1,6 @@
 //! What the tests share: raw messages to members, questions as nodes ask them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -23,10 +24,13 @@
 use shallotrill_claim::proposer::Task;
 use shallotrill_claim::record::Report;
 use shallotrill_control_client::claim;
+use shallotrill_language::answer::Cell;
 use shallotrill_model::attempt::Number as Attempt;
 use shallotrill_model::digest::Digest;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::outcome::Outcome;
+use shallotrill_operator::client::Client;
+use shallotrill_operator::wire::Request;
 use shallotrill_replica::claims;
 
 pub const DIGEST: Digest = Digest([7; 32]);
@@ -152,3 +156,19 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Number of the leader, if a control process knows one.
+pub async fn leader(operator: SocketAddr) -> Option<u64> {
+    let request = Request {
+        statement: "show members".to_owned(),
+        command: None,
+        operator: "test".to_owned(),
+    };
+    let client = Client::new(vec![operator], LIMIT);
+    let answer = client.send(&request).await.ok()?;
+    let leads = |row: &&Vec<Cell>| row.contains(&Cell::Flag(true));
+    match answer.rows.iter().find(leads)?.first() {
+        Some(Cell::Count(number)) => Some(*number),
+        _ => None,
+    }
+}
