--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod backend;
 pub mod cluster;
+pub mod forward;
+pub mod group;
 pub mod http;
 pub mod load;
 pub mod noise;
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -12,13 +12,12 @@
 use crate::attempt::Answered;
 use crate::attempt::Attempt;
 use crate::attempt::Failed;
-use crate::claims;
-use crate::claims::Fate;
 use crate::explain;
+use crate::fate;
+use crate::fate::Fate;
 use crate::plan::Plan;
 use crate::refuse;
 use crate::state::State;
-use crate::withdraw;
 use shallotrill_model::attempt::Number;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
@@ -49,8 +48,10 @@
 pub(crate) async fn run(state: &Arc<State>, plan: &Arc<Plan>) -> Result<Response<Body>, Refusal> {
     let mut course = Course::new(state, plan)?;
     let result = match course.run().await {
-        Err(refusal) => withdraw::confirm(state, plan, course.number, refusal).await,
-        answered => answered,
+        Err(refusal) if plan.class == Class::NonIdempotent => {
+            fate::confirm(state, plan, refusal).await
+        }
+        result => result,
     };
     course.explain(&result);
     result
@@ -288,12 +289,12 @@
     /// Finds out what became of a non-idempotent attempt; returns the outcome if there is one.
     async fn resolve(&self, failed: &mut Failed) -> Option<Result<Response<Body>, Refusal>> {
         if failed.refusal.code == Code::Running {
-            return Some(claims::follow(self.state, self.plan).await);
+            return Some(fate::follow(self.state, self.plan).await);
         }
         if failed.kind.proves_not_run() || failed.refusal.code == Code::OutcomeUnknown {
             return None;
         }
-        match claims::fence(self.state, self.plan, failed.attempt.number).await {
+        match fate::fence(self.state, self.plan, failed.attempt.number).await {
             Fate::Fenced(attempt) => {
                 failed.kind = decision::Kind::Fenced;
                 failed.refusal =
