control: report a change whose quorum was lost as undecided, and a reused command id

Cause: a change that the leader had proposed when its quorum was lost was refused as no-quorum, which says that nothing was accepted; a later leader can still commit it. A command id with another statement got the answer 'accepted' of the first statement, because nothing produced command-reused. Before: 'accepted as revision 8' for the other statement (case 'two operators'). Limit: a reused id of a refused command, or one beyond the history, is not told.

--- a/crates/control/src/statements.rs
+++ b/crates/control/src/statements.rs
@@ -88,8 +88,17 @@
         at: state.clock.wall(),
         action,
     };
+    let action = command.action.clone();
     let reply = submit::command(state, command).await;
-    match reply.map_err(|refusal| refused(state, refusal))? {
+    let reply = reply.map_err(|refusal| match refusal {
+        // The change may have been proposed, and a later leader may still commit it.
+        Refusal::NoQuorum => Failure::Undecided { command: id },
+        other => refused(state, other),
+    });
+    match reply? {
+        Reply::Accepted(_) if is_reused(state, id, &action) => {
+            Err(Failure::CommandReused { command: id })
+        }
         Reply::Accepted(revision) => {
             let text = format!("accepted as revision {revision}; command {id}");
             Ok(Answer::note(&text))
@@ -98,6 +107,13 @@
     }
 }
 
+/// Whether the command that was accepted under this id made another change, as far as the history goes.
+fn is_reused(state: &State, id: Id, action: &Action) -> bool {
+    let catalog = state.catalog.lock();
+    let mut changes = catalog.history().last(usize::MAX);
+    changes.any(|change| change.command == id && change.action != *action)
+}
+
 fn action(state: &State, statement: Statement) -> Result<(Option<Revision>, Action), Failure> {
     Ok(match statement {
         Statement::Create { service, settings } => {
