bench: test racing operators, frozen nodes in 'in force', drains and a planned stop

Change: a third table of cases in an installation of its own, and callers that send while a case goes on. Ruled out: a node that exits with an error on SIGTERM; the first form of the test sent the signal twice, which ends a node at once by design.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -215,6 +215,15 @@
     /// Returns the error of the system.
     pub fn stop(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
         self.signal(Signal::TERM)?;
+        self.wait(limit)
+    }
+
+    /// Waits for the end of the process; it is killed after `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub fn wait(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
         let end = Instant::now() + limit;
         let Some(child) = &mut self.child else {
             return Ok(None);
--- a/crates/bench/tests/installations.rs
+++ b/crates/bench/tests/installations.rs
@@ -13,3 +13,8 @@
 fn control_loses_nothing() {
     processes::control::run();
 }
+
+#[test]
+fn operators_change_and_drain() {
+    processes::operators::run();
+}
--- a/crates/bench/tests/processes/mod.rs
+++ b/crates/bench/tests/processes/mod.rs
@@ -2,4 +2,6 @@
 
 pub(crate) mod control;
 pub(crate) mod deposits;
+mod load;
+pub(crate) mod operators;
 mod scene;
