--- a/crates/bench/tests/processes/deposits.rs
+++ b/crates/bench/tests/processes/deposits.rs
@@ -154,6 +154,9 @@
         scene.until(other, &deposit(&key, "in flight"), is_unknown);
         println!("unknown after {:?}", killed.elapsed());
         assert!(killed.elapsed() < UNKNOWN_LIMIT);
+        for node in [other, (place + 2) % 3, other] {
+            scene.until(node, &deposit(&key, "in flight"), is_unknown);
+        }
         assert_eq!(scene.executed(&key), 1, "never run again");
         for control in 0..3 {
             wait("the request is listed", || {
