Detect silent connections to the backend server from evidence, and test its edge

Cause: a connection that the path forgets after it acknowledged a request kept an idempotent request until its deadline. A request was refused as exhausted while a spare connection was being opened in the last place. Connections that were given back unsent counted as closed in use, and idle ones that had aged stayed open until popped. An answer 101 was passed on.

A non-idempotent request waits until its deadline. Requests wait for a spare that is being opened. Counters close aged connections. Config, connection, head and lease have files of their own.

Ruled out: a mean instead of a peak, which gives up the slower of two kinds of request; a resend inside the pool, which the retry budget would not see.

--- a/crates/backend/src/answer.rs
+++ b/crates/backend/src/answer.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 use tokio::time::Sleep;
 
-use crate::pool::Connection;
+use crate::connection::Connection;
 use crate::pool::Pool;
 use shallotrill_wire::body;
 
--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -27,6 +27,10 @@
     Unframed,
     /// The answer names another request.
     Crossed,
+    /// The answer changes the protocol, which was not asked for.
+    Switched,
+    /// No answer came while later requests on other connections were answered; the connection was closed.
+    Silent(Duration),
 }
 
 impl Failure {
@@ -52,6 +56,11 @@
             Self::Timeout(limit) => write!(f, "no answer within {limit:?}"),
             Self::Unframed => f.write_str("the answer states neither its length nor a coding"),
             Self::Crossed => f.write_str("the answer names another request"),
+            Self::Switched => f.write_str("the answer changes the protocol"),
+            Self::Silent(waited) => write!(
+                f,
+                "no answer within {waited:?} while other connections were answered"
+            ),
         }
     }
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -5,5 +5,10 @@
 
 pub mod announce;
 pub mod answer;
+pub mod config;
+mod connection;
 pub mod failure;
+pub mod head;
+mod lease;
 pub mod pool;
+pub mod silence;
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -9,101 +9,33 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use log::debug;
-use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time;
 
-use crate::answer::Answer;
-use crate::answer::Finish;
+use crate::config::Config;
+use crate::connection;
+use crate::connection::Connection;
 use crate::failure::Failure;
+use crate::head::Head;
+use crate::lease::Lease;
+use crate::lease::Place;
+use crate::silence::Evidence;
+use crate::silence::Sequence;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_model::outcome::Run;
 use shallotrill_wire::body;
-use shallotrill_wire::body::Body;
 use shallotrill_wire::context;
 use shallotrill_wire::hop;
-use shallotrill_wire::listen;
 use shallotrill_wire::refusal;
 
 /// An idle connection that is not ready within this time after its answer ended is closed.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Parameters of the connections.
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    connect_timeout: Duration,
-    user_timeout: Duration,
-    idle_max: Duration,
-    spare: usize,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            connect_timeout: Duration::from_millis(500),
-            user_timeout: Duration::from_millis(500),
-            idle_max: Duration::from_secs(30),
-            spare: 1,
-        }
-    }
-}
-
-impl Config {
-    /// Sets the longest time to open a connection; 500 ms by default.
-    #[must_use]
-    pub const fn connect_timeout(mut self, timeout: Duration) -> Self {
-        self.connect_timeout = timeout;
-        self
-    }
-
-    /// Sets how long sent bytes may stay unacknowledged; 500 ms by default.
-    #[must_use]
-    pub const fn user_timeout(mut self, timeout: Duration) -> Self {
-        self.user_timeout = timeout;
-        self
-    }
-
-    /// Sets the time after which an idle connection is not used again; 30 s by default.
-    #[must_use]
-    pub const fn idle_max(mut self, idle: Duration) -> Self {
-        self.idle_max = idle;
-        self
-    }
-
-    /// Sets the idle connections kept ahead of need; 1 by default.
-    #[must_use]
-    pub const fn spare(mut self, spare: usize) -> Self {
-        self.spare = spare;
-        self
-    }
-}
-
-/// A connection in use by one request.
-pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    generation: u64,
-    fresh: bool,
-    idle_since: time::Instant,
-}
-
-impl fmt::Debug for Connection {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Connection")
-            .field("generation", &self.generation)
-            .finish_non_exhaustive()
-    }
-}
-
-#[derive(Default)]
 struct State {
     address: Option<SocketAddr>,
     /// Rises when the backend server is replaced; connections of a lower generation are closed.
@@ -111,7 +43,10 @@
     limit: usize,
     open: usize,
     opening: usize,
+    /// In the order of their last use.
     idle: Vec<Connection>,
+    sequence: Sequence,
+    evidence: Evidence,
     counts: Counts,
 }
 
@@ -130,12 +65,16 @@
     pub waited: u64,
     /// Connections closed with an answer outstanding.
     pub closed_in_use: u64,
+    /// Connections found silent while others worked.
+    pub silent: u64,
 }
 
 /// The connections to one backend server.
 pub struct Pool {
     config: Config,
     state: Mutex<State>,
+    /// Wakes requests that wait for a connection that is being opened ahead of need.
+    opened: Notify,
 }
 
 impl fmt::Debug for Pool {
@@ -146,58 +85,42 @@
     }
 }
 
-/// The head of an answer; its body is still at the backend server.
-pub struct Head {
-    parts: Parts,
-    not_run: bool,
-    incoming: Incoming,
-    left: Duration,
-    connection: Connection,
-    pool: Arc<Pool>,
-}
-
-impl fmt::Debug for Head {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Head")
-            .field("status", &self.parts.status)
-            .finish_non_exhaustive()
-    }
-}
-
-impl Head {
-    /// The status of the answer.
-    pub const fn status(&self) -> StatusCode {
-        self.parts.status
-    }
-
-    /// Whether the backend server states that it did not run the request.
-    ///
-    /// A backend server that sheds load may say so with `shallotrill-run: not-run`
-    /// on its answer; without that, an error answer proves nothing.
-    pub const fn states_not_run(&self) -> bool {
-        self.not_run
-    }
-
-    /// The whole answer. `finish` is called once, when its body has ended in one way or another.
-    pub fn answer(self, finish: Finish) -> Response<Body> {
-        let answer = Answer::new(self.incoming, self.left, self.connection, self.pool, finish);
-        Response::from_parts(self.parts, answer.boxed_unsync())
-    }
-}
-
 /// What a request finds in the pool.
 enum Found {
     Idle(Connection),
     /// A place for one more connection was taken; the request opens it.
     Open(SocketAddr, u64),
+    /// No place is left, and a connection that is being opened ahead of need is soon idle.
+    Wait,
+}
+
+/// Whether a request may be given up as unanswered when its connection seems silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// It may: it is idempotent and can be sent again.
+    Evidence,
+    /// It is waited for until its time limit, because it is not sent again.
+    Limit,
 }
 
 impl Pool {
     /// Makes a pool that refuses requests until [`Pool::connect_to`] names a backend server.
     pub fn new(config: Config) -> Self {
+        let state = State {
+            address: None,
+            generation: 0,
+            limit: 0,
+            open: 0,
+            opening: 0,
+            idle: Vec::new(),
+            sequence: Sequence::default(),
+            evidence: Evidence::new(time::Instant::now()),
+            counts: Counts::default(),
+        };
         Self {
             config,
-            state: Mutex::new(Rank::Pool, State::default()),
+            state: Mutex::new(Rank::Pool, state),
+            opened: Notify::new(),
         }
     }
 
@@ -220,9 +143,14 @@
         state.drop_idle();
     }
 
-    /// Counters for the state dump.
+    /// Closes idle connections that are not to be used again, and returns the counters.
     pub fn counts(&self) -> Counts {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        let (generation, before) = (state.generation, state.idle.len());
+        state
+            .idle
+            .retain(|connection| self.is_usable(connection, generation));
+        state.open -= before - state.idle.len();
         Counts {
             open: state.open,
             idle: state.idle.len(),
@@ -240,14 +168,19 @@
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         limit: Duration,
+        patience: Patience,
     ) -> Result<Head, Failure> {
         let started = time::Instant::now();
         let identity = request.headers().get(context::REQUEST).cloned();
-        let (response, lease) = match time::timeout(limit, self.exchange(request)).await {
+        let exchange = self.exchange(request, patience);
+        let (response, lease) = match time::timeout(limit, exchange).await {
             Ok(exchanged) => exchanged?,
             Err(_) => return Err(Failure::Timeout(limit)),
         };
         let (mut parts, incoming) = response.into_parts();
+        if parts.status.is_informational() {
+            return Err(Failure::Switched);
+        }
         if !body::is_framed(&parts.headers, &incoming) {
             return Err(Failure::Unframed);
         }
@@ -271,62 +204,119 @@
     async fn exchange(
         self: &Arc<Self>,
         mut request: Request<Full<Bytes>>,
+        patience: Patience,
     ) -> Result<(Response<Incoming>, Lease<'_>), Failure> {
         loop {
             let mut lease = self.take().await?;
-            let fresh = lease.connection().fresh;
-            let sent = lease.connection().sender.try_send_request(request).await;
+            lease.set_sent(true);
+            let connection = lease.connection();
+            let (fresh, sequence) = (connection.fresh, connection.sequence);
+            let sent = connection.sender.try_send_request(request);
+            let sent = match patience {
+                Patience::Evidence => self.watch(sequence, sent).await?,
+                Patience::Limit => sent.await,
+            };
             match sent {
                 Ok(response) => return Ok((response, lease)),
                 Err(mut error) => match error.take_message() {
-                    // The connection closed while it was idle: the request was not sent.
-                    Some(unsent) if !fresh => request = unsent,
-                    Some(_) => return Err(Failure::NotSent),
+                    Some(unsent) => {
+                        lease.set_sent(false);
+                        if fresh {
+                            return Err(Failure::NotSent);
+                        }
+                        // The connection closed while it was idle: the request was not sent.
+                        request = unsent;
+                    }
                     None => return Err(Failure::Lost(error.into_error())),
                 },
             }
         }
     }
 
+    /// Waits for an answer until it comes or its connection is found silent.
+    async fn watch<T>(
+        &self,
+        sequence: Sequence,
+        answer: impl Future<Output = T>,
+    ) -> Result<T, Failure> {
+        let started = time::Instant::now();
+        let mut answer = std::pin::pin!(answer);
+        loop {
+            let wait = self.state.lock().evidence.wait(time::Instant::now());
+            if let Ok(answer) = time::timeout(wait, answer.as_mut()).await {
+                return Ok(answer);
+            }
+            let now = time::Instant::now();
+            let waited = now.duration_since(started);
+            let mut state = self.state.lock();
+            if state.evidence.is_silent(sequence, waited, now) {
+                state.counts.silent += 1;
+                return Err(Failure::Silent(waited));
+            }
+        }
+    }
+
     /// Takes an idle connection or opens one.
     async fn take(self: &Arc<Self>) -> Result<Lease<'_>, Failure> {
         loop {
+            let opened = self.opened.notified();
             match self.find()? {
                 Found::Idle(connection) => {
                     self.open_spare();
                     let mut lease = Lease::new(self, connection);
                     let ready = lease.connection().sender.ready();
                     if let Ok(Ok(())) = time::timeout(READY_TIMEOUT, ready).await {
+                        self.start(lease.connection());
                         return Ok(lease);
                     }
                 }
                 Found::Open(address, generation) => {
-                    let place = Place { pool: self };
+                    let place = Place::new(self);
                     let connection = self.open(address, generation).await;
-                    let connection = connection.map_err(Failure::Connect)?;
+                    let mut connection = connection.map_err(Failure::Connect)?;
                     place.keep();
+                    self.start(&mut connection);
                     self.open_spare();
                     return Ok(Lease::new(self, connection));
                 }
+                Found::Wait => opened.await,
             }
         }
     }
 
+    /// Numbers the request that a connection is to carry.
+    fn start(&self, connection: &mut Connection) {
+        let mut state = self.state.lock();
+        state.sequence.0 += 1;
+        connection.sequence = state.sequence;
+        connection.dispatched = time::Instant::now();
+    }
+
     fn find(&self) -> Result<Found, Failure> {
         let mut state = self.state.lock();
         let address = state.address.ok_or(Failure::Absent)?;
+        let generation = state.generation;
+        // The connections at the front were unused for longest; use takes from the back.
+        let usable = |connection: &Connection| self.is_usable(connection, generation);
+        if state.idle.first().is_some_and(|first| !usable(first)) {
+            state.idle.remove(0);
+            state.open -= 1;
+        }
         while let Some(connection) = state.idle.pop() {
-            if self.is_usable(&connection, state.generation) {
+            if usable(&connection) {
                 return Ok(Found::Idle(connection));
             }
             state.open -= 1;
         }
         if state.open >= state.limit {
+            if state.opening > 0 {
+                return Ok(Found::Wait);
+            }
             return Err(Failure::Exhausted { open: state.open });
         }
         state.open += 1;
         state.counts.waited += 1;
-        Ok(Found::Open(address, state.generation))
+        Ok(Found::Open(address, generation))
     }
 
     fn is_usable(&self, connection: &Connection, generation: u64) -> bool {
@@ -351,45 +341,35 @@
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             let opened = pool.open(address, generation).await;
-            pool.state.lock().opening -= 1;
             match opened {
                 Ok(connection) => pool.give_back(connection),
                 Err(error) => {
-                    pool.state.lock().open -= 1;
+                    pool.give_up();
                     debug!(event = "spare-connection-failed"; "{error}");
                 }
             }
+            pool.state.lock().opening -= 1;
+            pool.opened.notify_waiters();
         });
     }
 
     async fn open(&self, address: SocketAddr, generation: u64) -> Result<Connection, io::Error> {
-        let connecting = TcpStream::connect(address);
-        let stream = time::timeout(self.config.connect_timeout, connecting)
-            .await
-            .or(Err(io::Error::from(io::ErrorKind::TimedOut)))??;
-        listen::tune(&stream, self.config.user_timeout)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                debug!(event = "backend-connection-lost"; "{error}");
-            }
-        });
+        let connection = connection::open(&self.config, address, generation).await?;
         self.state.lock().counts.opened += 1;
-        Ok(Connection {
-            sender,
-            generation,
-            fresh: true,
-            idle_since: time::Instant::now(),
-        })
+        Ok(connection)
     }
 
     /// Takes back a connection whose answer was read whole.
     pub(crate) fn give_back(&self, mut connection: Connection) {
         connection.fresh = false;
-        connection.idle_since = time::Instant::now();
+        let now = time::Instant::now();
+        connection.idle_since = now;
         let mut state = self.state.lock();
+        // A connection opened ahead of need has carried nothing.
+        if connection.sequence != Sequence::default() {
+            let latency = now.duration_since(connection.dispatched);
+            state.evidence.answered(connection.sequence, latency, now);
+        }
         if connection.generation == state.generation && !connection.sender.is_closed() {
             state.idle.push(connection);
         } else {
@@ -397,6 +377,11 @@
         }
     }
 
+    /// Gives up a place whose connection was not opened or carries nothing.
+    pub(crate) fn give_up(&self) {
+        self.state.lock().open -= 1;
+    }
+
     /// Closes a connection that may owe an answer.
     pub(crate) fn close(&self, connection: Connection) {
         drop(connection);
@@ -419,51 +404,3 @@
         self.idle.clear();
     }
 }
-
-/// A place counted as open while its connection is being opened; given up on drop.
-struct Place<'pool> {
-    pool: &'pool Pool,
-}
-
-impl Place<'_> {
-    fn keep(self) {
-        std::mem::forget(self);
-    }
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.pool.state.lock().open -= 1;
-    }
-}
-
-/// A connection that is closed on drop unless it is released to an answer.
-struct Lease<'pool> {
-    pool: &'pool Pool,
-    connection: Option<Connection>,
-}
-
-impl<'pool> Lease<'pool> {
-    const fn new(pool: &'pool Pool, connection: Connection) -> Self {
-        Self {
-            pool,
-            connection: Some(connection),
-        }
-    }
-
-    fn connection(&mut self) -> &mut Connection {
-        self.connection.as_mut().expect("present until release")
-    }
-
-    fn release(mut self) -> Connection {
-        self.connection.take().expect("present until release")
-    }
-}
-
-impl Drop for Lease<'_> {
-    fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.pool.close(connection);
-        }
-    }
-}
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -25,7 +25,7 @@
 use crate::slot::Slot;
 use crate::state::State;
 use shallotrill_backend::failure::Failure;
-use shallotrill_backend::pool::Head;
+use shallotrill_backend::head::Head;
 use shallotrill_claim::change::Change;
 use shallotrill_claim::change::Holder;
 use shallotrill_claim::grant::Grant;
--- a/crates/node/src/dump.rs
+++ b/crates/node/src/dump.rs
@@ -142,6 +142,7 @@
             "opened": backend.opened,
             "waited_for": backend.waited,
             "closed_in_use": backend.closed_in_use,
+            "silent": backend.silent,
         },
         "peers": {
             "nodes": peers.nodes,
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -19,7 +19,8 @@
 use crate::state::State;
 use shallotrill_backend::answer::End;
 use shallotrill_backend::failure::Failure;
-use shallotrill_backend::pool::Head;
+use shallotrill_backend::head::Head;
+use shallotrill_backend::pool::Patience;
 use shallotrill_limits::ticket;
 use shallotrill_model::attempt;
 use shallotrill_model::class::Class;
@@ -256,7 +257,11 @@
         slot.dispatching();
     }
     let request = request(plan, attempt, limit);
-    match state.backend.dispatch(request, limit).await {
+    let patience = match plan.class {
+        Class::Idempotent => Patience::Evidence,
+        Class::NonIdempotent => Patience::Limit,
+    };
+    match state.backend.dispatch(request, limit, patience).await {
         Ok(head) => Ok(head),
         Err(failure) => {
             let lost = matches!(failure, Failure::Lost(_) | Failure::Connect(_));
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -12,6 +12,7 @@
 use log::debug;
 
 use crate::state::State;
+use shallotrill_backend::pool::Patience;
 use shallotrill_limits::probe::Facts;
 use shallotrill_limits::probe::Permit;
 use shallotrill_limits::probe::Plan;
@@ -77,7 +78,11 @@
     *request.uri_mut() = uri;
     let host = header::HeaderValue::from_static("probe");
     request.headers_mut().insert(header::HOST, host);
-    let head = match state.backend.dispatch(request, LIMIT).await {
+    let head = match state
+        .backend
+        .dispatch(request, LIMIT, Patience::Limit)
+        .await
+    {
         Ok(head) => head,
         Err(failure) => {
             debug!(event = "probe-failed", cost_us = cost.as_micros() as u64; "{failure}");
--- a/crates/node/src/refuse.rs
+++ b/crates/node/src/refuse.rs
@@ -51,9 +51,11 @@
         BackendFailure::Absent => Code::WrongTarget,
         BackendFailure::Exhausted { .. } => Code::Overloaded,
         BackendFailure::Connect(_) | BackendFailure::NotSent => Code::ConnectFailed,
-        BackendFailure::Lost(_) => Code::ConnectionLost,
+        BackendFailure::Lost(_) | BackendFailure::Silent(_) => Code::ConnectionLost,
         BackendFailure::Timeout(_) => Code::DeadlineExceeded,
-        BackendFailure::Unframed | BackendFailure::Crossed => Code::AnswerInvalid,
+        BackendFailure::Unframed | BackendFailure::Crossed | BackendFailure::Switched => {
+            Code::AnswerInvalid
+        }
     };
     if failure.is_not_sent() {
         Refusal::not_run(code, message)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -27,6 +27,7 @@
 use crate::sync;
 use shallotrill_backend::announce;
 use shallotrill_backend::announce::Handlers;
+use shallotrill_backend::config::Config;
 use shallotrill_backend::pool;
 use shallotrill_caller::listener;
 use shallotrill_control_client::client::Client;
@@ -217,7 +218,7 @@
         process: Process::start(env!("CARGO_PKG_VERSION")),
         metrics: Metrics::new().map_err(Error::Metrics)?,
         peers: peer_pool::Pool::new(peer_pool::Config::default()),
-        backend: Arc::new(pool::Pool::new(pool::Config::default())),
+        backend: Arc::new(pool::Pool::new(Config::default())),
         identity,
     }))
 }
