--- a/crates/bench/examples/path.rs
+++ b/crates/bench/examples/path.rs
@@ -39,8 +39,8 @@
 
 `latency` and `cpu` also measure an entry node with each SETTING, and one of the build in each FOLDER.
 
-Scenarios: latency, cpu, probes, policies (all of the following), steady, straggler, noisy, fail-fast,
-cold, drain, shed, overload, copies.
+Scenarios: latency, cpu, probes, storm, policies (all of the following), steady, straggler, noisy, fail-fast,
+cold, drain, shed, overload, copies, impatient, swarm.
 ";
 
 /// Entry nodes have the ports after those of the places.
@@ -132,6 +132,7 @@
             "latency" => latency(options).await?,
             "cpu" => processor(options).await?,
             "probes" => probes(options).await?,
+            "storm" => storm(options).await?,
             other => match scenario::ALL.iter().find(|scenario| scenario.name == other) {
                 Some(scenario) => compared.push(*scenario),
                 None => bail!("unknown scenario '{other}'"),
@@ -289,6 +290,7 @@
         seed,
         patience: Duration::from_secs(1),
         tries: 1,
+        drop_after: None,
         copy_after: None,
     }
 }
@@ -302,6 +304,15 @@
     crash_path: None,
 };
 
+/// Targets whose capacity is [`CAPACITY`], small enough to be overloaded on one machine.
+const SMALL: Service = Service {
+    name: "catalogue",
+    targets: 5,
+    slots: 4,
+    service_time: Duration::from_millis(10),
+    crash_path: None,
+};
+
 async fn latency(options: &Options) -> Result<()> {
     let installation = Installation::start(SOLO, &options.kinds, 1).await?;
     let place = &installation.cluster.places[0];
@@ -414,18 +425,11 @@
 }
 
 async fn compare(options: &Options, scenarios: &[Scenario]) -> Result<()> {
-    let service = Service {
-        name: "catalogue",
-        targets: 5,
-        slots: 4,
-        service_time: Duration::from_millis(10),
-        crash_path: None,
-    };
     let kinds = POLICIES.map(|policy| Kind {
         settings: format!("routing_policy = \"{policy}\"\n"),
         programs: None,
     });
-    let mut installation = Installation::start(service, &kinds, ENTRIES).await?;
+    let mut installation = Installation::start(SMALL, &kinds, ENTRIES).await?;
     println!(
         "| scenario | policy | asked | failed % | p50 ms | p99 ms | p99.9 ms | sent for each asked | executed for each asked | cancelled % | share of target 1 % |"
     );
@@ -448,6 +452,55 @@
     installation.stop()
 }
 
+/// One partner's retry storm beside a partner whose software sends each request once.
+async fn storm(options: &Options) -> Result<()> {
+    let installation = Installation::start(SMALL, &[Kind::default()], ENTRIES).await?;
+    let polite = Plan {
+        rate: 0.3 * CAPACITY,
+        ..plan(options, 1.0, options.seed)
+    };
+    let stormy = Plan {
+        rate: 1.2 * CAPACITY,
+        tries: 10,
+        patience: Duration::from_millis(250),
+        ..plan(options, 1.0, options.seed + 1)
+    };
+    let callers = |ask| Arc::new(vec![Variant::new(installation.callers(0), ask)]);
+    println!("| partner | asked | failed % | p50 ms | p99 ms | p99.9 ms | sent for each asked |");
+    println!("|---|---|---|---|---|---|---|");
+    let alone = load::run(polite, &callers(ask_politely)).await;
+    let (polite_variants, stormy_variants) = (callers(ask_politely), callers(ask));
+    let (beside, storming) = tokio::join!(
+        load::run(polite, &polite_variants),
+        load::run(stormy, &stormy_variants),
+    );
+    let rows = [
+        ("polite, alone", &alone),
+        ("polite, beside the storm", &beside),
+        ("storming", &storming),
+    ];
+    for (name, outcomes) in rows {
+        let outcome = &outcomes[0];
+        let asked = outcome.asked.max(1) as f64;
+        println!(
+            "| {name} | {} | {:.3} | {} | {:.2} |",
+            outcome.asked,
+            100.0 * outcome.failed as f64 / asked,
+            quantiles(outcome),
+            outcome.sent as f64 / asked,
+        );
+        eprintln!("{name}: {:?}", outcome.codes);
+    }
+    installation.stop()
+}
+
+fn ask_politely(number: u64) -> Ask {
+    let mut ask = Ask::get("catalogue", &format!("/birds/polite/{number}"));
+    ask.headers
+        .push(("shallotrill-partner", "polite".to_owned()));
+    ask
+}
+
 /// What one policy achieved.
 #[derive(Clone, Default)]
 struct Sum {
@@ -507,6 +560,7 @@
         warm_up: Duration::from_secs(u64::from(!scenario.restart)),
         tries: scenario.tries,
         patience: scenario.patience,
+        drop_after: scenario.drop_after,
         copy_after: scenario.copy_after,
         ..plan(options, 1.0, seed)
     };
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -44,6 +44,8 @@
     pub patience: Duration,
     /// Most times that the caller sends a request: again at once after each failure.
     pub tries: u32,
+    /// Time after which the caller drops a request and sends it again at once.
+    pub drop_after: Option<Duration>,
     /// Time after which the caller sends one more copy beside those that are not answered.
     pub copy_after: Option<Duration>,
 }
@@ -137,7 +139,12 @@
     }
 
     /// Sends once; the connection is kept when the answer came whole.
-    async fn send(&self, ask: &Ask, at: usize) -> Result<(), String> {
+    async fn send(&self, ask: &Ask, at: usize, limit: Duration) -> Result<(), String> {
+        let sent = time::timeout(limit, self.send_unlimited(ask, at)).await;
+        sent.unwrap_or_else(|_| Err("dropped".to_owned()))
+    }
+
+    async fn send_unlimited(&self, ask: &Ask, at: usize) -> Result<(), String> {
         let kept = self.lock()[at].1.pop_front();
         let mut connection = match kept {
             Some(connection) => connection,
@@ -269,10 +276,13 @@
     variant: &Variant,
     sent: &mut Vec<Option<String>>,
 ) -> bool {
-    let ask = (variant.ask)(arrival.number);
+    let mut ask = (variant.ask)(arrival.number);
+    let patience = plan.patience.as_millis().to_string();
+    ask.headers.push(("shallotrill-deadline-ms", patience));
     let mut at = arrival.number as usize / 4 % variant.addresses.len();
+    let limit = plan.drop_after.unwrap_or(plan.patience);
     let mut copies = FuturesUnordered::new();
-    copies.push(variant.send(&ask, at));
+    copies.push(variant.send(&ask, at, limit));
     sent.push(None);
     loop {
         let pause = plan.copy_after.unwrap_or(plan.patience);
@@ -290,10 +300,10 @@
         };
         if sent.len() < plan.tries as usize {
             // A caller that was refused by one node goes to the next; a copy of a slow request stays.
-            if failed {
+            if failed && plan.drop_after.is_none() {
                 at = (at + 1) % variant.addresses.len();
             }
-            copies.push(variant.send(&ask, at));
+            copies.push(variant.send(&ask, at, limit));
             sent.push(None);
         } else if failed && copies.is_empty() {
             return false;
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -25,6 +25,8 @@
     pub tries: u32,
     /// Time after which the person gives up.
     pub patience: Duration,
+    /// Time after which a caller drops a request and sends it again.
+    pub drop_after: Option<Duration>,
     /// Time after which a caller sends one more copy.
     pub copy_after: Option<Duration>,
 }
@@ -38,6 +40,7 @@
     sudden: false,
     tries: 1,
     patience: Duration::from_secs(1),
+    drop_after: None,
     copy_after: None,
 };
 
@@ -104,4 +107,32 @@
         copy_after: Some(Duration::from_millis(10)),
         ..STEADY
     },
+    Scenario {
+        name: "impatient",
+        load: 0.02,
+        faults: &[
+            (0, "service-us=150000"),
+            (1, "service-us=150000"),
+            (2, "service-us=150000"),
+            (3, "service-us=150000"),
+            (4, "service-us=150000"),
+        ],
+        tries: 20,
+        drop_after: Some(Duration::from_millis(60)),
+        ..STEADY
+    },
+    Scenario {
+        name: "swarm",
+        load: 0.002,
+        faults: &[
+            (0, "service-us=300000"),
+            (1, "service-us=300000"),
+            (2, "service-us=300000"),
+            (3, "service-us=300000"),
+            (4, "service-us=300000"),
+        ],
+        tries: 200,
+        copy_after: Some(Duration::from_millis(1)),
+        ..STEADY
+    },
 ];
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -363,3 +363,72 @@
         assert_eq!(need, case.expected, "{}", case.name);
     }
 }
+
+struct Late {
+    name: &'static str,
+    /// Requests answered in 10 ms each before.
+    answered: u64,
+    /// Requests that run at the time of the offer.
+    running: u64,
+    patience_ms: u64,
+    expected: Verdict,
+}
+
+const TOO_LATE: Verdict = Verdict::Refuse(Refusal::TooLate {
+    wait: Duration::ZERO,
+});
+
+/// Guards against slots spent on answers that come after the caller gave up, and against an outdated time that closes an idle gate.
+const LATES: &[Late] = &[
+    Late {
+        name: "the answer would come too late",
+        answered: 20,
+        running: 1,
+        patience_ms: 5,
+        expected: TOO_LATE,
+    },
+    Late {
+        name: "the answer comes in time",
+        answered: 20,
+        running: 1,
+        patience_ms: 15,
+        expected: Verdict::Run,
+    },
+    Late {
+        name: "an idle backend server is tried",
+        answered: 20,
+        running: 0,
+        patience_ms: 5,
+        expected: Verdict::Run,
+    },
+    Late {
+        name: "nothing is known yet",
+        answered: 0,
+        running: 1,
+        patience_ms: 5,
+        expected: Verdict::Run,
+    },
+];
+
+#[test]
+fn late_answers_are_refused() {
+    for case in LATES {
+        let mut gate = gate(4, 4);
+        let mut now = Instant(0);
+        for id in 0..case.answered {
+            gate.offer(ticket(id, "a", 0, 1_000, now), now);
+            now = now + SERVICE;
+            let release = Release {
+                id: Id(id),
+                latency: SERVICE,
+                outcome: Outcome::Success,
+            };
+            drop(gate.release(release, now));
+        }
+        for id in 0..case.running {
+            gate.offer(ticket(1_000 + id, "a", 0, 1_000, now), now);
+        }
+        let verdict = gate.offer(ticket(9_999, "a", 0, case.patience_ms, now), now);
+        assert_eq!(verdict, case.expected, "{}", case.name);
+    }
+}
