Ask for what nodes hold when an operator wants to know

Cause: every exchange between control processes carried the revision of every node that the sender heard, twice a second and at every change, to every other control process. At 22,000 nodes and 46 control processes each one sends and takes 1.5 MB/s for it (68.7 B/s for each node in all of a pair, 22,000 / 46 nodes, 45 pairs).

Change: exchanges carry the list of nodes every 30 s, so that the nodes of a lost process are known and shown as silent. show nodes, show lag and in force ask the other control processes first.

Ruled out: sending only nodes whose revision changed, since at 0.87 changes a second nearly every node changes between two heartbeats.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future;
 use log::debug;
 use log::info;
 use tokio::time;
@@ -37,6 +38,15 @@
 /// Longest wait for the answer of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Interval at which the list of nodes is exchanged, so that the nodes of a process that is gone are known.
+///
+/// What nodes hold is asked for when an operator wants to know: told with each
+/// exchange, it costs each control process in proportion to all nodes and all exchanges.
+const NODES_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Longest wait for the nodes of another control process.
+const NODES_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause after a failed exchange.
 const EXCHANGE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -163,10 +173,14 @@
 async fn exchange_with(state: Arc<State>, peer: Arc<Peer>) {
     let mut since: Option<Version> = None;
     let mut crashes = 0;
+    let mut listed: Option<Instant> = None;
     loop {
+        let now = state.now();
+        let nodes = listed.is_none_or(|at| now.since(at) >= NODES_INTERVAL);
         let ask = exchange::Ask {
             since: since.clone(),
             crashes,
+            nodes,
             wait_ms: EXCHANGE_WAIT.as_millis() as u64,
         };
         let asked: Result<exchange::Reply, _> =
@@ -175,6 +189,9 @@
             Ok(reply) => {
                 since = Some(reply.membership.version.clone());
                 crashes = reply.crashes_version;
+                if nodes {
+                    listed = Some(now);
+                }
                 merge(&state, &peer, reply);
             }
             Err(failure) => {
@@ -193,12 +210,7 @@
     let changed = {
         let mut members = state.members.lock();
         members.hear(peer.id(), now);
-        for node in &reply.nodes {
-            let age = Duration::from_millis(node.age_ms);
-            members
-                .nodes
-                .hear_aged(&node.instance, node.revision, age, now);
-        }
+        members.nodes.hear_all(&reply.nodes, now);
         let added = members.crashes.add(reply.crashes, now);
         let changes = members.table.exchange(&reply.membership, now);
         added || !changes.is_empty()
@@ -208,6 +220,28 @@
     }
 }
 
+/// Answers with the nodes that this process hears.
+pub(crate) async fn nodes(state: Arc<State>, _ask: ()) -> Vec<exchange::Node> {
+    let now = state.now();
+    state.members.lock().nodes.direct(now)
+}
+
+/// Asks all other control processes what their nodes hold. The nodes of those that do not answer become silent.
+pub(crate) async fn ask_nodes(state: &State) {
+    let ask = async |peer: &Arc<Peer>| {
+        let asked: Result<Vec<exchange::Node>, _> =
+            peer.ask(exchange::NODES_METHOD, &(), NODES_TIMEOUT).await;
+        match asked {
+            Ok(nodes) => {
+                let now = state.now();
+                state.members.lock().nodes.hear_all(&nodes, now);
+            }
+            Err(failure) => debug!(event = "nodes-not-told", peer = peer.id(); "{failure}"),
+        }
+    };
+    future::join_all(state.peers.all().iter().map(ask)).await;
+}
+
 /// Answers the exchange of another control process.
 pub(crate) async fn exchange(state: Arc<State>, ask: exchange::Ask) -> exchange::Reply {
     let mut changed = state.changed.subscribe();
@@ -221,7 +255,9 @@
 }
 
 fn is_news(ask: &exchange::Ask, reply: &exchange::Reply) -> bool {
-    ask.since.as_ref() != Some(&reply.membership.version) || ask.crashes != reply.crashes_version
+    ask.nodes
+        || ask.since.as_ref() != Some(&reply.membership.version)
+        || ask.crashes != reply.crashes_version
 }
 
 fn export(state: &State, ask: &exchange::Ask) -> exchange::Reply {
@@ -230,7 +266,11 @@
     let (crashes, crashes_version) = members.crashes.since(ask.crashes, now);
     exchange::Reply {
         membership: members.table.export(ask.since.as_ref(), now),
-        nodes: members.nodes.direct(now),
+        nodes: if ask.nodes {
+            members.nodes.direct(now)
+        } else {
+            Vec::new()
+        },
         crashes,
         crashes_version,
     }
--- a/crates/control/src/nodes.rs
+++ b/crates/control/src/nodes.rs
@@ -39,7 +39,14 @@
     }
 
     /// Notes what another control process heard.
-    pub(crate) fn hear_aged(
+    pub(crate) fn hear_all(&mut self, nodes: &[exchange::Node], now: Instant) {
+        for node in nodes {
+            let age = Duration::from_millis(node.age_ms);
+            self.hear_aged(&node.instance, node.revision, age, now);
+        }
+    }
+
+    fn hear_aged(
         &mut self,
         instance: &instance::Name,
         revision: Revision,
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -42,6 +42,7 @@
     methods.add(claim_messages::METHOD, claims::receive);
     methods.add(copy::METHOD, group::page);
     methods.add(exchange::METHOD, members::exchange);
+    methods.add(exchange::NODES_METHOD, members::nodes);
     methods.add(forward::METHOD, submit::answer);
     methods.add(hello::METHOD, bootstrap::hello);
     methods.add(log_messages::METHOD, driver::receive);
--- a/crates/control/src/show.rs
+++ b/crates/control/src/show.rs
@@ -21,6 +21,14 @@
 /// Rows that are shown at most, so that an answer stays readable and small.
 const ROWS_MAX: usize = 1_000;
 
+/// Whether the answer depends on what the nodes of other control processes hold.
+pub(crate) const fn is_about_nodes(statement: &Statement) -> bool {
+    matches!(
+        statement,
+        Statement::Show(Show::Nodes | Show::Lag) | Statement::InForce(_)
+    )
+}
+
 /// Answers a query.
 pub(crate) fn run(state: &State, statement: &Statement) -> Result<Answer, Failure> {
     match statement {
--- a/crates/control/src/statements.rs
+++ b/crates/control/src/statements.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::claims;
+use crate::members;
 use crate::show;
 use crate::state::State;
 use crate::submit;
@@ -59,6 +60,9 @@
         submit::read(state)
             .await
             .map_err(|refusal| refused(state, refusal))?;
+        if show::is_about_nodes(&statement) {
+            members::ask_nodes(state).await;
+        }
         return show::run(state, &statement);
     }
     let id = command.ok_or(Failure::CommandMissing)?;
--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -12,6 +12,9 @@
 /// Name of the method.
 pub const METHOD: &str = "members_exchange";
 
+/// Name of the method that answers with the nodes that a control process hears, for a query of an operator.
+pub const NODES_METHOD: &str = "members_nodes";
+
 /// A pull. The answer comes when something changed, or after the wait.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -19,6 +22,8 @@
     pub since: Option<Version>,
     /// Version of the sender's crash facts that the reader has.
     pub crashes: u64,
+    /// Whether the reader wants to know which nodes the sender hears.
+    pub nodes: bool,
     /// Longest time to wait for a change, in milliseconds.
     pub wait_ms: u64,
 }
@@ -39,7 +44,7 @@
 pub struct Reply {
     /// Changed targets.
     pub membership: Difference,
-    /// Nodes that the sender heard of lately.
+    /// Nodes that the sender itself heard of late, when the reader wants to know.
     pub nodes: Vec<Node>,
     /// New crash facts.
     pub crashes: Vec<Crash>,
