Find known crash facts by binary search

Cause: each fact comes once from each other control process, and each time all kept facts, up to 10,000, were compared with it.

Change: a sorted vector of keys beside the facts, and a partition point for the facts after a version.

Not measured: the cost was the product of facts and control processes by the form of the code; no run with 10,000 facts was made.

--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use shallotrill_control_client::lease::Crash;
+use shallotrill_model::digest::Digest;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
 use shallotrill_model::time::Instant;
 
 /// Facts that are kept at most; the oldest are dropped first.
@@ -19,10 +22,25 @@
     at: Instant,
 }
 
+/// What makes two crash facts the same.
+type Key = (Digest, instance::Name, Incarnation, bool);
+
+fn key(crash: &Crash) -> Key {
+    let fact = &crash.fact;
+    (
+        fact.digest,
+        fact.instance.clone(),
+        fact.incarnation,
+        fact.released,
+    )
+}
+
 /// Crash facts in the order in which this process learned them.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     facts: Vec<Kept>,
+    /// Keys of the facts, sorted. Every fact comes once from each other control process.
+    known: Vec<Key>,
     version: u64,
 }
 
@@ -31,9 +49,11 @@
     pub(crate) fn add(&mut self, crashes: Vec<Crash>, now: Instant) -> bool {
         let before = self.version;
         for crash in crashes {
-            if self.is_known(&crash) {
+            let key = key(&crash);
+            let Err(place) = self.known.binary_search(&key) else {
                 continue;
-            }
+            };
+            self.known.insert(place, key);
             self.version += 1;
             let age_us = crash.fact.age_ms.saturating_mul(1_000);
             let kept = Kept {
@@ -44,24 +64,24 @@
             self.facts.push(kept);
         }
         let excess = self.facts.len().saturating_sub(FACTS_MAX);
-        self.facts.drain(..excess);
+        let dropped: Vec<Kept> = self.facts.drain(..excess).collect();
+        self.forget(&dropped);
         self.version > before
     }
 
-    fn is_known(&self, crash: &Crash) -> bool {
-        self.facts.iter().any(|kept| {
-            let known = &kept.crash.fact;
-            let fact = &crash.fact;
-            known.digest == fact.digest
-                && known.instance == fact.instance
-                && known.incarnation == fact.incarnation
-                && known.released == fact.released
-        })
+    fn forget(&mut self, dropped: &[Kept]) {
+        for kept in dropped {
+            if let Ok(place) = self.known.binary_search(&key(&kept.crash)) {
+                self.known.remove(place);
+            }
+        }
     }
 
     /// Drops old facts.
     pub(crate) fn expire(&mut self, now: Instant) {
-        self.facts.retain(|kept| now.since(kept.at) < FACT_MAX_AGE);
+        let old = |kept: &mut Kept| now.since(kept.at) >= FACT_MAX_AGE;
+        let dropped: Vec<Kept> = self.facts.extract_if(.., old).collect();
+        self.forget(&dropped);
     }
 
     /// The facts after a version, with their ages, and the present version.
@@ -69,7 +89,8 @@
     /// A version above the present one comes from another life of this process and gets everything.
     pub(crate) fn since(&self, version: u64, now: Instant) -> (Vec<Crash>, u64) {
         let from = if version > self.version { 0 } else { version };
-        let facts = self.facts.iter().filter(|kept| kept.version > from);
+        let start = self.facts.partition_point(|kept| kept.version <= from);
+        let facts = self.facts[start..].iter();
         let aged = facts.map(|kept| {
             let mut crash = kept.crash.clone();
             crash.fact.age_ms = now.since(kept.at).as_millis() as u64;
