Pass rows on only for owners that a reader cannot reach

Cause: each control process exported every row it learned, so each row came to each reader from every other process.

Change: export_own tells the rows made here, and those of the owners that the reader names because it hears of them only through others.

The new table of cases fails with export in place of export_own, since the reader then holds 5 rows where 3 are expected.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -17,6 +17,7 @@
 use shallotrill_membership::change::Kind;
 use shallotrill_membership::change::Refusal;
 use shallotrill_membership::contact::Contact;
+use shallotrill_membership::owner::Owner;
 use shallotrill_membership::table::Table;
 use shallotrill_membership::version::Version;
 use shallotrill_model::time::Instant;
@@ -51,9 +52,10 @@
 const EXCHANGE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Another control process and when it last answered an exchange.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Heard {
     id: u64,
+    owner: Owner,
     at: Instant,
 }
 
@@ -77,20 +79,35 @@
         }
     }
 
-    fn hear(&mut self, id: u64, at: Instant) {
+    fn hear(&mut self, id: u64, owner: Owner, at: Instant) {
+        let heard = Heard { id, owner, at };
         match self.heard.binary_search_by_key(&id, |heard| heard.id) {
-            Ok(index) => self.heard[index].at = at,
-            Err(index) => self.heard.insert(index, Heard { id, at }),
+            Ok(index) => self.heard[index] = heard,
+            Err(index) => self.heard.insert(index, heard),
         }
     }
 
+    /// Owners that only others hear from, sorted.
+    fn relayed(&self, now: Instant) -> Vec<Owner> {
+        let is_near = |owner: &Owner| {
+            let mut near = self.heard.iter().filter(|heard| is_recent(heard, now));
+            near.any(|heard| heard.owner.name == owner.name)
+        };
+        let live = self.table.live_owners(now);
+        live.filter(|owner| !is_near(owner)).cloned().collect()
+    }
+
     /// Control processes that answered lately.
     pub(crate) fn heard(&self, now: Instant) -> usize {
-        let recent = |heard: &&Heard| now.since(heard.at) < HEARD_WINDOW;
+        let recent = |heard: &&Heard| is_recent(heard, now);
         self.heard.iter().filter(recent).count()
     }
 }
 
+fn is_recent(heard: &Heard, now: Instant) -> bool {
+    now.since(heard.at) < HEARD_WINDOW
+}
+
 /// Takes the heartbeat of a node.
 pub(crate) async fn lease(state: Arc<State>, ask: lease::Ask) -> lease::Reply {
     let now = state.now();
@@ -172,13 +189,24 @@
 
 async fn exchange_with(state: Arc<State>, peer: Arc<Peer>) {
     let mut since: Option<Version> = None;
+    let mut relayed: Vec<Owner> = Vec::new();
     let mut crashes = 0;
     let mut listed: Option<Instant> = None;
     loop {
         let now = state.now();
         let nodes = listed.is_none_or(|at| now.since(at) >= NODES_INTERVAL);
+        let missing = state.members.lock().relayed(now);
+        if missing
+            .iter()
+            .any(|owner| relayed.binary_search(owner).is_err())
+        {
+            // The rows of a further owner are not in a difference.
+            since = None;
+        }
+        relayed = missing;
         let ask = exchange::Ask {
             since: since.clone(),
+            relayed: relayed.clone(),
             crashes,
             nodes,
             wait_ms: EXCHANGE_WAIT.as_millis() as u64,
@@ -209,7 +237,7 @@
     let now = state.now();
     let changed = {
         let mut members = state.members.lock();
-        members.hear(peer.id(), now);
+        members.hear(peer.id(), reply.membership.version.source.clone(), now);
         members.nodes.hear_all(&reply.nodes, now);
         let added = members.crashes.add(reply.crashes, now);
         let changes = members.table.exchange(&reply.membership, now);
@@ -265,7 +293,9 @@
     let members = state.members.lock();
     let (crashes, crashes_version) = members.crashes.since(ask.crashes, now);
     exchange::Reply {
-        membership: members.table.export(ask.since.as_ref(), now),
+        membership: members
+            .table
+            .export_own(ask.since.as_ref(), &ask.relayed, now),
         nodes: if ask.nodes {
             members.nodes.direct(now)
         } else {
--- a/crates/membership/src/select.rs
+++ b/crates/membership/src/select.rs
@@ -5,6 +5,7 @@
 use crate::difference::Difference;
 use crate::difference::Heard;
 use crate::owner::Owner;
+use crate::row::Row;
 use crate::table::Entry;
 use crate::table::Status;
 use crate::table::Table;
@@ -26,7 +27,39 @@
 
     /// The rows of all services that changed since a version, for another control process.
     pub fn export(&self, since: Option<&Version>, now: Instant) -> Difference {
+        let difference = self.select(since, &|_| true);
+        self.with_heard(difference, now)
+    }
+
+    /// The rows made here and those of `relayed` owners that changed since a version.
+    ///
+    /// Control processes all pull from each other, so each row reaches a reader
+    /// once. A reader that cannot reach an owner names it in `relayed`, which is
+    /// sorted, and passes no version when it names a further one.
+    pub fn export_own(
+        &self,
+        since: Option<&Version>,
+        relayed: &[Owner],
+        now: Instant,
+    ) -> Difference {
         let mut difference = self.select(since, &|_| true);
+        let told = |row: &mut Arc<Row>| {
+            let owner = &row.stamp.owner;
+            *owner == self.own || relayed.binary_search(owner).is_ok()
+        };
+        difference.rows.retain_mut(told);
+        difference.removed.retain_mut(told);
+        self.with_heard(difference, now)
+    }
+
+    /// Owners that others heard from lately.
+    pub fn live_owners(&self, now: Instant) -> impl Iterator<Item = &Owner> {
+        let window = self.config.contact_window();
+        let live = move |(_, at): &&(Owner, Instant)| now.since(*at) < window;
+        self.owners.iter().filter(live).map(|(owner, _)| owner)
+    }
+
+    fn with_heard(&self, mut difference: Difference, now: Instant) -> Difference {
         difference.heard = self
             .owners
             .iter()
--- a/crates/membership/tests/cases.rs
+++ b/crates/membership/tests/cases.rs
@@ -272,6 +272,54 @@
     }
 }
 
+fn owner(source: &str) -> Owner {
+    let name = instance::Name::new(source).expect("valid");
+    Owner { name, start: 1 }
+}
+
+struct Relay {
+    name: &'static str,
+    relayed: bool,
+    expected: usize,
+}
+
+/// Guards against each control process passing on every row of all others, and against rows that
+/// are lost to a reader that cannot reach their owner.
+#[rustfmt::skip]
+const RELAYS: &[Relay] = &[
+    Relay { name: "every owner is reached", relayed: false, expected: 3 },
+    Relay { name: "one owner is not reached", relayed: true, expected: 5 },
+];
+
+#[test]
+fn rows_of_others_are_passed_on_when_asked_for() {
+    for case in RELAYS {
+        let far = table("far", 2, at(0));
+        let mut near = table("near", 0, at(0));
+        near.exchange(&far.export(None, at(0)), at(0));
+        for node in 2..5 {
+            near.announce(announcement(node, 1, 1, 80), at(0))
+                .expect("a new instance");
+        }
+        let relayed = if case.relayed {
+            vec![owner("far")]
+        } else {
+            Vec::new()
+        };
+        let mut reader = table("reader", 0, at(0));
+        reader.exchange(&near.export_own(None, &relayed, at(0)), at(0));
+        assert_eq!(reader.rows().count(), case.expected, "{}", case.name);
+        // The reader still hears of the owner that it does not reach.
+        assert!(
+            reader
+                .live_owners(at(0))
+                .any(|heard| *heard == owner("far")),
+            "{}",
+            case.name
+        );
+    }
+}
+
 struct Switch {
     name: &'static str,
     /// Nodes that the new source knows.
--- a/crates/replica/src/exchange.rs
+++ b/crates/replica/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use shallotrill_control_client::lease::Crash;
 use shallotrill_membership::difference::Difference;
+use shallotrill_membership::owner::Owner;
 use shallotrill_membership::version::Version;
 use shallotrill_model::instance;
 use shallotrill_model::revision::Revision;
@@ -20,6 +21,8 @@
 pub struct Ask {
     /// Version of the sender's targets that the reader has.
     pub since: Option<Version>,
+    /// Owners of leases that the reader cannot reach itself, sorted, so that the sender passes on their rows.
+    pub relayed: Vec<Owner>,
     /// Version of the sender's crash facts that the reader has.
     pub crashes: u64,
     /// Whether the reader wants to know which nodes the sender hears.
