--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future;
 use log::debug;
 use log::info;
 use tokio::time;
@@ -16,6 +17,7 @@
 use shallotrill_membership::change::Kind;
 use shallotrill_membership::change::Refusal;
 use shallotrill_membership::contact::Contact;
+use shallotrill_membership::owner::Owner;
 use shallotrill_membership::table::Table;
 use shallotrill_membership::version::Version;
 use shallotrill_model::time::Instant;
@@ -37,13 +39,23 @@
 /// Longest wait for the answer of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Interval at which the list of nodes is exchanged, so that the nodes of a process that is gone are known.
+///
+/// What nodes hold is asked for when an operator wants to know: told with each
+/// exchange, it costs each control process in proportion to all nodes and all exchanges.
+const NODES_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Longest wait for the nodes of another control process.
+const NODES_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause after a failed exchange.
 const EXCHANGE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Another control process and when it last answered an exchange.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Heard {
     id: u64,
+    owner: Owner,
     at: Instant,
 }
 
@@ -67,20 +79,35 @@
         }
     }
 
-    fn hear(&mut self, id: u64, at: Instant) {
+    fn hear(&mut self, id: u64, owner: Owner, at: Instant) {
+        let heard = Heard { id, owner, at };
         match self.heard.binary_search_by_key(&id, |heard| heard.id) {
-            Ok(index) => self.heard[index].at = at,
-            Err(index) => self.heard.insert(index, Heard { id, at }),
+            Ok(index) => self.heard[index] = heard,
+            Err(index) => self.heard.insert(index, heard),
         }
     }
 
+    /// Owners that only others hear from, sorted.
+    fn relayed(&self, now: Instant) -> Vec<Owner> {
+        let is_near = |owner: &Owner| {
+            let mut near = self.heard.iter().filter(|heard| is_recent(heard, now));
+            near.any(|heard| heard.owner.name == owner.name)
+        };
+        let live = self.table.live_owners(now);
+        live.filter(|owner| !is_near(owner)).cloned().collect()
+    }
+
     /// Control processes that answered lately.
     pub(crate) fn heard(&self, now: Instant) -> usize {
-        let recent = |heard: &&Heard| now.since(heard.at) < HEARD_WINDOW;
+        let recent = |heard: &&Heard| is_recent(heard, now);
         self.heard.iter().filter(recent).count()
     }
 }
 
+fn is_recent(heard: &Heard, now: Instant) -> bool {
+    now.since(heard.at) < HEARD_WINDOW
+}
+
 /// Takes the heartbeat of a node.
 pub(crate) async fn lease(state: Arc<State>, ask: lease::Ask) -> lease::Reply {
     let now = state.now();
@@ -162,11 +189,26 @@
 
 async fn exchange_with(state: Arc<State>, peer: Arc<Peer>) {
     let mut since: Option<Version> = None;
+    let mut relayed: Vec<Owner> = Vec::new();
     let mut crashes = 0;
+    let mut listed: Option<Instant> = None;
     loop {
+        let now = state.now();
+        let nodes = listed.is_none_or(|at| now.since(at) >= NODES_INTERVAL);
+        let missing = state.members.lock().relayed(now);
+        if missing
+            .iter()
+            .any(|owner| relayed.binary_search(owner).is_err())
+        {
+            // The rows of a further owner are not in a difference.
+            since = None;
+        }
+        relayed = missing;
         let ask = exchange::Ask {
             since: since.clone(),
+            relayed: relayed.clone(),
             crashes,
+            nodes,
             wait_ms: EXCHANGE_WAIT.as_millis() as u64,
         };
         let asked: Result<exchange::Reply, _> =
@@ -175,6 +217,9 @@
             Ok(reply) => {
                 since = Some(reply.membership.version.clone());
                 crashes = reply.crashes_version;
+                if nodes {
+                    listed = Some(now);
+                }
                 merge(&state, &peer, reply);
             }
             Err(failure) => {
@@ -192,13 +237,8 @@
     let now = state.now();
     let changed = {
         let mut members = state.members.lock();
-        members.hear(peer.id(), now);
-        for node in &reply.nodes {
-            let age = Duration::from_millis(node.age_ms);
-            members
-                .nodes
-                .hear_aged(&node.instance, node.revision, age, now);
-        }
+        members.hear(peer.id(), reply.membership.version.source.clone(), now);
+        members.nodes.hear_all(&reply.nodes, now);
         let added = members.crashes.add(reply.crashes, now);
         let changes = members.table.exchange(&reply.membership, now);
         added || !changes.is_empty()
@@ -208,6 +248,28 @@
     }
 }
 
+/// Answers with the nodes that this process hears.
+pub(crate) async fn nodes(state: Arc<State>, _ask: ()) -> Vec<exchange::Node> {
+    let now = state.now();
+    state.members.lock().nodes.direct(now)
+}
+
+/// Asks all other control processes what their nodes hold. The nodes of those that do not answer become silent.
+pub(crate) async fn ask_nodes(state: &State) {
+    let ask = async |peer: &Arc<Peer>| {
+        let asked: Result<Vec<exchange::Node>, _> =
+            peer.ask(exchange::NODES_METHOD, &(), NODES_TIMEOUT).await;
+        match asked {
+            Ok(nodes) => {
+                let now = state.now();
+                state.members.lock().nodes.hear_all(&nodes, now);
+            }
+            Err(failure) => debug!(event = "nodes-not-told", peer = peer.id(); "{failure}"),
+        }
+    };
+    future::join_all(state.peers.all().iter().map(ask)).await;
+}
+
 /// Answers the exchange of another control process.
 pub(crate) async fn exchange(state: Arc<State>, ask: exchange::Ask) -> exchange::Reply {
     let mut changed = state.changed.subscribe();
@@ -221,7 +283,9 @@
 }
 
 fn is_news(ask: &exchange::Ask, reply: &exchange::Reply) -> bool {
-    ask.since.as_ref() != Some(&reply.membership.version) || ask.crashes != reply.crashes_version
+    ask.nodes
+        || ask.since.as_ref() != Some(&reply.membership.version)
+        || ask.crashes != reply.crashes_version
 }
 
 fn export(state: &State, ask: &exchange::Ask) -> exchange::Reply {
@@ -229,8 +293,14 @@
     let members = state.members.lock();
     let (crashes, crashes_version) = members.crashes.since(ask.crashes, now);
     exchange::Reply {
-        membership: members.table.export(ask.since.as_ref(), now),
-        nodes: members.nodes.direct(now),
+        membership: members
+            .table
+            .export_own(ask.since.as_ref(), &ask.relayed, now),
+        nodes: if ask.nodes {
+            members.nodes.direct(now)
+        } else {
+            Vec::new()
+        },
         crashes,
         crashes_version,
     }
