--- a/crates/disk/src/segment.rs
+++ b/crates/disk/src/segment.rs
@@ -49,13 +49,14 @@
         if bytes[..8] != MAGIC {
             return Err(Failure::damaged(path, 0, Damage::Magic));
         }
-        if crc32c::crc32c(&bytes[..HEADER - 4]).to_le_bytes() != bytes[HEADER - 4..] {
-            return Err(Failure::damaged(path, HEADER - 4, Damage::Checksum));
-        }
+        // Before the checksum, which another format may have elsewhere.
         let version = u32::from_le_bytes(part(bytes, 8));
         if version != VERSION {
             return Err(Failure::damaged(path, 8, Damage::Version(version)));
         }
+        if crc32c::crc32c(&bytes[..HEADER - 4]).to_le_bytes() != bytes[HEADER - 4..] {
+            return Err(Failure::damaged(path, HEADER - 4, Damage::Checksum));
+        }
         Ok(Self {
             identity: Identity(u128::from_le_bytes(part(bytes, 12))),
             number: u64::from_le_bytes(part(bytes, 28)),
--- a/crates/disk/src/snapshot.rs
+++ b/crates/disk/src/snapshot.rs
@@ -63,13 +63,14 @@
     if covered[..8] != MAGIC {
         return damaged(0, Damage::Magic);
     }
-    if crc32c::crc32c(covered) != u32::from_le_bytes(*sum) {
-        return damaged(covered.len(), Damage::Checksum);
-    }
+    // Before the checksum, which another format may have elsewhere.
     let version = u32::from_le_bytes(part(covered, 8));
     if version != VERSION {
         return damaged(8, Damage::Version(version));
     }
+    if crc32c::crc32c(covered) != u32::from_le_bytes(*sum) {
+        return damaged(covered.len(), Damage::Checksum);
+    }
     let found = Identity(u128::from_le_bytes(part(covered, 12)));
     if found != identity {
         return Err(Failure::WrongIdentity {
--- a/crates/disk/tests/damage.rs
+++ b/crates/disk/tests/damage.rs
@@ -168,6 +168,39 @@
             )
         },
     },
+    Case {
+        name: "segment of a later format",
+        damage: |folder| edit(&segment(folder, 2), |b| b[8] = 9),
+        expected: |f| {
+            matches!(
+                f,
+                Failure::Damaged {
+                    offset: 8,
+                    damage: Damage::Version(9),
+                    ..
+                }
+            )
+        },
+    },
+    Case {
+        name: "snapshot of a later format",
+        damage: |folder| {
+            let mut bytes = b"SHTRSNAP".to_vec();
+            bytes.extend_from_slice(&9_u32.to_le_bytes());
+            bytes.resize(100, 0);
+            fs::write(folder.join(NAME).join("snapshot"), bytes).expect("write");
+        },
+        expected: |f| {
+            matches!(
+                f,
+                Failure::Damaged {
+                    offset: 8,
+                    damage: Damage::Version(9),
+                    ..
+                }
+            )
+        },
+    },
     Case {
         name: "identity of a later format",
         damage: |folder| edit(&folder.join("identity"), |b| b[8] = 9),
