Dump the state of a control process without panicking

Cause: the status was made into a JSON value with the disk identities as numbers of 128 bits, which JSON values do not hold, so GET /v1/state of a control process that belongs to a group always ended its connection. Identities are text now.

--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -4,6 +4,7 @@
 use serde_json::json;
 
 use crate::state::State;
+use shallotrill_consensus::status::Status;
 
 /// Everything that an operator may want to know of this process, by table.
 pub(crate) fn state(state: &State) -> Value {
@@ -34,13 +35,37 @@
     let now = state.now();
     let log = state.log.lock();
     json!({
-        "status": log.replica.as_ref().map(|replica| replica.status(now)),
+        "status": log.replica.as_ref().map(|replica| status(&replica.status(now))),
         "waiting": log.waiting,
         "readers": log.readers.len(),
         "behind_ms": state.behind().map(|behind| behind.as_millis() as u64),
     })
 }
 
+fn status(status: &Status) -> Value {
+    let members: Vec<Value> = status
+        .members
+        .iter()
+        .map(|progress| {
+            json!({
+                "id": progress.member.peer.id.0,
+                // As text, since JSON values hold no numbers of 128 bits.
+                "disk": format!("{:032x}", progress.member.peer.disk.0),
+                "role": format!("{:?}", progress.member.role).to_lowercase(),
+                "matched": progress.matched.map(|index| index.0),
+                "heard_ms": progress.heard.map(|heard| heard.as_millis() as u64),
+            })
+        })
+        .collect();
+    json!({
+        "role": format!("{:?}", status.role).to_lowercase(),
+        "term": status.term.0,
+        "leader": status.leader.map(|leader| leader.id.0),
+        "applied": status.applied.0,
+        "members": members,
+    })
+}
+
 fn configuration(state: &State) -> Value {
     let catalog = state.catalog.lock();
     let usage = catalog.usage();
--- a/crates/control/tests/faults/operators.rs
+++ b/crates/control/tests/faults/operators.rs
@@ -13,6 +13,8 @@
 use crate::scene::Rogue;
 use shallotrill_bench::cluster;
 use shallotrill_bench::group::Group;
+use shallotrill_bench::http;
+use shallotrill_bench::http::Ask;
 use shallotrill_bench::operate;
 use shallotrill_claim::change::Change;
 use shallotrill_claim::key::Key;
@@ -218,6 +220,19 @@
     }
 }
 
+/// Guards against a state dump that cannot be made, for want of a form for a value.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_process_dumps_its_state() {
+    let (_folder, group) = start().await;
+    for (index, address) in group.operators().into_iter().enumerate() {
+        let ask = Ask::get("control", "/v1/state");
+        let answer = http::send(address, &ask, scene::LIMIT).await.unwrap();
+        let text = answer.text();
+        assert_eq!(answer.status.as_u16(), 200, "{index}: {text}");
+        assert!(text.contains("\"registers\""), "{index}: {text}");
+    }
+}
+
 /// What happens to a replacement after it began.
 #[derive(Clone, Copy, Debug)]
 enum Interruption {
