Keep running requests when settings change, serve without control, return retry tokens

Cause: an announcement with other slots replaced the backend server's entry, so the gate forgot what ran; settings of a service reached the gate and the probe budget only with a new life. A node that started without control knew no target, not even its own. Tokens of an answered call were dropped, so the ledger and the entry node's budget lost one for each chain of calls. A control process that said it was far behind was kept.

Change: Server::configure resizes the gate and the probe budget when slots or settings change. Routing is told the target here by its own node. The head of an answer between nodes carries the unspent tokens. A control process more than 5 s behind is left (Client::leave). The dump shows the age of the cache. The checks of announcements and the routes have files of their own.

Ruled out: tokens at the end of an answer, which would need trailers.

--- a/crates/control-client/src/client.rs
+++ b/crates/control-client/src/client.rs
@@ -16,6 +16,7 @@
 use crate::feed;
 use crate::lease;
 use shallotrill_claim::proposer;
+use shallotrill_model::instance;
 use shallotrill_model::zone;
 use shallotrill_rpc::link;
 use shallotrill_rpc::link::Failure;
@@ -171,14 +172,23 @@
         }
     }
 
-    fn move_on(&self, from: usize, failure: &Failure) {
+    /// Leaves the present control process, which answers but is of no use, for the next one.
+    pub fn leave(&self, control: &instance::Name) {
+        if self.links.is_empty() {
+            return;
+        }
+        let reason = format!("{control} is behind");
+        self.move_on(self.current.load(Ordering::Relaxed), &reason);
+    }
+
+    fn move_on(&self, from: usize, reason: &impl fmt::Display) {
         let next = (from + 1) % self.links.len();
         let moved = self
             .current
             .compare_exchange(from, next, Ordering::Relaxed, Ordering::Relaxed);
         if moved.is_ok() && next != from {
             let next = self.links[next].address().to_string();
-            info!(event = "control-switched", next = next.as_str(); "{failure}");
+            info!(event = "control-switched", next = next.as_str(); "{reason}");
         }
     }
 }
--- a/crates/node/src/cache.rs
+++ b/crates/node/src/cache.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::info;
 use log::warn;
@@ -58,6 +59,12 @@
     fs::File::open(folder)?.sync_all()
 }
 
+/// Time since the configuration on disk was written.
+pub(crate) fn age(folder: &Path) -> Option<Duration> {
+    let written = fs::metadata(folder.join(FILE)).ok()?.modified().ok()?;
+    written.elapsed().ok()
+}
+
 /// Reads the configuration of an earlier run.
 pub(crate) fn load(folder: &Path) -> Option<View> {
     let bytes = fs::read(folder.join(FILE)).ok()?;
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -31,6 +31,7 @@
 use shallotrill_routing::choice::Query;
 use shallotrill_routing::choice::Refusal as ChoiceRefusal;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::context;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
@@ -220,7 +221,11 @@
         }
     }
 
-    fn answered(&mut self, answered: Answered) -> Response<Body> {
+    fn answered(&mut self, mut answered: Answered) -> Response<Body> {
+        let unspent = answered.response.headers_mut().remove(context::TOKENS);
+        let unspent = unspent.and_then(|tokens| tokens.to_str().ok()?.parse().ok());
+        let outgoing = answered.attempt.outgoing;
+        self.decision.call.returned(outgoing, unspent.unwrap_or(0));
         self.steps.push(explain::Step::Answered {
             instance: answered.attempt.choice.instance.clone(),
             status: answered.response.status().as_u16(),
--- a/crates/node/src/dump.rs
+++ b/crates/node/src/dump.rs
@@ -3,6 +3,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::cache;
 use crate::state::State;
 use crate::sync;
 
@@ -35,8 +36,10 @@
 }
 
 fn configuration(state: &State) -> Value {
+    let cached = state.cache.as_deref().and_then(cache::age);
     let catalog = state.catalog.lock();
     json!({
+        "cache_age_ms": cached.map(|age| age.as_millis() as u64),
         "revision": catalog.revision,
         "services": catalog.services.len(),
         "drains": catalog.drains,
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -32,6 +32,7 @@
 use shallotrill_retry::containment::Ending;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::context;
 use shallotrill_wire::context::Context;
 use shallotrill_wire::load;
 use shallotrill_wire::refusal::Code;
@@ -70,7 +71,11 @@
     if let Some(suspect) = &mut suspect {
         suspect.ending = Ending::Survived;
     }
-    Ok(response.map(|body| body::holding(body, (account, suspect))))
+    let unspent = account.map_or(0, Account::close);
+    let mut response = response.map(|body| body::holding(body, suspect));
+    let unspent = HeaderValue::from(unspent);
+    response.headers_mut().insert(context::TOKENS, unspent);
+    Ok(response)
 }
 
 /// The present load of the backend server, for the answer to whoever chose it.
@@ -112,6 +117,7 @@
 struct Account {
     state: Arc<State>,
     request: request::Id,
+    open: bool,
 }
 
 impl Account {
@@ -121,13 +127,23 @@
         opened.then(|| Self {
             state: Arc::clone(state),
             request: plan.request,
+            open: true,
         })
     }
+
+    /// Closes the account when the answer starts and returns what it left unspent.
+    /// Calls that the backend server makes while it streams the answer have no tokens.
+    fn close(mut self) -> u32 {
+        self.open = false;
+        self.state.budgets.lock().ledger.close(self.request)
+    }
 }
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.state.budgets.lock().ledger.close(self.request);
+        if self.open {
+            self.state.budgets.lock().ledger.close(self.request);
+        }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod cache;
+mod checked;
 mod claims;
 mod course;
 mod crash;
@@ -20,6 +21,7 @@
 mod plan;
 mod probe;
 mod refuse;
+mod routes;
 pub mod run;
 mod shared;
 mod slot;
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -8,7 +8,10 @@
 use log::warn;
 use tokio::sync::oneshot;
 
+use crate::checked;
+use crate::checked::Checked;
 use crate::crash;
+use crate::routes;
 use crate::slot::Answer;
 use crate::state::Identity;
 use crate::state::State;
@@ -36,9 +39,6 @@
 /// An announcement that is not repeated within this time counts as silence of the backend server.
 pub(crate) const ANNOUNCEMENT_VALIDITY: Duration = Duration::from_secs(3);
 
-/// Most slots that a backend server may announce.
-const SLOTS_MAX: u32 = 100_000;
-
 /// Connections and queue places until the service's configuration is known.
 const CONNECTIONS_DEFAULT: u32 = 250;
 const QUEUE_DEFAULT: u32 = 40;
@@ -88,6 +88,9 @@
     pub(crate) last_answer: Option<Instant>,
     pub(crate) last_probe: Option<Instant>,
     gate: Gate,
+    /// What the gate and the probe budget were last told.
+    limits: Limits,
+    gate_slots: u32,
     waiting: Vec<Waiting>,
 }
 
@@ -180,6 +183,18 @@
         let _gone = waiting.sender.send(answer);
     }
 
+    /// Brings gate and probe budget in line with the limits in force; requests that run keep their slots.
+    fn configure(&mut self, limits: Limits, now: Instant) {
+        if self.limits == limits && self.gate_slots == self.slots {
+            return;
+        }
+        self.limits = limits;
+        self.gate_slots = self.slots;
+        self.probe_budget.resize(self.slots, limits.probe_ppm, now);
+        let effect = self.gate.resize(self.slots, limits.queue, now);
+        self.settle(effect);
+    }
+
     fn set_draining(&mut self, draining: bool) {
         if draining {
             let effect = self.gate.drain();
@@ -209,12 +224,8 @@
         }
     }
 
-    /// What control should be told of the backend server now.
-    pub(crate) fn announcement(
-        &mut self,
-        identity: &Identity,
-        now: Instant,
-    ) -> Option<Announcement> {
+    /// The target as it is now.
+    pub(crate) fn target(&self, identity: &Identity, now: Instant) -> Option<Target> {
         let draining = self.is_draining(now);
         let server = self.server.as_ref()?;
         let state = if draining {
@@ -222,7 +233,7 @@
         } else {
             server.announced
         };
-        let target = Target {
+        Some(Target {
             service: server.service.clone(),
             instance: identity.instance.clone(),
             incarnation: server.life.incarnation,
@@ -231,7 +242,16 @@
             address: identity.address,
             state,
             slots: server.slots,
-        };
+        })
+    }
+
+    /// What control should be told of the backend server now.
+    pub(crate) fn announcement(
+        &mut self,
+        identity: &Identity,
+        now: Instant,
+    ) -> Option<Announcement> {
+        let target = self.target(identity, now)?;
         if self.told.as_ref() != Some(&target) {
             self.sequence += 1;
             self.told = Some(target.clone());
@@ -252,16 +272,6 @@
     }
 }
 
-/// An announcement whose fields were checked.
-struct Checked {
-    service: service::Name,
-    address: SocketAddr,
-    slots: u32,
-    state: target::State,
-    start: u128,
-    probe: Option<Arc<str>>,
-}
-
 /// Takes an announcement of the backend server.
 pub(crate) fn announce(
     state: &Arc<State>,
@@ -270,22 +280,17 @@
     if state.is_stopping() {
         return Err(announce::Refusal::Stopping);
     }
-    let checked = check(announcement)?;
+    let checked = checked::check(announcement)?;
     let now = state.now();
-    let spec = state.service(&checked.service);
-    let limits = Limits {
-        connections: spec.as_ref().map_or(CONNECTIONS_DEFAULT, |s| s.connections),
-        queue: spec.as_ref().map_or(QUEUE_DEFAULT, |s| s.queue),
-        probe_ppm: spec.as_ref().map_or(0, |s| s.probe_budget_ppm),
-    };
-    let ended = {
+    let limits = limits(state, &checked.service);
+    let (ended, moved) = {
         let mut local = state.local.lock();
         let wall = state.clock.wall();
         let life = incarnation::derive(local.last.as_ref(), checked.start, wall);
         let restarted = local.last.is_none_or(|last| last != life);
         let ended = restarted.then(|| local.server.take()).flatten();
         local.last = Some(life);
-        let changed = local.place(life, checked, &limits, now);
+        let changed = local.place(life, checked, limits, now);
         local.update_draining(now);
         if let Some(server) = &local.server {
             let connections = limits.connections as usize;
@@ -296,8 +301,11 @@
         if changed || restarted {
             state.changed.notify_one();
         }
-        ended
+        (ended, changed || restarted)
     };
+    if moved {
+        routes::tell(state);
+    }
     if let Some(server) = ended {
         info!(event = "backend-server-restarted", service = server.service.as_str(); "a new life was announced");
         crash::ended(state, &server);
@@ -311,26 +319,54 @@
 }
 
 /// Limits from the service's configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Limits {
     connections: u32,
     queue: u32,
     probe_ppm: u32,
 }
 
+fn limits(state: &State, service: &service::Name) -> Limits {
+    let spec = state.service(service);
+    Limits {
+        connections: spec.as_ref().map_or(CONNECTIONS_DEFAULT, |s| s.connections),
+        queue: spec.as_ref().map_or(QUEUE_DEFAULT, |s| s.queue),
+        probe_ppm: spec.as_ref().map_or(0, |s| s.probe_budget_ppm),
+    }
+}
+
+/// Applies changed settings of the service to the backend server here.
+pub(crate) fn configure(state: &State) {
+    let service = match &state.local.lock().server {
+        Some(server) => server.service.clone(),
+        None => return,
+    };
+    let limits = limits(state, &service);
+    let now = state.now();
+    let mut local = state.local.lock();
+    if let Some(server) = local.server.as_mut().filter(|s| s.service == service) {
+        server.configure(limits, now);
+        let connections = limits.connections as usize;
+        state.backend.connect_to(server.address, false, connections);
+    }
+}
+
 impl Local {
     /// Puts the announced values in place; returns whether anything differs that control should know at once.
-    fn place(&mut self, life: Life, checked: Checked, limits: &Limits, now: Instant) -> bool {
+    fn place(&mut self, life: Life, checked: Checked, limits: Limits, now: Instant) -> bool {
         let same = self
             .server
             .as_mut()
-            .filter(|server| server.service == checked.service && server.slots == checked.slots);
+            .filter(|server| server.service == checked.service);
         if let Some(server) = same {
-            let changed = server.announced != checked.state;
+            let changed = server.announced != checked.state || server.slots != checked.slots;
             let silent = now.since(server.heard) > ANNOUNCEMENT_VALIDITY;
             server.announced = checked.state;
             server.heard = now;
             server.address = checked.address;
             server.probe_path = checked.probe;
+            server.slots = checked.slots;
+            server.configure(limits, now);
             return changed || silent;
         }
         let gate = GateConfig::new(life.incarnation, checked.slots, limits.queue);
@@ -350,47 +386,14 @@
             last_answer: None,
             last_probe: None,
             gate: Gate::new(gate),
+            limits,
+            gate_slots: checked.slots,
             waiting: Vec::new(),
         });
         true
     }
 }
 
-fn check(announcement: &announce::Announcement) -> Result<Checked, announce::Refusal> {
-    let invalid = |field, allowed: &str| announce::Refusal::Invalid {
-        field,
-        allowed: allowed.to_owned(),
-    };
-    let service = service::Name::new(&announcement.service)
-        .or(Err(invalid("service", "1 to 63 of a-z, 0-9 and -")))?;
-    let address = announcement
-        .address
-        .parse()
-        .or(Err(invalid("address", "an IP address and a port")))?;
-    if !(1..=SLOTS_MAX).contains(&announcement.slots) {
-        return Err(invalid("slots", "from 1 to 100000"));
-    }
-    let probe = announcement.probe.as_deref();
-    if probe.is_some_and(|path| !path.starts_with('/')) {
-        return Err(invalid("probe", "a path that starts with /"));
-    }
-    let hash = blake3::hash(announcement.start.as_bytes());
-    let mut start = [0; 16];
-    start.copy_from_slice(&hash.as_bytes()[..16]);
-    Ok(Checked {
-        service,
-        address,
-        slots: announcement.slots,
-        state: match announcement.state {
-            announce::State::Starting => target::State::Starting,
-            announce::State::Ready => target::State::Ready,
-            announce::State::Draining => target::State::Draining,
-        },
-        start: u128::from_le_bytes(start),
-        probe: probe.map(Arc::from),
-    })
-}
-
 /// Notices that the backend server fell silent or spoke again, and tells control.
 pub(crate) fn watch_silence(state: &State) {
     let now = state.now();
--- /dev/null
+++ b/crates/node/src/routes.rs
@@ -0,0 +1,105 @@
+//! What routing is told of the targets that this node knows.
+
+use std::sync::Arc;
+
+use crate::state::State;
+use shallotrill_membership::announcement::Session;
+use shallotrill_membership::owner::Owner;
+use shallotrill_membership::row::Presence;
+use shallotrill_membership::row::Row;
+use shallotrill_membership::row::Stamp;
+use shallotrill_model::instance;
+use shallotrill_model::target;
+use shallotrill_model::target::Target;
+
+/// A target as routing was told of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Applied {
+    row: Arc<Row>,
+    drained: bool,
+}
+
+/// Tells routing what differs from what it was told before.
+pub(crate) fn tell(state: &State) {
+    let now = state.now();
+    let own = own(state);
+    let mut rows: Vec<Arc<Row>> = state.targets.lock().view.rows().to_vec();
+    if let Some(own) = own {
+        let name = &own.target.instance;
+        match rows.binary_search_by(|row| row.target.instance.cmp(name)) {
+            Ok(index) if rows[index].target.incarnation < own.target.incarnation => {
+                rows[index] = own;
+            }
+            Ok(_) => {}
+            Err(index) => rows.insert(index, own),
+        }
+    }
+    let wanted: Vec<Applied> = {
+        let catalog = state.catalog.lock();
+        let applied = |row: Arc<Row>| Applied {
+            drained: catalog.is_drained(&row.target.instance),
+            row,
+        };
+        rows.into_iter().map(applied).collect()
+    };
+    let (changed, removed) = {
+        let mut targets = state.targets.lock();
+        let (changed, removed) = compare(&targets.applied, &wanted);
+        targets.applied = wanted;
+        (changed, removed)
+    };
+    let mut routing = state.routing.lock();
+    for instance in &removed {
+        routing.remove(instance);
+    }
+    routing.apply(&changed, now);
+}
+
+/// The target here, which this node knows without control.
+fn own(state: &State) -> Option<Arc<Row>> {
+    let now = state.now();
+    let target = state.local.lock().target(&state.identity, now)?;
+    let stamp = Stamp {
+        incarnation: target.incarnation,
+        left: false,
+        session: Session::default(),
+        sequence: 0,
+        owner: Owner {
+            name: target.instance.clone(),
+            start: state.identity.session,
+        },
+    };
+    Some(Arc::new(Row {
+        target,
+        stamp,
+        presence: Presence::Live,
+    }))
+}
+
+/// Walks two vectors sorted by instance; returns targets to be applied and instances to be removed.
+fn compare(before: &[Applied], after: &[Applied]) -> (Vec<Target>, Vec<instance::Name>) {
+    let mut changed = Vec::new();
+    let mut removed = Vec::new();
+    let mut old = before.iter().peekable();
+    for new in after {
+        let name = &new.row.target.instance;
+        while let Some(gone) = old.next_if(|old| old.row.target.instance < *name) {
+            removed.push(gone.row.target.instance.clone());
+        }
+        let known = old.next_if(|old| old.row.target.instance == *name);
+        let same = |old: &Applied| Arc::ptr_eq(&old.row, &new.row) && old.drained == new.drained;
+        if !known.is_some_and(same) {
+            changed.push(target(new));
+        }
+    }
+    removed.extend(old.map(|gone| gone.row.target.instance.clone()));
+    (changed, removed)
+}
+
+fn target(applied: &Applied) -> Target {
+    let mut target = applied.row.target.clone();
+    if applied.drained {
+        target.state = target::State::Draining;
+    }
+    target
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::probe;
+use crate::routes;
 use crate::state::Identity;
 use crate::state::Limits;
 use crate::state::Parts;
@@ -262,7 +263,7 @@
         state.budgets.lock().ledger.expire(now);
         let settled = state.targets.lock().view.settle(now);
         if settled {
-            sync::tell_routing(&state);
+            routes::tell(&state);
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -16,6 +16,7 @@
 use crate::explain;
 use crate::local::Local;
 use crate::metrics::Metrics;
+use crate::routes;
 use crate::shared::Shared;
 use crate::sync;
 use shallotrill_backend::pool;
@@ -106,7 +107,7 @@
     /// Whether the interest grew since the last pull, so that the next one needs a snapshot.
     pub(crate) widened: bool,
     /// What routing was told, sorted by instance.
-    pub(crate) applied: Vec<sync::Applied>,
+    pub(crate) applied: Vec<routes::Applied>,
 }
 
 /// Everything that the workers of a node share.
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -16,6 +16,7 @@
 
 use crate::cache;
 use crate::local;
+use crate::routes;
 use crate::state::State;
 use crate::state::Targets;
 use shallotrill_catalog::difference::Update;
@@ -26,12 +27,9 @@
 use shallotrill_control_client::lease::Standing;
 use shallotrill_membership::change::Refusal;
 use shallotrill_membership::difference::Difference;
-use shallotrill_membership::row::Row;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
 use shallotrill_model::service;
-use shallotrill_model::target;
-use shallotrill_model::target::Target;
 use shallotrill_wire::listen;
 
 /// Interval of heartbeats, a third of the lease.
@@ -43,6 +41,10 @@
 /// Longest pause after a failed pull; the pause is random, so that nodes do not come back all at once.
 const FEED_PAUSE_MAX_MS: u64 = 500;
 
+/// A control process that is further behind than this is left for the next one, since it
+/// would feed a configuration that was replaced: a third of the 15 s in which a change is in force.
+const BEHIND_MAX: Duration = Duration::from_secs(5);
+
 /// A backend server that is silent for longer than this is no longer announced.
 const SILENT_MAX: Duration = Duration::from_secs(6);
 
@@ -62,13 +64,6 @@
     pub(crate) control_behind: Option<Duration>,
 }
 
-/// A target as routing was told of it.
-#[derive(Clone, Debug)]
-pub(crate) struct Applied {
-    row: Arc<Row>,
-    drained: bool,
-}
-
 /// Sends heartbeats until `stop`, then says that the target left.
 pub(crate) async fn heartbeat(state: Arc<State>, mut stop: watch::Receiver<bool>) {
     loop {
@@ -232,11 +227,15 @@
         None => false,
     };
     if configured || moved {
-        tell_routing(state);
+        routes::tell(state);
         state.arrived.notify_waiters();
     }
     apply_facts(state, &reply.control, reply.facts, reply.facts_version);
-    state.sync.lock().control_behind = reply.behind_ms.map(Duration::from_millis);
+    let behind = reply.behind_ms.map(Duration::from_millis);
+    state.sync.lock().control_behind = behind;
+    if behind.is_some_and(|behind| behind > BEHIND_MAX) {
+        state.control.leave(&reply.control);
+    }
 }
 
 /// Applies a change of the configuration; returns whether anything changed.
@@ -262,6 +261,7 @@
         local.drained = drained;
         local.update_draining(now);
     }
+    local::configure(state);
     state.changed.notify_one();
     for release in &view.releases {
         if let Some(spec) = view.service(&release.service) {
@@ -304,59 +304,6 @@
     }
 }
 
-/// Tells routing what differs from what it was told before.
-pub(crate) fn tell_routing(state: &State) {
-    let now = state.now();
-    let rows: Vec<Arc<Row>> = state.targets.lock().view.rows().to_vec();
-    let wanted: Vec<Applied> = {
-        let catalog = state.catalog.lock();
-        let applied = |row: Arc<Row>| Applied {
-            drained: catalog.is_drained(&row.target.instance),
-            row,
-        };
-        rows.into_iter().map(applied).collect()
-    };
-    let (changed, removed) = {
-        let mut targets = state.targets.lock();
-        let (changed, removed) = compare(&targets.applied, &wanted);
-        targets.applied = wanted;
-        (changed, removed)
-    };
-    let mut routing = state.routing.lock();
-    for instance in &removed {
-        routing.remove(instance);
-    }
-    routing.apply(&changed, now);
-}
-
-/// Walks two vectors sorted by instance; returns targets to be applied and instances to be removed.
-fn compare(before: &[Applied], after: &[Applied]) -> (Vec<Target>, Vec<instance::Name>) {
-    let mut changed = Vec::new();
-    let mut removed = Vec::new();
-    let mut old = before.iter().peekable();
-    for new in after {
-        let name = &new.row.target.instance;
-        while let Some(gone) = old.next_if(|old| old.row.target.instance < *name) {
-            removed.push(gone.row.target.instance.clone());
-        }
-        let known = old.next_if(|old| old.row.target.instance == *name);
-        let same = |old: &Applied| Arc::ptr_eq(&old.row, &new.row) && old.drained == new.drained;
-        if !known.is_some_and(same) {
-            changed.push(target(new));
-        }
-    }
-    removed.extend(old.map(|gone| gone.row.target.instance.clone()));
-    (changed, removed)
-}
-
-fn target(applied: &Applied) -> Target {
-    let mut target = applied.row.target.clone();
-    if applied.drained {
-        target.state = target::State::Draining;
-    }
-    target
-}
-
 fn apply_facts(state: &State, source: &instance::Name, facts: Vec<Crash>, version: u64) {
     let now = state.now();
     for crash in facts {
--- /dev/null
+++ b/crates/node/tests/contract/common.rs
@@ -0,0 +1,294 @@
+//! A node without control, a backend server beside it, and a caller of raw bytes.
+
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use shallotrill_catalog::view::View;
+use shallotrill_model::class::Class;
+use shallotrill_model::class::Rule;
+use shallotrill_model::instance;
+use shallotrill_model::region;
+use shallotrill_model::revision::Revision;
+use shallotrill_model::service;
+use shallotrill_model::zone;
+use shallotrill_node::run;
+use shallotrill_node::run::Node;
+use shallotrill_platform::settings::Role;
+use shallotrill_platform::settings::Settings;
+use shallotrill_platform::settings::node;
+
+/// Waits of the tests end on a condition; this only ends a hung run.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// What the backend server saw, and what it waits for.
+#[derive(Debug)]
+pub struct Backend {
+    pub address: SocketAddr,
+    /// Requests to `/hold` wait for a permit.
+    pub hold: Semaphore,
+    pub held: AtomicU64,
+    pub probes: AtomicU64,
+    pub failing: AtomicBool,
+    /// Retry tokens of each request to `/chain/`, with the number in its path.
+    pub tokens: Mutex<Vec<(u32, u32)>>,
+    /// Address for nested calls.
+    pub caller: Mutex<Option<SocketAddr>>,
+}
+
+impl Backend {
+    async fn start() -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let backend = Arc::new(Self {
+            address: listener.local_addr().expect("an address"),
+            hold: Semaphore::new(0),
+            held: AtomicU64::new(0),
+            probes: AtomicU64::new(0),
+            failing: AtomicBool::new(false),
+            tokens: Mutex::default(),
+            caller: Mutex::default(),
+        });
+        let serving = Arc::clone(&backend);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let backend = Arc::clone(&serving);
+                let service = service_fn(move |request| {
+                    let backend = Arc::clone(&backend);
+                    async move { Ok::<_, Infallible>(backend.answer(request).await) }
+                });
+                let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(async move { drop(serving.await) });
+            }
+        });
+        backend
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        let mut response = Response::new(Full::new(Bytes::from_static(b"done")));
+        if path == "/health" {
+            self.probes.fetch_add(1, Ordering::Relaxed);
+            if self.failing.load(Ordering::Relaxed) {
+                *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+            }
+        } else if path == "/hold" {
+            self.held.fetch_add(1, Ordering::Relaxed);
+            drop(self.hold.acquire().await);
+        } else if let Some(level) = path.strip_prefix("/chain/") {
+            let level: u32 = level.parse().expect("a number");
+            self.nested(level, request.headers()).await;
+        }
+        response
+    }
+
+    /// Makes the next call of a chain with the headers of this one, as a backend server does.
+    async fn nested(&self, level: u32, headers: &HeaderMap) {
+        let text = |name: &str| headers[name].to_str().expect("text").to_owned();
+        let tokens = text("shallotrill-retry-tokens").parse().expect("a number");
+        self.tokens.lock().expect("no panic").push((level, tokens));
+        let caller = *self.caller.lock().expect("no panic");
+        let (Some(caller), true) = (caller, level > 1) else {
+            return;
+        };
+        let mut copied = String::new();
+        for name in ["request", "depth", "retry-tokens", "attempt", "deadline-ms"] {
+            let name = format!("shallotrill-{name}");
+            writeln!(copied, "{name}: {}\r", text(&name)).expect("a string takes all");
+        }
+        let answer = ask(caller, &format!("/chain/{}", level - 1), &copied).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
+pub struct Site {
+    pub node: Node,
+    pub backend: Arc<Backend>,
+    _folder: TempDir,
+}
+
+/// The service of the tests: every GET is idempotent.
+pub fn spec() -> service::Spec {
+    let name = service::Name::new("s").expect("a name");
+    let mut spec = service::Spec::new(name, region::Name::new("r").expect("a name"));
+    spec.deadline_ms = 15_000;
+    spec.slots = 4;
+    spec.rules.push(Rule {
+        method: Arc::from("GET"),
+        path: Arc::from("/"),
+        class: Class::Idempotent,
+        priority: 0,
+        join: false,
+    });
+    spec
+}
+
+/// Starts a node that knows a service from its cache folder, with a backend server that announced its slots once.
+pub async fn start(spec: service::Spec, drain: Duration) -> Site {
+    start_with(spec, drain, Vec::new()).await
+}
+
+pub async fn start_with(spec: service::Spec, drain: Duration, control: Vec<node::Control>) -> Site {
+    let slots = spec.slots;
+    let folder = TempDir::new().expect("a folder");
+    store(folder.path(), spec);
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let role = node::Settings {
+        caller_listen: any,
+        peer_listen: any,
+        peer_advertise: None,
+        announce_listen: any,
+        control,
+        cache_folder: Some(folder.path().to_owned()),
+        drain_limit: drain,
+        workers: 1,
+        header_limit_bytes: 16_384,
+        body_limit_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(5),
+        call_connections_max: 100,
+    };
+    let settings = Settings {
+        instance: instance::Name::new("i").expect("a name"),
+        zone: zone::Name::new("z").expect("a name"),
+        region: region::Name::new("r").expect("a name"),
+        log: log::LevelFilter::Off,
+        role: Role::Node(role.clone()),
+    };
+    let node = run::start(&settings, &role).await.expect("a node");
+    let backend = Backend::start().await;
+    *backend.caller.lock().expect("no panic") = Some(node.addresses().caller);
+    let site = Site {
+        node,
+        backend,
+        _folder: folder,
+    };
+    site.announce(slots).await;
+    site
+}
+
+fn store(folder: &Path, spec: service::Spec) {
+    let view = View {
+        revision: Revision(7),
+        services: vec![Arc::new(spec)],
+        ..View::default()
+    };
+    let configuration = serde_json::to_string(&view).expect("text");
+    let file = json!({
+        "version": 1,
+        "digest": blake3::hash(configuration.as_bytes()).to_string(),
+        "configuration": configuration,
+    });
+    std::fs::write(folder.join("configuration.json"), file.to_string()).expect("written");
+}
+
+impl Site {
+    pub fn caller(&self) -> SocketAddr {
+        self.node.addresses().caller
+    }
+
+    /// Announces the backend server with this many slots.
+    pub async fn announce(&self, slots: u32) {
+        announce(self.node.addresses().announce, self.backend.address, slots).await;
+    }
+
+    /// Announces the backend server until the returned set is dropped.
+    pub fn keep_announcing(&self, slots: u32) -> JoinSet<()> {
+        let (node, backend) = (self.node.addresses().announce, self.backend.address);
+        let mut announcing = JoinSet::new();
+        announcing.spawn(async move {
+            loop {
+                announce(node, backend, slots).await;
+                time::sleep(Duration::from_millis(500)).await;
+            }
+        });
+        announcing
+    }
+
+    pub async fn get(&self, path: &str) -> String {
+        ask(self.caller(), path, "").await
+    }
+
+    /// The state dump.
+    pub async fn dump(&self) -> Value {
+        let sent = "GET /v1/state HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n";
+        let answer = exchange(self.node.addresses().announce, sent).await;
+        let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+        serde_json::from_str(body).expect("JSON")
+    }
+
+    /// Waits until the state dump fits, announcing the backend server all the while.
+    pub async fn settle(&self, slots: u32, fits: impl Fn(&Value) -> bool) -> Value {
+        let waiting = async {
+            loop {
+                let dump = self.dump().await;
+                if fits(&dump) {
+                    return dump;
+                }
+                self.announce(slots).await;
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        time::timeout(LIMIT, waiting).await.expect("a state")
+    }
+}
+
+async fn announce(node: SocketAddr, backend: SocketAddr, slots: u32) {
+    let announcement = json!({
+        "service": "s",
+        "address": backend.to_string(),
+        "slots": slots,
+        "state": "ready",
+        "start": "first",
+        "probe": "/health",
+    })
+    .to_string();
+    let sent = format!(
+        "PUT /v1/announce HTTP/1.1\r\nhost: n\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{announcement}",
+        announcement.len()
+    );
+    let answer = exchange(node, &sent).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Sends a GET on a connection of its own and returns the whole answer.
+pub async fn ask(address: SocketAddr, path: &str, headers: &str) -> String {
+    let sent = format!("GET {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n{headers}\r\n");
+    exchange(address, &sent).await
+}
+
+pub async fn exchange(address: SocketAddr, sent: &str) -> String {
+    let exchanging = async {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(sent.as_bytes()).await.expect("written");
+        let mut read = Vec::new();
+        let _ = stream.read_to_end(&mut read).await;
+        String::from_utf8_lossy(&read).into_owned()
+    };
+    time::timeout(LIMIT, exchanging).await.expect("an end")
+}
