Test what a node does with forwarded requests

No fault was found.

Seen to fail: refusals without both checks of the life (each alone is caught by the other) and without the load, deadline with a fixed one, cancellation with a connection that stays open.

--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -55,6 +55,8 @@
     /// Requests to `/hold` wait for a permit.
     pub hold: Semaphore,
     pub held: AtomicU64,
+    /// Requests to `/hold` whose connection closed before their answer.
+    pub cut: AtomicU64,
     pub probes: AtomicU64,
     pub failing: AtomicBool,
     /// Retry tokens of each request to `/chain/`, with the number in its path.
@@ -63,6 +65,17 @@
     pub caller: Mutex<Option<SocketAddr>>,
 }
 
+/// Counts a request that is dropped before it is done.
+struct Cut<'count>(&'count AtomicU64, bool);
+
+impl Drop for Cut<'_> {
+    fn drop(&mut self) {
+        if !self.1 {
+            self.0.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
 impl Backend {
     async fn start() -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -70,6 +83,7 @@
             address: listener.local_addr().expect("an address"),
             hold: Semaphore::new(0),
             held: AtomicU64::new(0),
+            cut: AtomicU64::new(0),
             probes: AtomicU64::new(0),
             failing: AtomicBool::new(false),
             tokens: Mutex::default(),
@@ -100,7 +114,12 @@
             }
         } else if path == "/hold" {
             self.held.fetch_add(1, Ordering::Relaxed);
+            let mut cut = Cut(&self.cut, false);
             drop(self.hold.acquire().await);
+            cut.1 = true;
+        } else if path == "/deadline" {
+            let left = request.headers()["shallotrill-deadline-ms"].as_bytes();
+            *response.body_mut() = Full::new(Bytes::copy_from_slice(left));
         } else if let Some(level) = path.strip_prefix("/chain/") {
             let level: u32 = level.parse().expect("a number");
             self.nested(level, request.headers()).await;
--- a/crates/node/tests/contract/main.rs
+++ b/crates/node/tests/contract/main.rs
@@ -3,4 +3,5 @@
 mod common;
 mod control;
 mod edge;
+mod peers;
 mod stop;
