Test a planned stop in the middle of an answer

Change: two of the stops have an answer whose head has gone before the stop; it ends whole, or is cut when the stop is asked for again.

--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -4,18 +4,22 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
+use http_body::Frame;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +32,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time;
 
@@ -44,6 +49,8 @@
 use shallotrill_platform::settings::Role;
 use shallotrill_platform::settings::Settings;
 use shallotrill_platform::settings::node;
+use shallotrill_wire::body;
+use shallotrill_wire::body::Body;
 
 /// Waits of the tests end on a condition; this only ends a hung run.
 pub const LIMIT: Duration = Duration::from_secs(20);
@@ -52,8 +59,8 @@
 #[derive(Debug)]
 pub struct Backend {
     pub address: SocketAddr,
-    /// Requests to `/hold` wait for a permit.
-    pub hold: Semaphore,
+    /// Requests to `/hold`, and the second half of `/stream`, wait for a permit.
+    pub hold: Arc<Semaphore>,
     pub held: AtomicU64,
     /// Requests to `/hold` whose connection closed before their answer.
     pub cut: AtomicU64,
@@ -65,6 +72,22 @@
     pub caller: Mutex<Option<SocketAddr>>,
 }
 
+/// A body that is fed piece by piece.
+struct Channel(mpsc::Receiver<Bytes>);
+
+impl http_body::Body for Channel {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        let polled = self.0.poll_recv(cx);
+        polled.map(|piece| piece.map(|piece| Ok(Frame::data(piece))))
+    }
+}
+
 /// Counts a request that is dropped before it is done.
 struct Cut<'count>(&'count AtomicU64, bool);
 
@@ -81,7 +104,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let backend = Arc::new(Self {
             address: listener.local_addr().expect("an address"),
-            hold: Semaphore::new(0),
+            hold: Arc::new(Semaphore::new(0)),
             held: AtomicU64::new(0),
             cut: AtomicU64::new(0),
             probes: AtomicU64::new(0),
@@ -104,9 +127,9 @@
         backend
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
-        let mut response = Response::new(Full::new(Bytes::from_static(b"done")));
+        let mut response = Response::new(body::full(Bytes::from_static(b"done")));
         if path == "/health" {
             self.probes.fetch_add(1, Ordering::Relaxed);
             if self.failing.load(Ordering::Relaxed) {
@@ -119,7 +142,10 @@
             cut.1 = true;
         } else if path == "/deadline" {
             let left = request.headers()["shallotrill-deadline-ms"].as_bytes();
-            *response.body_mut() = Full::new(Bytes::copy_from_slice(left));
+            *response.body_mut() = body::full(Bytes::copy_from_slice(left));
+        } else if path == "/stream" {
+            self.held.fetch_add(1, Ordering::Relaxed);
+            *response.body_mut() = self.stream();
         } else if let Some(level) = path.strip_prefix("/chain/") {
             let level: u32 = level.parse().expect("a number");
             self.nested(level, request.headers()).await;
@@ -127,6 +153,18 @@
         response
     }
 
+    /// A body whose second half waits for a permit.
+    fn stream(&self) -> Body {
+        let (sender, receiver) = mpsc::channel(2);
+        let hold = Arc::clone(&self.hold);
+        tokio::spawn(async move {
+            drop(sender.send(Bytes::from_static(b"first")).await);
+            drop(hold.acquire().await);
+            drop(sender.send(Bytes::from_static(b"done")).await);
+        });
+        Channel(receiver).boxed_unsync()
+    }
+
     /// Makes the next call of a chain with the headers of this one, as a backend server does.
     async fn nested(&self, level: u32, headers: &HeaderMap) {
         let text = |name: &str| headers[name].to_str().expect("text").to_owned();
--- a/crates/node/tests/contract/stop.rs
+++ b/crates/node/tests/contract/stop.rs
@@ -13,6 +13,7 @@
 
 struct Case {
     name: &'static str,
+    path: &'static str,
     drain: Duration,
     /// Whether the backend server answers.
     answered: bool,
@@ -24,18 +25,28 @@
 const STOPS: &[Case] = &[
     Case {
         name: "requests in flight finish",
+        path: "/hold",
+        drain: LIMIT,
+        answered: true,
+        again: false,
+    },
+    Case {
+        name: "an answer in the middle of its body finishes",
+        path: "/stream",
         drain: LIMIT,
         answered: true,
         again: false,
     },
     Case {
         name: "the limit passes",
+        path: "/hold",
         drain: Duration::from_millis(200),
         answered: false,
         again: false,
     },
     Case {
         name: "the stop is asked for again",
+        path: "/stream",
         drain: LIMIT,
         answered: false,
         again: true,
@@ -47,8 +58,8 @@
     for case in STOPS {
         let site = common::start(common::spec(), case.drain).await;
         let caller = site.caller();
-        let sent = "GET /hold HTTP/1.1\r\nhost: s\r\n\r\n";
-        let asking = tokio::spawn(common::exchange(caller, sent));
+        let sent = format!("GET {} HTTP/1.1\r\nhost: s\r\n\r\n", case.path);
+        let asking = tokio::spawn(async move { common::exchange(caller, &sent).await });
         site.settle(4, |_| site.backend.held.load(Ordering::Relaxed) == 1)
             .await;
         let backend = Arc::clone(&site.backend);
@@ -72,8 +83,14 @@
         if case.answered {
             let answer = asking.await.expect("no panic");
             assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-            assert!(answer.contains("connection: close"), "{answer}");
-            assert!(answer.ends_with("done"), "{answer}");
+            let end = match case.path {
+                "/hold" => "done",
+                // The last chunk shows that the answer is whole. Its head may have gone before the stop.
+                _ => "4\r\ndone\r\n0\r\n\r\n",
+            };
+            assert!(answer.ends_with(end), "{answer}");
+            let told = answer.contains("connection: close");
+            assert!(told || case.path == "/stream", "{answer}");
         }
         assert_eq!(backend.held.load(Ordering::Relaxed), 1, "{}", case.name);
     }
