Test that headers of a caller gain nothing

Change: a table of headers of this protocol that an outside caller forges: tokens of a first and of a nested call, an attempt, a depth.

Seen to fail: forged_headers with the caller's attempt and with tokens that are not drawn from the ledger.

--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -140,9 +140,9 @@
             let mut cut = Cut(&self.cut, false);
             drop(self.hold.acquire().await);
             cut.1 = true;
-        } else if path == "/deadline" {
-            let left = request.headers()["shallotrill-deadline-ms"].as_bytes();
-            *response.body_mut() = body::full(Bytes::copy_from_slice(left));
+        } else if let Some(name) = path.strip_prefix("/header/") {
+            let value = request.headers()[format!("shallotrill-{name}")].as_bytes();
+            *response.body_mut() = body::full(Bytes::copy_from_slice(value));
         } else if path == "/stream" {
             self.held.fetch_add(1, Ordering::Relaxed);
             *response.body_mut() = self.stream();
--- a/crates/node/tests/contract/edge.rs
+++ b/crates/node/tests/contract/edge.rs
@@ -104,6 +104,53 @@
     }
 }
 
+struct Forged {
+    name: &'static str,
+    sent: &'static str,
+    /// A header that the backend server gets, and its value.
+    header: &'static str,
+    expected: &'static str,
+}
+
+/// Guards against a caller that gains copies, attempts or a shallower depth by headers of its own.
+const FORGED: &[Forged] = &[
+    Forged {
+        name: "tokens of a first call",
+        sent: "shallotrill-retry-tokens: 16\r\n",
+        header: "retry-tokens",
+        expected: "0",
+    },
+    Forged {
+        name: "tokens of a nested call that nobody made",
+        sent: "shallotrill-depth: 1\r\nshallotrill-retry-tokens: 16\r\n",
+        header: "retry-tokens",
+        expected: "0",
+    },
+    Forged {
+        name: "an attempt",
+        sent: "shallotrill-attempt: 4294967295\r\n",
+        header: "attempt",
+        expected: "1",
+    },
+    Forged {
+        name: "a depth",
+        sent: "shallotrill-depth: 5\r\n",
+        header: "depth",
+        expected: "6",
+    },
+];
+
+#[tokio::test]
+async fn forged_headers() {
+    let site = common::start(common::spec(), DRAIN).await;
+    for case in FORGED {
+        let path = format!("/header/{}", case.header);
+        let answer = common::ask(site.caller(), &path, case.sent).await;
+        let (_, value) = answer.split_once("\r\n\r\n").expect("a body");
+        assert_eq!(value, case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against probes beyond the agreed budget while the backend server fails them.
 #[tokio::test]
 async fn probes() {
--- a/crates/node/tests/contract/peers.rs
+++ b/crates/node/tests/contract/peers.rs
@@ -109,7 +109,7 @@
         ),
         ("shallotrill-deadline-ms", "9000".to_owned()),
     ];
-    let answer = send(&pool, &site, "/deadline", &headers).await;
+    let answer = send(&pool, &site, "/header/deadline-ms", &headers).await;
     assert!(answer.headers().contains_key("shallotrill-load"));
     let body = answer
         .into_body()
