--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -229,6 +229,7 @@
         body_limit_bytes: 1 << 20,
         header_timeout: Duration::from_secs(5),
         call_connections_max: 100,
+        routing_policy: node::Policy::Scored,
     };
     let settings = Settings {
         instance: instance::Name::new("i").expect("a name"),
