Make control processes without a vote learners

Cause: a process that is not among the first voters formed an empty group and never held the log, so only the voters could feed nodes: 3 of 46 control processes.

Change: it asks the leader to add it as a learner, until it is a member. A learner that lost its disk is removed and added again, since nothing was agreed by it; the lost disk of a voter stays with the operator.

--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::error;
 use log::info;
 use tokio::time;
 
@@ -35,7 +34,7 @@
 enum Round {
     /// This process belongs to the group of these first members.
     Formed(Set),
-    /// This process joins a group that exists, without a vote until an operator adds it.
+    /// This process joins a group that exists, without a vote: see [`crate::join`].
     Join(String),
     /// Not every first voter answered.
     Wait(String),
@@ -83,7 +82,7 @@
         match round(state, voters).await {
             Round::Formed(members) => return members,
             Round::Join(reason) => {
-                error!(event = "not-a-member"; "{reason}");
+                info!(event = "not-a-member"; "{reason}");
                 return Set::default();
             }
             Round::Wait(reason) => {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod group;
 mod identity;
+mod join;
 mod members;
 mod metrics;
 mod nodes;
--- a/crates/control/src/replace.rs
+++ b/crates/control/src/replace.rs
@@ -28,6 +28,7 @@
 use shallotrill_consensus::member::Role;
 use shallotrill_consensus::member::Set;
 use shallotrill_model::command::Id as CommandId;
+use shallotrill_model::time::Instant;
 use shallotrill_replica::forward::Refusal;
 
 /// Longest time for the new member to catch up before the operator is told to repeat the command.
@@ -49,17 +50,47 @@
         let Some(change) = next(&members, old, new) else {
             break;
         };
-        match propose(state, change).await {
-            Ok(()) => {}
-            Err(Step::Later(reason)) if state.now() < deadline => {
-                log::debug!(event = "replacement-waits"; "{reason}");
-                time::sleep(PAUSE).await;
+        take(state, change, deadline).await?;
+    }
+    replace_seats(state, old, new).await
+}
+
+/// Adds a member without a vote as the leader.
+///
+/// # Errors
+///
+/// Returns [`Refusal`] when the number belongs to a voter on another disk, which only an operator
+/// replaces, or when the members cannot be changed now.
+pub(crate) async fn join(state: &Arc<State>, new: Peer) -> Result<(), Refusal> {
+    let deadline = state.now() + CATCH_UP_LIMIT;
+    loop {
+        let members = bootstrap::members(state).ok_or(Refusal::NotLeader(None))?;
+        let change = match members.get(new.id) {
+            None => Change::AddLearner(new),
+            Some(member) if member.peer == new => return Ok(()),
+            // Nothing was agreed by the lost disk of a learner.
+            Some(member) if member.role == Role::Learner => Change::Remove(new.id),
+            Some(_) => {
+                let reason = "the disk of a voter was lost; an operator has to replace the member";
+                return Err(Refusal::Member(reason.to_owned()));
             }
-            Err(Step::Later(reason)) => return Err(Refusal::Member(reason)),
-            Err(Step::Refused(refusal)) => return Err(refusal),
+        };
+        take(state, change, deadline).await?;
+    }
+}
+
+/// Takes one step, or waits when it may succeed in a moment.
+async fn take(state: &Arc<State>, change: Change, deadline: Instant) -> Result<(), Refusal> {
+    match propose(state, change).await {
+        Ok(()) => Ok(()),
+        Err(Step::Later(reason)) if state.now() < deadline => {
+            log::debug!(event = "member-change-waits"; "{reason}");
+            time::sleep(PAUSE).await;
+            Ok(())
         }
+        Err(Step::Later(reason)) => Err(Refusal::Member(reason)),
+        Err(Step::Refused(refusal)) => Err(refusal),
     }
-    replace_seats(state, old, new).await
 }
 
 /// The next change that brings the members nearer to the replacement; nothing when it is complete.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -22,6 +22,7 @@
 use crate::group;
 use crate::identity;
 use crate::identity::Identity;
+use crate::join;
 use crate::members;
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -171,6 +172,7 @@
     let tasks = vec![
         driver,
         tokio::spawn(members::expire(Arc::clone(&state))),
+        tokio::spawn(join::run(Arc::clone(&state))),
         tokio::spawn(group::run(Arc::clone(&state))),
         tokio::spawn(claims::lapse(Arc::clone(&state))),
         tokio::spawn(claims::retire(Arc::clone(&state))),
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -37,7 +37,7 @@
             state.wait_applied(index, QUORUM_LIMIT).await;
             Ok(outcome)
         }
-        Answer::ReadAt(_) | Answer::Replaced => Err(Refusal::NoQuorum),
+        Answer::ReadAt(_) | Answer::Replaced | Answer::Joined => Err(Refusal::NoQuorum),
     }
 }
 
@@ -109,6 +109,7 @@
     match ask {
         Ask::Command(command) => propose(state, command).await,
         Ask::Read => confirm(state).await,
+        Ask::Join(peer) => replace::join(state, peer).await.map(|()| Answer::Joined),
         Ask::Replace { old, new } => {
             // Boxed, because a replacement itself submits commands.
             let replacing = Box::pin(replace::run(state, old, new));
--- a/crates/replica/src/forward.rs
+++ b/crates/replica/src/forward.rs
@@ -17,6 +17,8 @@
     Command(Command),
     /// Asks up to which index a reader must have applied the log to answer with what is in force.
     Read,
+    /// Adds a process without a vote, so that it holds the log and can feed nodes.
+    Join(Peer),
     /// Replaces a member of the group.
     Replace {
         /// Number of the member that leaves.
@@ -53,6 +55,8 @@
     ReadAt(u64),
     /// The members were changed.
     Replaced,
+    /// The process is a member.
+    Joined,
 }
 
 /// The answer or the refusal.
