Answer an exchange only when there is news for it

Cause: each change of the configuration ended every waiting exchange with an answer that held nothing but the list of heard owners.

Change: the wait goes on until the targets or the crash facts change, and no answer is built to find that out.

--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -99,6 +99,11 @@
         (aged.collect(), self.version)
     }
 
+    /// Version of the latest fact.
+    pub(crate) const fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Number of facts.
     pub(crate) fn len(&self) -> usize {
         self.facts.len()
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -273,19 +273,21 @@
 /// Answers the exchange of another control process.
 pub(crate) async fn exchange(state: Arc<State>, ask: exchange::Ask) -> exchange::Reply {
     let mut changed = state.changed.subscribe();
-    let reply = export(&state, &ask);
-    if !is_news(&ask, &reply) {
-        let wait = Duration::from_millis(ask.wait_ms).min(EXCHANGE_WAIT);
-        drop(time::timeout(wait, changed.changed()).await);
-        return export(&state, &ask);
+    let end = time::Instant::now() + Duration::from_millis(ask.wait_ms).min(EXCHANGE_WAIT);
+    // Changes of the configuration wake this too and are no news here.
+    while !is_news(&state, &ask) {
+        if time::timeout_at(end, changed.changed()).await.is_err() {
+            break;
+        }
     }
-    reply
+    export(&state, &ask)
 }
 
-fn is_news(ask: &exchange::Ask, reply: &exchange::Reply) -> bool {
+fn is_news(state: &State, ask: &exchange::Ask) -> bool {
+    let members = state.members.lock();
     ask.nodes
-        || ask.since.as_ref() != Some(&reply.membership.version)
-        || ask.crashes != reply.crashes_version
+        || ask.since.as_ref() != Some(&members.table.version())
+        || ask.crashes != members.crashes.version()
 }
 
 fn export(state: &State, ask: &exchange::Ask) -> exchange::Reply {
