Send only the rows of a service that a node comes to use

Change: the pull names the services that the node was not told of; the difference holds all rows of those. Rows of services that are no longer of interest are dropped, as nothing more is told of them.

Case of tests/cases.rs: 1 row in place of 10 for a gained service. It fails with (0, 9) in place of (1, 10) when the fresh rows are left out, and with 10 rows in place of 9 when View::keep drops nothing. Bytes on the wire of a real node were not measured.

--- a/crates/bench/examples/slopes.rs
+++ b/crates/bench/examples/slopes.rs
@@ -22,6 +22,7 @@
 use shallotrill_bench::slopes::fleet::Fleet;
 use shallotrill_bench::slopes::node;
 use shallotrill_bench::slopes::node::Node;
+use shallotrill_bench::slopes::place::Places;
 use shallotrill_catalog::difference::Update;
 use shallotrill_control_client::feed;
 use shallotrill_model::revision::Revision;
@@ -86,6 +87,10 @@
         name: "log",
         run: |bench, runtime| runtime.block_on(log(bench)),
     },
+    Part {
+        name: "node",
+        run: |bench, runtime| runtime.block_on(real(bench)),
+    },
 ];
 
 fn main() -> Result<()> {
@@ -312,6 +317,7 @@
             revision: Revision(head - missed),
             membership: None,
             interest: Vec::new(),
+            fresh: Vec::new(),
             facts: 0,
             wait_ms: 0,
         };
@@ -421,6 +427,9 @@
     for count in [3_u16, 6, 12, 24] {
         let fleet = bench.fleet(count, 3).await?;
         time::sleep(Duration::from_secs(5)).await;
+        let members = operate::run(&fleet.operators, "show members").await?;
+        let holding = members.rows.len();
+        println!("  {holding} of {count} hold the log");
         let (sent, busy) = (fleet.peer_bytes(), fleet.processor_time()?);
         time::sleep(Duration::from_secs(4)).await;
         let (rest, idle) = (
@@ -450,3 +459,33 @@
     );
     Ok(())
 }
+
+/// Processor time and memory of real nodes against the rate of changes, with all services configured.
+async fn real(bench: &Bench) -> Result<()> {
+    let fleet = bench.fleet(1, 1).await?;
+    create(&fleet.operators, 0, 1_700).await?;
+    let mut made = 1_700;
+    let ip = cluster::own_ip();
+    let control = fleet.nodes[0].address;
+    let places = Places::start(&bench.program, bench.folder.path(), ip, control, 10)?;
+    time::sleep(Duration::from_secs(5)).await;
+    let mut points = Vec::new();
+    for gap_ms in [u64::MAX, 1_149, 287, 72] {
+        let (first, busy, began) = (made, places.processor_time()?, Instant::now());
+        while began.elapsed() < SPAN * 2 {
+            if gap_ms == u64::MAX {
+                time::sleep(SPAN * 2).await;
+                continue;
+            }
+            create(&fleet.operators, made, made + 1).await?;
+            made += 1;
+            time::sleep(Duration::from_millis(gap_ms)).await;
+        }
+        let seconds = began.elapsed().as_secs_f64();
+        let busy = places.processor_time()?.saturating_sub(busy).as_secs_f64();
+        points.push(((made - first) as f64 / seconds, busy * 1e3 / seconds / 10.0));
+        println!("  largest resident {} kB", places.resident_bytes()? / 1_000);
+    }
+    fit::print("processor ms/s of a node", "changes/s", &points);
+    Ok(())
+}
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -8,5 +8,6 @@
 pub mod fit;
 pub mod fleet;
 pub mod node;
+pub mod place;
 pub mod process;
 pub mod relay;
--- a/crates/bench/src/slopes/node.rs
+++ b/crates/bench/src/slopes/node.rs
@@ -178,6 +178,7 @@
             revision: node.held(),
             membership: view.version().cloned(),
             interest: node.interest.clone(),
+            fresh: Vec::new(),
             facts,
             wait_ms: FEED_WAIT.as_millis() as u64,
         };
--- a/crates/control-client/src/feed.rs
+++ b/crates/control-client/src/feed.rs
@@ -25,6 +25,8 @@
     pub membership: Option<Version>,
     /// Services whose targets the node wants; empty means all.
     pub interest: Vec<service::Name>,
+    /// Services of interest whose targets the node was not told yet; part of the interest, sorted.
+    pub fresh: Vec<service::Name>,
     /// Version of the crash facts at the node, as counted by the process that answers.
     pub facts: u64,
     /// Longest time to wait for a change, in milliseconds.
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -38,7 +38,7 @@
         let membership = (!ask.interest.is_empty()).then(|| {
             members
                 .table
-                .difference(ask.membership.as_ref(), &ask.interest)
+                .difference_with(ask.membership.as_ref(), &ask.interest, &ask.fresh)
         });
         let (crashes, version) = members.crashes.since(ask.facts, now);
         (membership, crashes, version)
@@ -67,6 +67,7 @@
         difference.is_snapshot() || !difference.rows.is_empty() || !difference.removed.is_empty()
     };
     reply.update.is_some()
+        || !ask.fresh.is_empty()
         || reply.membership.as_ref().is_some_and(moved)
         || (!reply.facts.is_empty() && reply.facts_version != ask.facts)
 }
--- a/crates/membership/src/select.rs
+++ b/crates/membership/src/select.rs
@@ -21,13 +21,27 @@
     /// tombstones, or that starts to read a further service (and so passes no
     /// version), gets a snapshot. `interest` is sorted.
     pub fn difference(&self, since: Option<&Version>, interest: &[service::Name]) -> Difference {
+        self.difference_with(since, interest, &[])
+    }
+
+    /// As [`Table::difference`], with all rows of the services in `fresh`, which the reader did not read before.
+    ///
+    /// `fresh` is a sorted part of `interest`. A reader of n services that gains one gets the rows
+    /// of that one; a snapshot for each gain would cost rows in proportion to n² on the way to n.
+    pub fn difference_with(
+        &self,
+        since: Option<&Version>,
+        interest: &[service::Name],
+        fresh: &[service::Name],
+    ) -> Difference {
         let wanted = |name: &service::Name| interest.binary_search(name).is_ok();
-        self.select(since, &wanted)
+        let whole = |name: &service::Name| fresh.binary_search(name).is_ok();
+        self.select(since, &wanted, &whole)
     }
 
     /// The rows of all services that changed since a version, for another control process.
     pub fn export(&self, since: Option<&Version>, now: Instant) -> Difference {
-        let difference = self.select(since, &|_| true);
+        let difference = self.select(since, &|_| true, &|_| false);
         self.with_heard(difference, now)
     }
 
@@ -42,7 +56,7 @@
         relayed: &[Owner],
         now: Instant,
     ) -> Difference {
-        let mut difference = self.select(since, &|_| true);
+        let mut difference = self.select(since, &|_| true, &|_| false);
         let told = |row: &mut Arc<Row>| {
             let owner = &row.stamp.owner;
             *owner == self.own || relayed.binary_search(owner).is_ok()
@@ -72,13 +86,21 @@
         &self,
         since: Option<&Version>,
         wanted: &dyn Fn(&service::Name) -> bool,
+        whole: &dyn Fn(&service::Name) -> bool,
     ) -> Difference {
         let usable =
             |version: &&Version| version.source == self.own && version.number >= self.floor;
         let since = since.filter(usable).map(|version| version.number);
         let mut entries = match since {
             None => self.entries.iter().collect(),
-            Some(number) => self.changed_since(number),
+            Some(number) => {
+                let mut changed = self.changed_since(number);
+                let of_fresh = |entry: &&Arc<Entry>| {
+                    entry.changed <= number && whole(&entry.row.target.service)
+                };
+                changed.extend(self.entries.iter().filter(of_fresh));
+                changed
+            }
         };
         if since.is_some() {
             entries.sort_unstable_by(|a, b| a.row.target.instance.cmp(&b.row.target.instance));
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -14,6 +14,7 @@
 use crate::version::Version;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
+use shallotrill_model::service;
 use shallotrill_model::time::Instant;
 
 /// Why a difference was not applied.
@@ -130,6 +131,14 @@
         !due.is_empty()
     }
 
+    /// Drops the targets of services that are no longer read, since nothing more is told of them.
+    ///
+    /// `interest` is sorted.
+    pub fn keep(&mut self, interest: &[service::Name]) {
+        let kept = |row: &Arc<Row>| interest.binary_search(&row.target.service).is_ok();
+        self.rows.retain(kept);
+    }
+
     /// The live targets.
     pub fn rows(&self) -> &[Arc<Row>] {
         &self.rows
--- a/crates/membership/tests/cases.rs
+++ b/crates/membership/tests/cases.rs
@@ -272,6 +272,45 @@
     }
 }
 
+struct Gain {
+    name: &'static str,
+    /// Whether the reader names the gained service.
+    fresh: bool,
+    /// Rows that it gets, and rows that it holds then.
+    expected: (usize, usize),
+}
+
+/// Guards against a reader that gains a service and gets all rows of the others again, or misses rows of the gained one.
+#[rustfmt::skip]
+const GAINS: &[Gain] = &[
+    Gain { name: "nothing gained", fresh: false, expected: (0, 9) },
+    Gain { name: "one service gained", fresh: true, expected: (1, 10) },
+];
+
+#[test]
+fn gained_services_come_without_the_others() {
+    for case in GAINS {
+        let mut source = table("a", 10, at(0));
+        serve(&mut source, "bookings", 6);
+        let bookings = service::Name::new("bookings").expect("valid");
+        let mut view = View::new(Duration::from_secs(3));
+        view.apply(&source.difference(None, &[payments()]), at(0))
+            .expect("a snapshot");
+        let fresh = if case.fresh {
+            vec![bookings.clone()]
+        } else {
+            Vec::new()
+        };
+        let interest = [bookings, payments()];
+        let difference = source.difference_with(view.version(), &interest, &fresh);
+        view.apply(&difference, at(0)).expect("in order");
+        let found = (difference.rows.len(), view.rows().len());
+        assert_eq!(found, case.expected, "{}", case.name);
+        view.keep(&[payments()]);
+        assert_eq!(view.rows().len(), 9, "{}", case.name);
+    }
+}
+
 fn owner(source: &str) -> Owner {
     let name = instance::Name::new(source).expect("valid");
     Owner { name, start: 1 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -103,8 +103,10 @@
     pub(crate) view: Membership,
     /// Sorted by service.
     pub(crate) interest: Vec<Interest>,
-    /// Whether the interest grew since the last pull, so that the next one needs a snapshot.
-    pub(crate) widened: bool,
+    /// Services whose targets the view follows, sorted: the interest of the last pull that was answered.
+    pub(crate) followed: Vec<service::Name>,
+    /// Whether a difference did not fit, so that the next pull needs a snapshot.
+    pub(crate) misfit: bool,
     /// What routing was told, sorted by instance.
     pub(crate) applied: Vec<sync::Applied>,
 }
@@ -166,7 +168,8 @@
         let targets = Targets {
             view: Membership::new(LEASE),
             interest: Vec::new(),
-            widened: false,
+            followed: Vec::new(),
+            misfit: false,
             applied: Vec::new(),
         };
         let budgets = Budgets {
@@ -251,7 +254,6 @@
                     informed: false,
                 };
                 targets.interest.insert(index, interest);
-                targets.widened = true;
                 drop(targets);
                 self.interested.notify_one();
             }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -197,8 +197,8 @@
         .server
         .as_ref()
         .map(|server| server.service.clone());
-    let (interest, membership) = {
-        let targets = state.targets.lock();
+    let (interest, fresh, membership) = {
+        let mut targets = state.targets.lock();
         let mut interest: Vec<service::Name> = targets
             .interest
             .iter()
@@ -209,8 +209,12 @@
         {
             interest.insert(index, own);
         }
+        targets.forget(&interest);
+        let followed = &targets.followed;
+        let fresh = |service: &&service::Name| followed.binary_search(service).is_err();
+        let fresh: Vec<service::Name> = interest.iter().filter(fresh).cloned().collect();
         let version = targets.view.version().cloned();
-        (interest, version.filter(|_| !targets.widened))
+        (interest, fresh, version.filter(|_| !targets.misfit))
     };
     let facts = state.sync.lock().facts;
     feed::Ask {
@@ -218,6 +222,7 @@
         revision,
         membership,
         interest,
+        fresh,
         facts,
         wait_ms: FEED_WAIT.as_millis() as u64,
     }
@@ -278,16 +283,14 @@
     let mut targets = state.targets.lock();
     match targets.view.apply(difference, now) {
         Ok(changed) => {
-            if ask.membership.is_none() {
-                targets.widened = false;
-            }
+            targets.misfit = false;
             targets.inform(&ask.interest);
             // A first answer without any target also wakes requests that wait.
-            changed || ask.membership.is_none()
+            changed || ask.membership.is_none() || !ask.fresh.is_empty()
         }
         Err(refusal) => {
             warn!(event = "targets-not-applied"; "{refusal}");
-            targets.widened = true;
+            targets.misfit = true;
             false
         }
     }
@@ -296,10 +299,17 @@
 impl Targets {
     fn inform(&mut self, asked: &[service::Name]) {
         for interest in &mut self.interest {
-            let told = asked.binary_search(&interest.service).is_ok();
-            interest.informed |= told;
-            // A service that was wanted after the pull was sent is part of the next snapshot.
-            self.widened |= !told;
+            interest.informed |= asked.binary_search(&interest.service).is_ok();
+        }
+        self.followed = asked.to_vec();
+    }
+
+    /// Drops what is known of services that are no longer of interest.
+    fn forget(&mut self, interest: &[service::Name]) {
+        let gone = |service: &service::Name| interest.binary_search(service).is_err();
+        if self.followed.iter().any(gone) {
+            self.followed.retain(|service| !gone(service));
+            self.view.keep(interest);
         }
     }
 }
