--- a/crates/bench/src/forward.rs
+++ b/crates/bench/src/forward.rs
@@ -10,7 +10,9 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -19,7 +21,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
-use tokio::time;
+use tokio::task;
 
 /// Bytes that are read at once.
 const CHUNK_BYTES: usize = 64 * 1024;
@@ -102,7 +104,7 @@
     cuts: &Cuts,
     is_cut: impl Fn(&Cuts) -> bool,
 ) {
-    let (sender, mut receiver) = mpsc::channel::<(time::Instant, Vec<u8>)>(CHUNKS);
+    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS);
     let reading = async move {
         let mut silent = false;
         let mut buffer = vec![0; CHUNK_BYTES];
@@ -110,25 +112,27 @@
             silent |= is_cut(cuts);
             cuts.bytes.fetch_add(count as u64, Ordering::Relaxed);
             let chunk = buffer[..count].to_vec();
-            if !silent
-                && sender
-                    .send((time::Instant::now() + delay, chunk))
-                    .await
-                    .is_err()
-            {
+            if !silent && sender.send((Instant::now() + delay, chunk)).await.is_err() {
                 return;
             }
         }
     };
-    let writing = async move {
-        while let Some((due, chunk)) = receiver.recv().await {
-            if !delay.is_zero() {
-                time::sleep_until(due).await;
+    let (passed, mut due) = mpsc::unbounded_channel::<Vec<u8>>();
+    // A thread of its own, because the timer of the runtime counts whole milliseconds.
+    let delaying = task::spawn_blocking(move || {
+        while let Some((at, chunk)) = receiver.blocking_recv() {
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            if passed.send(chunk).is_err() {
+                return;
             }
+        }
+    });
+    let writing = async move {
+        while let Some(chunk) = due.recv().await {
             if to.write_all(&chunk).await.is_err() {
                 return;
             }
         }
     };
-    tokio::join!(reading, writing);
+    let ((), (), _ended) = tokio::join!(reading, writing, delaying);
 }
