--- a/crates/replica/src/peers.rs
+++ b/crates/replica/src/peers.rs
@@ -35,7 +35,7 @@
 const CLAIM_BATCH_MAX: usize = 512;
 
 /// Questions with claim messages in flight to one process, so that one slow sync does not hold all others back.
-const CLAIM_QUESTIONS: usize = 2;
+const CLAIM_QUESTIONS: usize = 4;
 
 /// A control process in the settings of another.
 #[derive(Clone, Debug, PartialEq, Eq)]
