--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -66,7 +66,7 @@
             return Verdict::Refuse(Refusal::Duplicate);
         }
         let wait = self.expected_wait(&ticket);
-        if now >= ticket.deadline || wait + self.answer_time() > ticket.deadline.since(now) {
+        if now >= ticket.deadline || wait > ticket.deadline.since(now) {
             return Verdict::Refuse(Refusal::TooLate { wait });
         }
         self.accounts.enter(&ticket.partner, &self.config, now);
@@ -183,16 +183,6 @@
         Duration::from_micros(((ahead as f64 + 1.0) * service / slots) as u64)
     }
 
-    /// Shortest time in which the backend server is known to answer.
-    ///
-    /// Nothing while it runs no ticket, so that an outdated time cannot keep the gate closed.
-    fn answer_time(&self) -> Duration {
-        if self.running.is_empty() {
-            return Duration::ZERO;
-        }
-        Duration::from_micros(self.limit.minimum_us() as u64)
-    }
-
     fn known(&self, id: Id) -> bool {
         self.queue.position(id).is_some()
             || self.running.binary_search_by_key(&id, |r| r.id).is_ok()
@@ -217,12 +207,12 @@
         Refused { id, refusal }
     }
 
-    /// Refuses what would be answered too late and fills free slots from the queue.
+    /// Refuses what is too late and fills free slots from the queue.
     fn dispatch(&mut self, now: Instant) -> Effect {
         let mut effect = Effect::default();
         let mut at = 0;
         while let Some(waiting) = self.queue.waiting.get(at) {
-            if now + self.answer_time() < waiting.ticket.deadline {
+            if now < waiting.ticket.deadline {
                 at += 1;
                 continue;
             }
--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -86,12 +86,6 @@
         }
     }
 
-    /// Lowest average of the last windows; zero while none is known.
-    pub(crate) fn minimum_us(&self) -> f64 {
-        let minimum = self.minimum_us[0].min(self.minimum_us[1]);
-        if minimum.is_finite() { minimum } else { 0.0 }
-    }
-
     pub(crate) fn failure_permille(&self) -> u16 {
         (self.failures * 1_000.0) as u16
     }
@@ -139,7 +133,7 @@
         }
         // The minimum of averages, not of single latencies: service times vary without any congestion.
         self.minimum_us[0] = self.minimum_us[0].min(self.short_us);
-        let minimum = self.minimum_us();
+        let minimum = self.minimum_us[0].min(self.minimum_us[1]);
         let jitter = config.jitter.as_micros() as f64;
         let tolerated = (config.tolerance * minimum).max(minimum + jitter);
         let gradient = tolerated / self.short_us.max(1.0);
