Let shared work go on for 50 ms after its last caller disconnected

Cause: software that gives up on a slow answer and sends the request again at once disconnects first. The work was cancelled at the disconnect and started anew for each copy, so a slow answer used slots without ever ending.

Change: nobody waiting starts a grace of 50 ms in which a copy joins the work; after it the work is cancelled as before. A copy beyond the bound of followers is refused as not run.

Ruled out: a longer bound of followers, which only moves the point from which copies multiply.

The step 'nobody waits' of copies_are_joined expected a cancellation at the disconnect; it is replaced by eight steps that check the grace from both sides and the cancellation after it.

Seen to fail: 'within the grace' with the grace at zero.

--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,9 +2,10 @@
 //!
 //! A caller that retries at once and without pause sends copies while the
 //! first one still runs. The first copy leads and its work runs in a task; the
-//! others wait for the same answer. The work is cancelled when nobody waits.
+//! others wait for the same answer. The work is cancelled shortly after nobody waits any longer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -13,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
+use tokio::time;
 
 use crate::course;
 use crate::plan::Plan;
@@ -22,6 +24,7 @@
 use shallotrill_retry::join::End;
 use shallotrill_retry::join::Enter;
 use shallotrill_retry::join::Finish;
+use shallotrill_retry::join::Full;
 use shallotrill_retry::join::Key;
 use shallotrill_retry::join::Left;
 use shallotrill_wire::body;
@@ -33,6 +36,12 @@
 /// Longest answer that is shared, in bytes. A longer one goes to the leader alone, and the others ask for themselves.
 const SHARED_MAX_BYTES: usize = 1024 * 1024;
 
+/// Time for which work goes on after its last caller disconnected.
+///
+/// Software that gives up on a slow answer and sends the request again at once joins the work then. A
+/// cancellation at the disconnect would start it anew each time, and it would never end.
+const GRACE: Duration = Duration::from_millis(50);
+
 /// An answer that several callers get.
 #[derive(Debug)]
 struct Whole {
@@ -90,7 +99,7 @@
 
 /// One caller that waits for shared work. Dropping it before the end withdraws the caller.
 struct Waiter<'state> {
-    state: &'state State,
+    state: &'state Arc<State>,
     key: Key,
     id: request::Id,
     waiting: bool,
@@ -101,15 +110,30 @@
         if !self.waiting {
             return;
         }
-        let mut shared = self.state.shared.lock();
-        if let Left::Cancel(leader) = shared.table.disconnect(&self.key, self.id)
-            && let Some(work) = shared.remove(leader)
-        {
-            work.abort.abort();
+        let now = self.state.now();
+        let left = {
+            let mut shared = self.state.shared.lock();
+            shared.table.disconnect(&self.key, self.id, now)
+        };
+        if let Left::Orphaned(leader) = left {
+            let state = Arc::clone(self.state);
+            tokio::spawn(cancel(state, self.key.clone(), leader));
         }
     }
 }
 
+/// Cancels work after the grace if nobody has asked for it again.
+async fn cancel(state: Arc<State>, key: Key, leader: request::Id) {
+    time::sleep(GRACE).await;
+    let now = state.now();
+    let mut shared = state.shared.lock();
+    if shared.table.cancel(&key, leader, GRACE, now)
+        && let Some(work) = shared.remove(leader)
+    {
+        work.abort.abort();
+    }
+}
+
 /// Runs a request or waits for a copy of it that runs already.
 ///
 /// # Errors
@@ -163,7 +187,11 @@
     let now = state.now();
     let mut shared = state.shared.lock();
     match shared.table.enter(key.clone(), id, now) {
-        Enter::Alone(_) => Ok(Entered::Alone),
+        Enter::Alone(Full::Entries) => Ok(Entered::Alone),
+        Enter::Alone(Full::Followers) => {
+            let message = "too many copies of this request wait for its answer".to_owned();
+            Err(Refusal::not_run(Code::Overloaded, message))
+        }
         Enter::Lead => {
             let (long, receiver) = lead(state, plan, &mut shared, key.clone(), id);
             Ok(Entered::Lead(long, receiver))
--- a/crates/retry/src/join.rs
+++ b/crates/retry/src/join.rs
@@ -3,6 +3,8 @@
 //! Callers resend without pause, so identical requests often overlap. The
 //! first one leads and runs; the others follow and get its answer.
 
+use std::time::Duration;
+
 use shallotrill_model::digest::Digest;
 use shallotrill_model::partner;
 use shallotrill_model::request;
@@ -46,8 +48,8 @@
     Follower,
     /// The work goes on, and this request owns it now.
     Owned(request::Id),
-    /// Nobody waits any longer: the work of this leader is to be cancelled.
-    Cancel(request::Id),
+    /// Nobody waits any longer: [`Table::cancel`] is due for this leader after the grace.
+    Orphaned(request::Id),
 }
 
 /// How the leader's work ended.
@@ -115,6 +117,8 @@
     pub followers: Vec<request::Id>,
     /// When the work began.
     pub since: Instant,
+    /// Since when nobody waits; the owner is gone then.
+    pub orphaned: Option<Instant>,
 }
 
 /// The requests in flight at a node that may be joined, sorted by key.
@@ -138,6 +142,10 @@
         match self.position(&key) {
             Ok(index) => {
                 let entry = &mut self.entries[index];
+                if entry.orphaned.take().is_some() {
+                    entry.owner = id;
+                    return Enter::Follow(entry.leader);
+                }
                 if entry.followers.len() >= self.config.followers_max {
                     return Enter::Alone(Full::Followers);
                 }
@@ -152,6 +160,7 @@
                     owner: id,
                     followers: Vec::new(),
                     since: now,
+                    orphaned: None,
                 };
                 self.entries.insert(index, entry);
                 Enter::Lead
@@ -160,7 +169,9 @@
     }
 
     /// Removes a request whose caller disconnected.
-    pub fn disconnect(&mut self, key: &Key, id: request::Id) -> Left {
+    ///
+    /// The work of the last one goes on for a grace, since its caller's software may send it again at once.
+    pub fn disconnect(&mut self, key: &Key, id: request::Id, now: Instant) -> Left {
         let Ok(index) = self.position(key) else {
             return Left::Unknown;
         };
@@ -169,16 +180,39 @@
             entry.followers.remove(follower);
             return Left::Follower;
         }
-        if entry.owner != id {
+        if entry.owner != id || entry.orphaned.is_some() {
             return Left::Unknown;
         }
         if entry.followers.is_empty() {
-            return Left::Cancel(self.entries.remove(index).leader);
+            entry.orphaned = Some(now);
+            return Left::Orphaned(entry.leader);
         }
         entry.owner = entry.followers.remove(0);
         Left::Owned(entry.owner)
     }
 
+    /// Removes work that nobody has waited for since `grace` or longer; says whether it is to be cancelled.
+    pub fn cancel(
+        &mut self,
+        key: &Key,
+        leader: request::Id,
+        grace: Duration,
+        now: Instant,
+    ) -> bool {
+        let Ok(index) = self.position(key) else {
+            return false;
+        };
+        let entry = &self.entries[index];
+        let due = entry
+            .orphaned
+            .is_some_and(|since| now.since(since) >= grace);
+        if entry.leader != leader || !due {
+            return false;
+        }
+        self.entries.remove(index);
+        true
+    }
+
     /// Ends the work of a leader.
     pub fn finish(&mut self, key: &Key, leader: request::Id, end: End) -> Finish {
         let found = self.position(key).ok();
@@ -198,7 +232,9 @@
 
     fn promote(&mut self, index: usize) -> Finish {
         let entry = &mut self.entries[index];
-        let next = if entry.owner == entry.leader {
+        let next = if entry.orphaned.is_some() {
+            None
+        } else if entry.owner == entry.leader {
             (!entry.followers.is_empty()).then(|| entry.followers.remove(0))
         } else {
             Some(entry.owner)
@@ -220,7 +256,7 @@
 /// The requests other than the leader that wait for the result.
 fn waiting(entry: Entry) -> Vec<request::Id> {
     let mut waiting = entry.followers;
-    if entry.owner != entry.leader {
+    if entry.owner != entry.leader && entry.orphaned.is_none() {
         waiting.insert(0, entry.owner);
     }
     waiting
--- a/crates/retry/tests/containment.rs
+++ b/crates/retry/tests/containment.rs
@@ -116,6 +116,7 @@
 enum Seen {
     Entered(Enter),
     Left(Left),
+    Cancelled(bool),
     Finished(Finish),
 }
 
@@ -130,7 +131,14 @@
 }
 
 fn leave(table: &mut join::Table, id: u128) -> Seen {
-    Seen::Left(table.disconnect(&key("a"), Id(id)))
+    Seen::Left(table.disconnect(&key("a"), Id(id), NOW))
+}
+
+/// Asks for the cancellation of a leader's work some time after [`NOW`], with a grace of 50 ms.
+fn cancel(table: &mut join::Table, id: u128, after_ms: u64) -> Seen {
+    let grace = Duration::from_millis(50);
+    let now = NOW + Duration::from_millis(after_ms);
+    Seen::Cancelled(table.cancel(&key("a"), Id(id), grace, now))
 }
 
 fn finish(table: &mut join::Table, id: u128, end: End) -> Seen {
@@ -142,7 +150,7 @@
     Step { name, run, expected }
 }
 
-/// Guards against an answer that reaches another partner, and against work lost with its first caller. Each step continues the last.
+/// Guards against an answer that reaches another partner, against work lost with its first caller, and against a slow answer that starts anew for each impatient copy. Each step continues the last.
 #[rustfmt::skip]
 const STEPS: &[Step] = &[
     step("first", |t| enter(t, "a", 1), || Seen::Entered(Enter::Lead)),
@@ -155,7 +163,15 @@
     step("late end", |t| finish(t, 1, End::Settled), || Seen::Finished(Finish::Unknown)),
     step("answer", |t| finish(t, 2, End::Settled), || Seen::Finished(Finish::Deliver(vec![Id(3)]))),
     step("anew", |t| enter(t, "a", 5), || Seen::Entered(Enter::Lead)),
-    step("nobody waits", |t| leave(t, 5), || Seen::Left(Left::Cancel(Id(5)))),
+    step("nobody waits", |t| leave(t, 5), || Seen::Left(Left::Orphaned(Id(5)))),
+    step("left once", |t| leave(t, 5), || Seen::Left(Left::Unknown)),
+    step("within the grace", |t| cancel(t, 5, 49), || Seen::Cancelled(false)),
+    step("sent again", |t| enter(t, "a", 6), || Seen::Entered(Enter::Follow(Id(5)))),
+    step("somebody waits", |t| cancel(t, 5, 51), || Seen::Cancelled(false)),
+    step("nobody waits again", |t| leave(t, 6), || Seen::Left(Left::Orphaned(Id(5)))),
+    step("after the grace", |t| cancel(t, 5, 50), || Seen::Cancelled(true)),
+    step("is gone", |t| cancel(t, 5, 51), || Seen::Cancelled(false)),
+    step("starts anew", |t| enter(t, "a", 7), || Seen::Entered(Enter::Lead)),
 ];
 
 #[test]
