bench: freeze a node before it reads its grants

Change: control is halted while deposits wait for grants, a node is frozen, its grants lapse and an operator settles them as not run; the woken node must not dispatch them.

--- a/crates/bench/tests/processes/deposits.rs
+++ b/crates/bench/tests/processes/deposits.rs
@@ -44,6 +44,12 @@
         expected: "no key runs twice and all answered ones ran",
         run: frozen_node,
     },
+    Case {
+        step: "deposits that wait for a grant",
+        fault: "a node is frozen before it reads its grants, which an operator settles as not run",
+        expected: "the woken node does not dispatch them",
+        run: frozen_before_dispatch,
+    },
     Case {
         step: "a deposit in flight at a slow backend server",
         fault: "its node is killed",
@@ -132,6 +138,51 @@
     println!("frozen node: {answered} answered, {unknown} unknown");
 }
 
+fn frozen_before_dispatch(scene: &mut Scene) {
+    let frozen = 1;
+    // Control is halted for less than its heartbeats allow, so that the deposits wait for grants.
+    for control in &scene.cluster.controls {
+        control.signal(Signal::STOP).expect("halted");
+    }
+    let keys = keys(18);
+    let sent = scene.many(&keys);
+    std::thread::sleep(Duration::from_millis(200));
+    let node = &scene.cluster.places[frozen].node;
+    node.signal(Signal::STOP).expect("frozen");
+    for control in &scene.cluster.controls {
+        control.signal(Signal::CONT).expect("woken");
+    }
+    let mut unknown: Vec<&String> = Vec::new();
+    wait("grants of the frozen node lapse", || {
+        let shown = scene.operate(&[0], "show unknown");
+        let text = shown.map(|shown| shown.to_string()).unwrap_or_default();
+        unknown = keys.iter().filter(|key| text.contains(*key)).collect();
+        !unknown.is_empty()
+    });
+    for key in &unknown {
+        assert_eq!(scene.executed(key), 0, "frozen before dispatch");
+        scene.insist(
+            &[0, 1, 2],
+            &format!("settle anonymous {SERVICE} {key} as not-run"),
+        );
+        scene.until(0, &deposit(key, "many"), is_answered);
+    }
+    node.signal(Signal::CONT).expect("woken");
+    for one in sent {
+        drop(scene.join(one));
+    }
+    // A deposit through the woken node comes after what waited in it.
+    scene.until(frozen, &deposit(&http::key(), "woken"), is_answered);
+    println!(
+        "frozen before dispatch: {} settled as not run",
+        unknown.len()
+    );
+    for key in unknown {
+        assert_eq!(scene.executed(key), 1, "{key} ran at another node only");
+    }
+    scene.outcomes(&keys, "many");
+}
+
 fn killed_node(scene: &mut Scene) {
     for place in 0..3 {
         assert!(scene.steer(place, SLOW));
