--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -89,7 +89,7 @@
     match ask {
         Ask::Command(_) | Ask::Read => QUORUM_LIMIT,
         // The new member first has to hold the log.
-        Ask::Replace { .. } => REPLACE_LIMIT,
+        Ask::Replace { .. } | Ask::Join(_) => REPLACE_LIMIT,
     }
 }
 
@@ -115,7 +115,7 @@
 /// What may have become of a question whose answer is lost.
 const fn open(ask: &Ask) -> Refusal {
     match ask {
-        Ask::Command(_) | Ask::Replace { .. } => Refusal::Undecided,
+        Ask::Command(_) | Ask::Replace { .. } | Ask::Join(_) => Refusal::Undecided,
         Ask::Read => Refusal::NoQuorum,
     }
 }
