limits: lower the limit only while it is reached

Cause: a mix of fast and slow requests raises the average latency without any congestion. The gradient then lowered the limit of a target with free slots to 1, and it rose again only when busy; a node's queue was seen to stall until the deadline at concurrency 1 to 3. Change: a limit that is not reached is neither raised nor lowered. Ruled out: a longer average, which only delays the same fall. Before: fast ones then slow ones, one at a time, on 10 slots: limit below 10 (the new case fails). The cases of congestion pass unchanged.

--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -137,9 +137,14 @@
         let jitter = config.jitter.as_micros() as f64;
         let tolerated = (config.tolerance * minimum).max(minimum + jitter);
         let gradient = tolerated / self.short_us.max(1.0);
+        if !busy {
+            // A limit that is not reached did not cause the latency: slow requests among fast ones
+            // look the same, and a limit lowered for them would hold up the next ones.
+            return;
+        }
         if gradient < 1.0 {
             self.down(gradient.max(GRADIENT_MIN), now);
-        } else if busy {
+        } else {
             // One more after as many successes as the limit, and only while the limit is in use.
             self.value = (self.value + 1.0 / self.value).min(self.slots);
         }
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -298,6 +298,60 @@
     }
 }
 
+struct Mix {
+    name: &'static str,
+    /// Latencies of requests that come one after another, repeated.
+    latencies_ms: &'static [u64],
+    limit: u32,
+}
+
+/// Guards against a limit that falls for slow requests although the target has free slots.
+const MIXES: &[Mix] = &[
+    Mix {
+        name: "all alike",
+        latencies_ms: &[10],
+        limit: 10,
+    },
+    Mix {
+        name: "fast and slow in turn",
+        latencies_ms: &[1, 200],
+        limit: 10,
+    },
+    Mix {
+        name: "fast ones, then slow ones",
+        latencies_ms: &[
+            1, 1, 1, 1, 1, 1, 1, 1, 200, 200, 200, 200, 200, 200, 200, 200,
+        ],
+        limit: 10,
+    },
+];
+
+#[test]
+fn limit_stays_while_slots_are_free() {
+    for case in MIXES {
+        let mut gate = gate(10, 20);
+        let mut now = Instant(0);
+        for id in 0..800 {
+            assert_eq!(
+                gate.offer(ticket(id, "a", 0, 100_000, now), now),
+                Verdict::Run,
+                "{}",
+                case.name
+            );
+            let latency = case.latencies_ms[id as usize % case.latencies_ms.len()];
+            let latency = Duration::from_millis(latency);
+            now = now + latency;
+            let release = Release {
+                id: Id(id),
+                latency,
+                outcome: Outcome::Success,
+            };
+            drop(gate.release(release, now));
+        }
+        assert_eq!(gate.report(now).limit, case.limit, "{}", case.name);
+    }
+}
+
 struct Probe {
     name: &'static str,
     /// Ages in milliseconds of the last traffic, the estimate and the last probe.
