claim: call a group full only when a quorum says so

Cause: one refusal for lack of space without other answers was reported as Full, which nodes pass on as a proven not run. A single member proves nothing about an earlier sending of the request. Change: Full needs refusals of a quorum, whose members would know the key if it had ever got a grant. The case 'expired at one and full at another' expected Full and now expects no quorum, which is the stricter answer; two cases are added. With the count taken out the table fails.

--- a/crates/claim/src/proposer.rs
+++ b/crates/claim/src/proposer.rs
@@ -323,13 +323,14 @@
         let quorum = self.group.quorum();
         let refusals = || self.refusals.iter().map(|(_, refusal)| *refusal);
         let mut expired = Vec::new();
+        let mut full = 0;
         let mut failure = Failure::NoQuorum { agreed, quorum };
         for refusal in refusals() {
             match refusal {
                 message::Refusal::Epoch(epoch) => return Failure::Epoch(epoch),
                 message::Refusal::Promised(higher) => failure = Failure::Conflict { higher },
                 message::Refusal::Expired(horizon) => expired.push(horizon),
-                message::Refusal::Full { .. } => failure = Failure::Full,
+                message::Refusal::Full { .. } => full += 1,
                 message::Refusal::Stranger(_)
                 | message::Refusal::Copying
                 | message::Refusal::NotCopied => {}
@@ -338,6 +339,9 @@
         let majority = self.group.seats.len() / 2 + 1;
         match expired.iter().min() {
             Some(horizon) if expired.len() >= majority => Failure::Expired(*horizon),
+            // A member refuses only keys that it does not hold for lack of space, so a quorum of such
+            // refusals proves that the request never got a grant; fewer prove nothing.
+            _ if full >= quorum => Failure::Full,
             _ => failure,
         }
     }
--- a/crates/claim/tests/proposer.rs
+++ b/crates/claim/tests/proposer.rs
@@ -66,6 +66,22 @@
     Case {
         name: "expired at one and full at another",
         replies: &[(1, EXPIRED), (2, FULL)],
+        expected: Err(Failure::NoQuorum {
+            agreed: 0,
+            quorum: 2,
+        }),
+    },
+    Case {
+        name: "full at one, no answer from the others",
+        replies: &[(1, FULL)],
+        expected: Err(Failure::NoQuorum {
+            agreed: 0,
+            quorum: 2,
+        }),
+    },
+    Case {
+        name: "full at a quorum",
+        replies: &[(1, FULL), (3, FULL)],
         expected: Err(Failure::Full),
     },
     Case {
