Check the grant when the connection is ready

Cause: the grant was looked at before a connection was taken, and opening one may take 500 ms, so a request could be sent with a grant that had expired. Change: the pool asks a closure when nothing is left to wait for; an expired grant gives the connection back and is recorded as not run. The table 'permission' failed with the question taken out.

--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -19,6 +19,8 @@
     Connect(io::Error),
     /// The connection closed before any byte of the request was sent.
     NotSent,
+    /// The permission to send the request expired before a connection was ready.
+    Withdrawn,
     /// The connection closed after the request was sent, in part or whole.
     Lost(hyper::Error),
     /// No answer came in time; the connection was closed, which cancels the request.
@@ -38,7 +40,11 @@
     pub const fn is_not_sent(&self) -> bool {
         matches!(
             self,
-            Self::Absent | Self::Exhausted { .. } | Self::Connect(_) | Self::NotSent
+            Self::Absent
+                | Self::Exhausted { .. }
+                | Self::Connect(_)
+                | Self::NotSent
+                | Self::Withdrawn
         )
     }
 }
@@ -49,6 +55,7 @@
             Self::Absent => f.write_str("no backend server has announced itself here"),
             Self::Exhausted { open } => write!(f, "all {open} connections are in use"),
             Self::Connect(cause) => write!(f, "no connection to the backend server: {cause}"),
+            Self::Withdrawn => f.write_str("the permission to send the request expired"),
             Self::NotSent => f.write_str("the connection closed before the request was sent"),
             Self::Lost(cause) => {
                 write!(f, "the connection to the backend server was lost: {cause}")
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -169,10 +169,27 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
         patience: Patience,
+    ) -> Result<Head, Failure> {
+        self.dispatch_if(request, limit, patience, &|| true).await
+    }
+
+    /// Sends a request as [`Pool::dispatch`] does, if `may_send` still allows it when a connection is ready.
+    ///
+    /// Opening a connection takes time, in which a permission to send can expire.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Withdrawn`] when it does not, and else what [`Pool::dispatch`] returns.
+    pub async fn dispatch_if(
+        self: &Arc<Self>,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        patience: Patience,
+        may_send: &(dyn Fn() -> bool + Send + Sync),
     ) -> Result<Head, Failure> {
         let started = time::Instant::now();
         let identity = request.headers().get(context::REQUEST).cloned();
-        let exchange = self.exchange(request, patience);
+        let exchange = self.exchange(request, patience, may_send);
         let (response, lease) = match time::timeout(limit, exchange).await {
             Ok(exchanged) => exchanged?,
             Err(_) => return Err(Failure::Timeout(limit)),
@@ -205,9 +222,14 @@
         self: &Arc<Self>,
         mut request: Request<Full<Bytes>>,
         patience: Patience,
+        may_send: &(dyn Fn() -> bool + Send + Sync),
     ) -> Result<(Response<Incoming>, Lease<'_>), Failure> {
         loop {
             let mut lease = self.take().await?;
+            if !may_send() {
+                self.give_back(lease.release());
+                return Err(Failure::Withdrawn);
+            }
             lease.set_sent(true);
             let connection = lease.connection();
             let (fresh, sequence) = (connection.fresh, connection.sequence);
--- a/crates/backend/tests/contract/common.rs
+++ b/crates/backend/tests/contract/common.rs
@@ -150,6 +150,16 @@
 }
 
 pub async fn ask(pool: &Arc<Pool>, method: Method, limit: Duration, patience: Patience) -> String {
+    ask_if(pool, method, limit, patience, true).await
+}
+
+pub async fn ask_if(
+    pool: &Arc<Pool>,
+    method: Method,
+    limit: Duration,
+    patience: Patience,
+    may_send: bool,
+) -> String {
     let request = Request::builder()
         .method(method)
         .uri("/")
@@ -157,7 +167,9 @@
         .header("shallotrill-request", ID)
         .body(Full::new(Bytes::new()))
         .expect("a request");
-    let head = match pool.dispatch(request, limit, patience).await {
+    let allowed = move || may_send;
+    let sending = pool.dispatch_if(request, limit, patience, &allowed);
+    let head = match sending.await {
         Ok(head) => head,
         Err(failure) => return name(&failure).to_owned(),
     };
@@ -175,6 +187,7 @@
         Failure::Exhausted { .. } => "exhausted",
         Failure::Connect(_) => "connect",
         Failure::NotSent => "not sent",
+        Failure::Withdrawn => "withdrawn",
         Failure::Lost(_) => "lost",
         Failure::Timeout(_) => "timeout",
         Failure::Unframed => "unframed",
--- a/crates/backend/tests/contract/connections.rs
+++ b/crates/backend/tests/contract/connections.rs
@@ -98,6 +98,54 @@
     );
 }
 
+struct Permission {
+    name: &'static str,
+    /// Whether each of several requests may still be sent when its connection is ready.
+    may_send: &'static [bool],
+    expected: &'static [&'static str],
+    requests: usize,
+}
+
+/// Guards against a request that is sent although its grant expired while a connection was opened.
+const PERMISSIONS: &[Permission] = &[
+    Permission {
+        name: "allowed",
+        may_send: &[true],
+        expected: &["200 hello"],
+        requests: 1,
+    },
+    Permission {
+        name: "expired before the first connection was ready",
+        may_send: &[false],
+        expected: &["withdrawn"],
+        requests: 0,
+    },
+    Permission {
+        name: "the connection serves the next request",
+        may_send: &[false, true],
+        expected: &["withdrawn", "200 hello"],
+        requests: 1,
+    },
+];
+
+#[tokio::test]
+async fn permission() {
+    for case in PERMISSIONS {
+        let config = Config::default().spare(0);
+        let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+        let server = common::start(config, 1, answer, Then::Hold).await;
+        let mut answers = Vec::new();
+        for may_send in case.may_send {
+            let (limit, patience) = (LIMIT, Patience::Limit);
+            answers
+                .push(common::ask_if(&server.pool, Method::POST, limit, patience, *may_send).await);
+        }
+        assert_eq!(answers, case.expected, "{}", case.name);
+        let requests = server.seen.lock().expect("no panic").requests;
+        assert_eq!(requests, case.requests, "{}", case.name);
+    }
+}
+
 struct Silent {
     name: &'static str,
     patience: Patience,
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -120,16 +120,20 @@
             Opened::Granted(grant) => grant,
             Opened::Answered(answer) => return Ok(stored(&answer)),
         };
-        // The last moment before dispatch: a node that was frozen since it asked finds the grant expired.
-        if !grant.is_current(self.state.now()) {
-            self.record_not_run(Reason::Expired).await;
-            let message = "the grant expired before dispatch".to_owned();
-            let refusal = Refusal::not_run(Code::Fenced, message);
-            return Err(refusal.fenced(self.attempt.number));
-        }
+        // Asked when a connection is ready and nothing is left to wait for before the request is
+        // sent: a node that was frozen since it asked finds the grant expired.
+        let is_current = || grant.is_current(self.state.now());
         let mut sent = Sent::new(slot, self.attempt.incarnation);
         let limit = self.plan.left(self.state.now()) + ANSWER_GRACE;
-        match gate::dispatch(&self.state, &self.plan, &mut sent, self.attempt, limit).await {
+        let dispatched = gate::dispatch(
+            &self.state,
+            &self.plan,
+            &mut sent,
+            self.attempt,
+            limit,
+            &is_current,
+        );
+        match dispatched.await {
             Ok(head) if head.states_not_run() => self.shed(sent, head).await,
             Ok(head) => self.finish(sent, head).await,
             Err(failure) => Err(self.failed(&failure).await),
@@ -221,7 +225,11 @@
     async fn failed(&self, failure: &Failure) -> Refusal {
         let refusal = refuse::backend(failure);
         if failure.is_not_sent() {
-            if self.record_not_run(Reason::Refused).await {
+            let reason = match failure {
+                Failure::Withdrawn => Reason::Expired,
+                _ => Reason::Refused,
+            };
+            if self.record_not_run(reason).await {
                 return refusal.fenced(self.attempt.number);
             }
             return refusal;
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -199,7 +199,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let limit = plan.left(state.now());
     let mut sent = Sent::new(slot, attempt.incarnation);
-    let result = dispatch(state, plan, &mut sent, attempt, limit).await;
+    let result = dispatch(state, plan, &mut sent, attempt, limit, &|| true).await;
     match result {
         Ok(head) => Ok(sent.answer(state, head)),
         Err(failure) => Err(refuse::backend(&failure)),
@@ -268,6 +268,7 @@
     sent: &mut Sent,
     attempt: Attempt,
     limit: Duration,
+    may_send: &(dyn Fn() -> bool + Send + Sync),
 ) -> Result<Head, Failure> {
     if let Some(slot) = &mut sent.slot {
         slot.dispatching();
@@ -277,7 +278,10 @@
         Class::Idempotent => Patience::Evidence,
         Class::NonIdempotent => Patience::Limit,
     };
-    match state.backend.dispatch(request, limit, patience).await {
+    let sending = state
+        .backend
+        .dispatch_if(request, limit, patience, may_send);
+    match sending.await {
         Ok(head) => Ok(head),
         Err(failure) => {
             let lost = matches!(failure, Failure::Lost(_) | Failure::Connect(_));
@@ -288,6 +292,7 @@
             };
             sent.fail(match failure {
                 Failure::Timeout(_) => ticket::Outcome::Timeout,
+                Failure::Withdrawn => ticket::Outcome::Cancelled,
                 _ => ticket::Outcome::Failure,
             });
             if lost {
--- a/crates/node/src/refuse.rs
+++ b/crates/node/src/refuse.rs
@@ -51,6 +51,7 @@
         BackendFailure::Absent => Code::WrongTarget,
         BackendFailure::Exhausted { .. } => Code::Overloaded,
         BackendFailure::Connect(_) | BackendFailure::NotSent => Code::ConnectFailed,
+        BackendFailure::Withdrawn => Code::Fenced,
         BackendFailure::Lost(_) | BackendFailure::Silent(_) => Code::ConnectionLost,
         BackendFailure::Timeout(_) => Code::DeadlineExceeded,
         BackendFailure::Unframed | BackendFailure::Crossed | BackendFailure::Switched => {
