platform: count the time of a suspended instance

Cause: std::time::Instant stops while an instance is suspended, so a grant that expired meanwhile would look current when the instance wakes. Change: the clock reads CLOCK_BOOTTIME. No test: suspending the machine is outside the limits of this workplace.

--- a/crates/platform/src/clock.rs
+++ b/crates/platform/src/clock.rs
@@ -1,27 +1,31 @@
 //! The clock of a process, read only by the composition and passed to the decisions.
 
 use std::time;
+use std::time::Duration;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use shallotrill_model::time::Instant;
 use shallotrill_model::time::Wall;
 
 /// Gives elapsed time since its start and calendar time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: time::Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Starts a clock whose origin is the current time.
     pub fn start() -> Self {
         Self {
-            origin: time::Instant::now(),
+            origin: since_boot(),
         }
     }
 
     /// Elapsed time since the start. It never goes back.
     pub fn now(&self) -> Instant {
-        let micros = self.origin.elapsed().as_micros();
+        let elapsed = since_boot().saturating_sub(self.origin);
+        let micros = elapsed.as_micros();
         Instant(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
@@ -31,6 +35,17 @@
     }
 }
 
+/// Time since the instance started, the time during which it was suspended included.
+///
+/// The clock of `std::time::Instant` stops while an instance is suspended. A
+/// grant that expired meanwhile would look current when the instance wakes.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// Calendar time of the instance.
 pub fn wall() -> Wall {
     let elapsed = time::SystemTime::now()
