node: say unknown when no record can be read

Cause: with no quorum a resent request was answered 'not run', which was true of this sending only; an earlier one may have run. Change: the claim group is asked once more before a refusal, and without an answer the refusal says unknown. The caller does the same as before: it repeats with the same key.

--- a/crates/node/src/fate.rs
+++ b/crates/node/src/fate.rs
@@ -126,11 +126,9 @@
     plan: &Plan,
     refusal: Refusal,
 ) -> Result<Response<Body>, Refusal> {
-    // The claim group has answered these, or is not reachable.
-    let asked = matches!(
-        refusal.code,
-        Code::Fenced | Code::ClaimUnavailable | Code::ClaimFull
-    );
+    // The claim group has proved these. Where it was not reachable it is asked once more: an earlier
+    // sending of the request may have run, and only its record can say that it did not.
+    let asked = matches!(refusal.code, Code::Fenced | Code::ClaimFull);
     let Some(key) = &plan.key else {
         return Err(refusal);
     };
