control: refuse a replacement that would only shrink the group

Cause: 'replace member 2 with 3', both healthy voters, removed 2. Change: refused while the number of voters is odd; in the middle of a real replacement it is even. From reading, not yet run in a test.

--- a/crates/control/src/replace.rs
+++ b/crates/control/src/replace.rs
@@ -47,6 +47,10 @@
     let deadline = state.now() + CATCH_UP_LIMIT;
     loop {
         let members = bootstrap::members(state).ok_or(Refusal::NotLeader(None))?;
+        if is_mistaken(&members, old, new) {
+            let reason = format!("members {} and {} both vote already", old.0, new.id.0);
+            return Err(Refusal::Member(reason));
+        }
         let Some(change) = next(&members, old, new) else {
             break;
         };
@@ -112,6 +116,23 @@
     }
 }
 
+/// Whether the command would only make the group smaller.
+///
+/// Both may vote in the middle of a replacement, when the new one was promoted and the old one is
+/// still there; the number of voters is even only then.
+fn is_mistaken(members: &Set, old: Id, new: Peer) -> bool {
+    let voters = members
+        .all()
+        .iter()
+        .filter(|member| member.role == Role::Voter);
+    let is_voter = |id| {
+        members
+            .get(id)
+            .is_some_and(|member| member.role == Role::Voter)
+    };
+    old != new.id && is_voter(old) && is_voter(new.id) && voters.count() % 2 == 1
+}
+
 enum Step {
     /// The step may succeed in a moment.
     Later(String),
