control: gather changes longer for nodes with many services

Cause: each pull repeats the names of the services of interest, so a node with all 1,700 would spend 29.4 kB a second at 0.87 changes a second (worked out in docs/CAPACITY.md from the measured slope; the budget is 23). Change: 1 ms more between a change and its answer for each service, at most 2 s. Worked out: at 1.75 s at most 0.57 pulls a second, some 17 kB a second.

--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -20,6 +20,15 @@
 /// 15 s of a configuration change and the 3 s after which a leaving target gets no more work.
 const GATHER: Duration = Duration::from_millis(50);
 
+/// Further time for each service of interest, because a pull repeats their names.
+///
+/// With all 1,700 services of the target size a pull has 29 kB, and 0.87 changes a second would
+/// cost more than the 23 kB a second of a node. The time is at most [`GATHER_MAX`].
+const GATHER_SERVICE: Duration = Duration::from_millis(1);
+
+/// Longest time between a change and the answers that tell of it.
+const GATHER_MAX: Duration = Duration::from_secs(2);
+
 /// Answers the pull of a node when there is something that it does not have, or when its wait is over.
 pub(crate) async fn pull(state: Arc<State>, ask: feed::Ask) -> feed::Reply {
     let wait = Duration::from_millis(ask.wait_ms).min(WAIT_MAX);
@@ -35,10 +44,16 @@
         if time::timeout_at(end, changed.changed()).await.is_err() {
             return answer(&state, &ask);
         }
-        time::sleep_until(end.min(time::Instant::now() + GATHER)).await;
+        time::sleep_until(end.min(time::Instant::now() + gather(ask.interest.len()))).await;
     }
 }
 
+fn gather(interest: usize) -> Duration {
+    let services = u32::try_from(interest).unwrap_or(u32::MAX);
+    let further = GATHER_SERVICE.saturating_mul(services);
+    (GATHER + further).min(GATHER_MAX)
+}
+
 fn answer(state: &State, ask: &feed::Ask) -> feed::Reply {
     let now = state.now();
     let (membership, crashes, version) = {
