--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -185,13 +185,14 @@
 
     /// Brings gate and probe budget in line with the limits in force; requests that run keep their slots.
     fn configure(&mut self, limits: Limits, now: Instant) {
-        if self.limits == limits && self.gate_slots == self.slots {
+        let slots = self.slots.min(limits.slots);
+        if self.limits == limits && self.gate_slots == slots {
             return;
         }
         self.limits = limits;
-        self.gate_slots = self.slots;
-        self.probe_budget.resize(self.slots, limits.probe_ppm, now);
-        let effect = self.gate.resize(self.slots, limits.queue, now);
+        self.gate_slots = slots;
+        self.probe_budget.resize(slots, limits.probe_ppm, now);
+        let effect = self.gate.resize(slots, limits.queue, now);
         self.settle(effect);
     }
 
@@ -321,6 +322,8 @@
 /// Limits from the service's configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Limits {
+    /// Most requests at once, whatever is announced.
+    slots: u32,
     connections: u32,
     queue: u32,
     probe_ppm: u32,
@@ -329,6 +332,7 @@
 fn limits(state: &State, service: &service::Name) -> Limits {
     let spec = state.service(service);
     Limits {
+        slots: spec.as_ref().map_or(u32::MAX, |s| s.slots),
         connections: spec.as_ref().map_or(CONNECTIONS_DEFAULT, |s| s.connections),
         queue: spec.as_ref().map_or(QUEUE_DEFAULT, |s| s.queue),
         probe_ppm: spec.as_ref().map_or(0, |s| s.probe_budget_ppm),
@@ -369,7 +373,8 @@
             server.configure(limits, now);
             return changed || silent;
         }
-        let gate = GateConfig::new(life.incarnation, checked.slots, limits.queue);
+        let slots = checked.slots.min(limits.slots);
+        let gate = GateConfig::new(life.incarnation, slots, limits.queue);
         self.server = Some(Server {
             life,
             service: checked.service,
@@ -382,12 +387,12 @@
             crashed: false,
             lost: None,
             probe_path: checked.probe,
-            probe_budget: probe::Budget::new(checked.slots, limits.probe_ppm, PROBE_BURST, now),
+            probe_budget: probe::Budget::new(slots, limits.probe_ppm, PROBE_BURST, now),
             last_answer: None,
             last_probe: None,
             gate: Gate::new(gate),
             limits,
-            gate_slots: checked.slots,
+            gate_slots: slots,
             waiting: Vec::new(),
         });
         true
