bench: make the frozen node's deposits certain, and expect unknown without a quorum

The other targets are drained first. 'all killed' expected not-run for a deposit that no record could confirm; the answer is unknown now, and the case checks the code and the single execution as before.

--- a/crates/bench/tests/processes/control.rs
+++ b/crates/bench/tests/processes/control.rs
@@ -120,12 +120,14 @@
         assert_eq!(look_up.expect("answered").status, 200, "look-ups go on");
         let answer = scene.send(node, &deposit(&refused, "later"));
         let answer = answer.expect("answered");
+        // No record can be read, so nobody may say that an earlier sending did not run.
         assert_eq!(
-            answer.header("shallotrill-run"),
-            "not-run",
+            answer.header("shallotrill-error"),
+            "claim-unavailable",
             "{}",
             answer.text()
         );
+        assert_eq!(answer.header("shallotrill-run"), "unknown");
     }
     assert_eq!(scene.executed(&refused), 0);
     for control in &mut scene.cluster.controls {
--- a/crates/bench/tests/processes/deposits.rs
+++ b/crates/bench/tests/processes/deposits.rs
@@ -140,6 +140,18 @@
 
 fn frozen_before_dispatch(scene: &mut Scene) {
     let frozen = 1;
+    // With the other targets drained every deposit asks for its grant at the node to be frozen.
+    let others: Vec<String> = [0, 2]
+        .iter()
+        .map(|place| scene.cluster.places[*place].instance.clone())
+        .collect();
+    for instance in &others {
+        scene.insist(&[0, 1, 2], &format!("drain {instance}"));
+    }
+    wait("the drain is in force", || {
+        let shown = scene.operate(&[0], "show lag");
+        shown.is_ok_and(|shown| shown.to_string().contains("is in force at all"))
+    });
     // Control is halted for less than its heartbeats allow, so that the deposits wait for grants.
     for control in &scene.cluster.controls {
         control.signal(Signal::STOP).expect("halted");
@@ -159,6 +171,9 @@
         unknown = keys.iter().filter(|key| text.contains(*key)).collect();
         !unknown.is_empty()
     });
+    for instance in &others {
+        scene.insist(&[0, 1, 2], &format!("undrain {instance}"));
+    }
     for key in &unknown {
         assert_eq!(scene.executed(key), 0, "frozen before dispatch");
         scene.insist(
