node: keep to the regions of a service, and tell a missing configuration from an unknown service

Cause: the regions of a service were accepted and had no effect, and a node that had not heard from control yet answered 404 for every service. Change: targets outside the regions of their service take no new work; a node without configuration answers 503 with Retry-After.

--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -23,6 +23,9 @@
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
+/// When a caller may come back to a node that has just started.
+const CONFIGURED_AFTER: Duration = Duration::from_secs(1);
+
 /// Partner of a request that names none.
 const ANONYMOUS: &str = "anonymous";
 
@@ -70,6 +73,10 @@
         arrived: Instant,
     ) -> Result<Self, Refusal> {
         let service = state.service(&call.service).ok_or_else(|| {
+            if state.is_unconfigured() {
+                let message = "this node has no configuration yet".to_owned();
+                return Refusal::not_run(Code::NoTarget, message).retry_after(CONFIGURED_AFTER);
+            }
             let message = format!("no service {} is in force at this node", call.service);
             Refusal::not_run(Code::ServiceUnknown, message)
         })?;
--- a/crates/node/src/routes.rs
+++ b/crates/node/src/routes.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::state::State;
+use shallotrill_catalog::view::View;
 use shallotrill_membership::announcement::Session;
 use shallotrill_membership::owner::Owner;
 use shallotrill_membership::row::Presence;
@@ -37,7 +38,7 @@
     let wanted: Vec<Applied> = {
         let catalog = state.catalog.lock();
         let applied = |row: Arc<Row>| Applied {
-            drained: catalog.is_drained(&row.target.instance),
+            drained: catalog.is_drained(&row.target.instance) || !serves(&catalog, &row.target),
             row,
         };
         rows.into_iter().map(applied).collect()
@@ -55,6 +56,12 @@
     routing.apply(&changed, now);
 }
 
+/// Whether the service of a target is served in the region of the target.
+fn serves(catalog: &View, target: &Target) -> bool {
+    let spec = catalog.service(&target.service);
+    spec.is_none_or(|spec| spec.regions.is_empty() || spec.regions.contains(&target.region))
+}
+
 /// The target here, which this node knows without control.
 fn own(state: &State) -> Option<Arc<Row>> {
     let now = state.now();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -29,6 +29,7 @@
 use shallotrill_model::instance;
 use shallotrill_model::region;
 use shallotrill_model::request;
+use shallotrill_model::revision::Revision;
 use shallotrill_model::service;
 use shallotrill_model::time::Instant;
 use shallotrill_model::zone;
@@ -228,6 +229,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether no configuration has reached this node since it started, so that it cannot say which services exist.
+    pub(crate) fn is_unconfigured(&self) -> bool {
+        self.catalog.lock().revision == Revision(0)
+    }
+
     /// The configuration of a service as in force here.
     pub(crate) fn service(&self, name: &service::Name) -> Option<Arc<service::Spec>> {
         self.catalog.lock().service(name).cloned()
