--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,6 +19,7 @@
 use shallotrill_wire::body::Body;
 use shallotrill_wire::context;
 use shallotrill_wire::context::Given;
+use shallotrill_wire::load;
 use shallotrill_wire::refusal::Code;
 use shallotrill_wire::refusal::Refusal;
 
@@ -45,6 +46,14 @@
             .headers_mut()
             .insert(http::header::CONNECTION, close);
     }
+    // The load of a target concerns nodes only.
+    response.headers_mut().remove(load::LOAD);
+    debug!(
+        event = "request-answered",
+        request = id.to_string().as_str(),
+        status = response.status().as_u16();
+        ""
+    );
     state
         .metrics
         .answered(response.status().as_u16(), state.now().since(arrived));
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+use log::debug;
 
 use crate::claims;
 use crate::crash;
@@ -71,6 +72,13 @@
     if let Some(suspect) = &mut suspect {
         suspect.ending = Ending::Survived;
     }
+    debug!(
+        event = "request-served",
+        request = plan.request.to_string().as_str(),
+        attempt = attempt.number.0,
+        status = response.status().as_u16();
+        "the backend server here answered"
+    );
     let unspent = account.map_or(0, Account::close);
     let mut response = response.map(|body| body::holding(body, suspect));
     let unspent = HeaderValue::from(unspent);
