--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -26,9 +26,6 @@
 use crate::http::Connection;
 use crate::noise;
 
-/// The thread that sends wakes this much ahead of an arrival and yields until its time.
-const AHEAD: Duration = Duration::from_micros(100);
-
 /// When requests arrive, and what a caller does about failures.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -227,15 +224,9 @@
     tasks
 }
 
-/// The timer of the system is late by about 60 µs, so the last part is spent yielding.
+/// The timer of the system is late by about 60 µs, which counts as latency of every variant alike.
 fn wait_until(at: Instant) {
-    let early = at.saturating_duration_since(Instant::now() + AHEAD);
-    if !early.is_zero() {
-        thread::sleep(early);
-    }
-    while Instant::now() < at {
-        thread::yield_now();
-    }
+    thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
 async fn one(
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -107,7 +107,13 @@
     let position = loop {
         match state.claims_journal.append(START, &bytes) {
             Ok(position) => break position,
-            Err(refusal @ (Refusal::Full { .. } | Refusal::Busy { .. })) => {
+            Err(Refusal::Busy { attempt, .. }) => {
+                if let Err(refusal) = state.claims_journal.space(attempt).await {
+                    error!(event = "start-not-counted"; "{refusal}");
+                    return;
+                }
+            }
+            Err(refusal @ Refusal::Full { .. }) => {
                 warn!(event = "start-not-counted"; "{refusal}");
                 time::sleep(COUNT_PAUSE).await;
             }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -204,7 +204,10 @@
         loop {
             match self.journal.append(kind, &bytes) {
                 Ok(position) => return Ok(position),
-                Err(refusal @ (Refusal::Full { .. } | Refusal::Busy { .. })) => {
+                Err(Refusal::Busy { attempt, .. }) => {
+                    self.journal.space(attempt).await.map_err(Error::Journal)?;
+                }
+                Err(refusal @ Refusal::Full { .. }) => {
                     // Without this write the replica may not answer, so to others it looks stopped.
                     error!(event = "log-write-refused"; "{refusal}");
                     time::sleep(RETRY_PAUSE).await;
--- a/crates/disk/tests/faults.rs
+++ b/crates/disk/tests/faults.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread;
+
+use tokio::runtime::Builder;
 
 use crate::common::KIND;
 use crate::common::NAME;
@@ -218,11 +219,15 @@
 fn closing_writes_what_is_pending() {
     let path = tempfile::tempdir().expect("folder");
     let folder = Folder::open(path.path()).expect("folder");
+    let runtime = Builder::new_current_thread().build().expect("a runtime");
     for number in 1..=100 {
         let (journal, seen) = open(&folder, Config::default()).expect("journal");
         assert_eq!(seen.frames.len(), number - 1);
-        while journal.append(KIND, &body(number as u64)).is_err() {
-            thread::yield_now();
+        while let Err(refusal) = journal.append(KIND, &body(number as u64)) {
+            let Refusal::Busy { attempt, .. } = refusal else {
+                panic!("{refusal}");
+            };
+            runtime.block_on(journal.space(attempt)).expect("space");
         }
     }
 }
--- a/crates/platform/src/clock.rs
+++ b/crates/platform/src/clock.rs
@@ -5,6 +5,7 @@
 
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
+
 use shallotrill_model::time::Instant;
 use shallotrill_model::time::Wall;
 
