--- a/crates/control/tests/faults/operators.rs
+++ b/crates/control/tests/faults/operators.rs
@@ -150,6 +150,13 @@
         name: "replace with a process that nobody knows",
         steps: &[("replace member 1 with 9", 15, "unknown-name")],
     },
+    Case {
+        name: "replace a voter with another voter, which would only make the group smaller",
+        steps: &[
+            ("replace member 1 with 2", 16, "request"),
+            ("show members", 17, "3 rows"),
+        ],
+    },
 ];
 
 #[tokio::test(flavor = "multi_thread")]
