--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -94,13 +94,13 @@
     Wait,
 }
 
-/// Whether a request may be given up as unanswered when its connection seems silent.
+/// What becomes of a request when its connection seems silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Patience {
-    /// It may: it is idempotent and can be sent again.
-    Evidence,
+pub enum OnSilence {
+    /// It is given up: it is idempotent and can be sent again.
+    GiveUp,
     /// It is waited for until its time limit, because it is not sent again.
-    Limit,
+    Wait,
 }
 
 impl Pool {
@@ -168,9 +168,9 @@
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         limit: Duration,
-        patience: Patience,
+        on_silence: OnSilence,
     ) -> Result<Head, Failure> {
-        self.dispatch_if(request, limit, patience, &|| true).await
+        self.dispatch_if(request, limit, on_silence, &|| true).await
     }
 
     /// Sends a request as [`Pool::dispatch`] does, if `may_send` still allows it when a connection is ready.
@@ -184,12 +184,12 @@
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         limit: Duration,
-        patience: Patience,
+        on_silence: OnSilence,
         may_send: &(dyn Fn() -> bool + Send + Sync),
     ) -> Result<Head, Failure> {
         let started = time::Instant::now();
         let identity = request.headers().get(context::REQUEST).cloned();
-        let exchange = self.exchange(request, patience, may_send);
+        let exchange = self.exchange(request, on_silence, may_send);
         let (response, lease) = match time::timeout(limit, exchange).await {
             Ok(exchanged) => exchanged?,
             Err(_) => return Err(Failure::Timeout(limit)),
@@ -221,7 +221,7 @@
     async fn exchange(
         self: &Arc<Self>,
         mut request: Request<Full<Bytes>>,
-        patience: Patience,
+        on_silence: OnSilence,
         may_send: &(dyn Fn() -> bool + Send + Sync),
     ) -> Result<(Response<Incoming>, Lease<'_>), Failure> {
         loop {
@@ -234,9 +234,9 @@
             let connection = lease.connection();
             let (fresh, sequence) = (connection.fresh, connection.sequence);
             let sent = connection.sender.try_send_request(request);
-            let sent = match patience {
-                Patience::Evidence => self.watch(sequence, sent).await?,
-                Patience::Limit => sent.await,
+            let sent = match on_silence {
+                OnSilence::GiveUp => self.watch(sequence, sent).await?,
+                OnSilence::Wait => sent.await,
             };
             match sent {
                 Ok(response) => return Ok((response, lease)),
--- a/crates/backend/tests/contract/answers.rs
+++ b/crates/backend/tests/contract/answers.rs
@@ -8,7 +8,7 @@
 use crate::common::LIMIT;
 use crate::common::Then;
 use shallotrill_backend::config::Config;
-use shallotrill_backend::pool::Patience;
+use shallotrill_backend::pool::OnSilence;
 
 const SHORT: Duration = Duration::from_millis(300);
 
@@ -201,7 +201,7 @@
         let config = Config::default().spare(0);
         let server = common::start(config, 4, case.answer, case.then).await;
         let answered = server
-            .ask(case.method.clone(), SHORT, Patience::Limit)
+            .ask(case.method.clone(), SHORT, OnSilence::Wait)
             .await;
         assert_eq!(answered, case.expected, "{}", case.name);
         let idle = usize::from(case.reused);
@@ -210,7 +210,7 @@
             .await;
         let whole = case.expected.starts_with(['2', '3']) && !case.expected.ends_with("cut");
         assert_eq!(counts.closed_in_use, u64::from(!whole), "{}", case.name);
-        let next = server.ask(Method::GET, LIMIT, Patience::Limit).await;
+        let next = server.ask(Method::GET, LIMIT, OnSilence::Wait).await;
         assert_eq!(next, "200 next", "{}", case.name);
         let opened = if case.reused { 1 } else { 2 };
         assert_eq!(server.pool.counts().opened, opened, "{}", case.name);
@@ -224,11 +224,11 @@
         let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nstolen";
         let server = common::start(Config::default(), 4, answer, Then::Hold).await;
         assert_eq!(
-            server.ask(Method::GET, LIMIT, Patience::Limit).await,
+            server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
             "200 hello"
         );
         assert_eq!(
-            server.ask(Method::GET, LIMIT, Patience::Limit).await,
+            server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
             "200 next"
         );
     }
@@ -240,7 +240,7 @@
     let server = common::start(Config::default().spare(0), 4, "", Then::Hold).await;
     let pool = std::sync::Arc::clone(&server.pool);
     let asking =
-        tokio::spawn(async move { common::ask(&pool, Method::GET, LIMIT, Patience::Limit).await });
+        tokio::spawn(async move { common::ask(&pool, Method::GET, LIMIT, OnSilence::Wait).await });
     let seen = std::sync::Arc::clone(&server.seen);
     let arrived = move || seen.lock().expect("no panic").requests == 1;
     server.settle(|_| arrived()).await;
--- a/crates/backend/tests/contract/common.rs
+++ b/crates/backend/tests/contract/common.rs
@@ -19,7 +19,7 @@
 use shallotrill_backend::config::Config;
 use shallotrill_backend::failure::Failure;
 use shallotrill_backend::pool::Counts;
-use shallotrill_backend::pool::Patience;
+use shallotrill_backend::pool::OnSilence;
 use shallotrill_backend::pool::Pool;
 
 /// Waits of the tests end on a condition; this only ends a hung run.
@@ -131,8 +131,8 @@
 
 impl Server {
     /// Sends a request and tells in words how it ended.
-    pub async fn ask(&self, method: Method, limit: Duration, patience: Patience) -> String {
-        ask(&self.pool, method, limit, patience).await
+    pub async fn ask(&self, method: Method, limit: Duration, on_silence: OnSilence) -> String {
+        ask(&self.pool, method, limit, on_silence).await
     }
 
     /// Waits until the counters fit.
@@ -149,15 +149,20 @@
     }
 }
 
-pub async fn ask(pool: &Arc<Pool>, method: Method, limit: Duration, patience: Patience) -> String {
-    ask_if(pool, method, limit, patience, true).await
+pub async fn ask(
+    pool: &Arc<Pool>,
+    method: Method,
+    limit: Duration,
+    on_silence: OnSilence,
+) -> String {
+    ask_if(pool, method, limit, on_silence, true).await
 }
 
 pub async fn ask_if(
     pool: &Arc<Pool>,
     method: Method,
     limit: Duration,
-    patience: Patience,
+    on_silence: OnSilence,
     may_send: bool,
 ) -> String {
     let request = Request::builder()
@@ -168,7 +173,7 @@
         .body(Full::new(Bytes::new()))
         .expect("a request");
     let allowed = move || may_send;
-    let sending = pool.dispatch_if(request, limit, patience, &allowed);
+    let sending = pool.dispatch_if(request, limit, on_silence, &allowed);
     let head = match sending.await {
         Ok(head) => head,
         Err(failure) => return name(&failure).to_owned(),
--- a/crates/backend/tests/contract/connections.rs
+++ b/crates/backend/tests/contract/connections.rs
@@ -11,7 +11,7 @@
 use crate::common::LIMIT;
 use crate::common::Then;
 use shallotrill_backend::config::Config;
-use shallotrill_backend::pool::Patience;
+use shallotrill_backend::pool::OnSilence;
 use shallotrill_backend::silence::Evidence;
 use shallotrill_backend::silence::Sequence;
 
@@ -25,7 +25,7 @@
         for _ in 0..8 {
             let pool = Arc::clone(&server.pool);
             asking.spawn(
-                async move { common::ask(&pool, Method::GET, LIMIT, Patience::Limit).await },
+                async move { common::ask(&pool, Method::GET, LIMIT, OnSilence::Wait).await },
             );
         }
         // Each round cancels at another point.
@@ -38,7 +38,7 @@
     let counts = server.settle(|counts| counts.open == counts.idle).await;
     assert!(counts.idle <= CONNECTIONS, "{counts:?}");
     assert_eq!(
-        server.ask(Method::GET, LIMIT, Patience::Limit).await,
+        server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
         "200 next"
     );
 }
@@ -51,12 +51,12 @@
         let pool = Arc::clone(&server.pool);
         let held =
             tokio::spawn(
-                async move { common::ask(&pool, Method::GET, LIMIT, Patience::Limit).await },
+                async move { common::ask(&pool, Method::GET, LIMIT, OnSilence::Wait).await },
             );
         server.settle(|counts| counts.open == 2).await;
         // The connection that holds the first request may be either of the two.
         let answered = server
-            .ask(Method::GET, Duration::from_millis(200), Patience::Limit)
+            .ask(Method::GET, Duration::from_millis(200), OnSilence::Wait)
             .await;
         assert_ne!(answered, "exhausted");
         held.abort();
@@ -69,10 +69,10 @@
     let server = common::start(Config::default(), 4, "", Then::Hold).await;
     let pool = Arc::clone(&server.pool);
     let held =
-        tokio::spawn(async move { common::ask(&pool, Method::GET, LIMIT, Patience::Limit).await });
+        tokio::spawn(async move { common::ask(&pool, Method::GET, LIMIT, OnSilence::Wait).await });
     server.settle(|counts| counts.idle == 1).await;
     assert_eq!(
-        server.ask(Method::GET, LIMIT, Patience::Limit).await,
+        server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
         "200 next"
     );
     assert_eq!(server.pool.counts().waited, 1);
@@ -88,12 +88,12 @@
     let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
     let server = common::start(config, 4, answer, Then::Hold).await;
     assert_eq!(
-        server.ask(Method::GET, LIMIT, Patience::Limit).await,
+        server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
         "200 hello"
     );
     server.settle(|counts| counts.open == 0).await;
     assert_eq!(
-        server.ask(Method::GET, LIMIT, Patience::Limit).await,
+        server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
         "200 next"
     );
 }
@@ -136,9 +136,10 @@
         let server = common::start(config, 1, answer, Then::Hold).await;
         let mut answers = Vec::new();
         for may_send in case.may_send {
-            let (limit, patience) = (LIMIT, Patience::Limit);
-            answers
-                .push(common::ask_if(&server.pool, Method::POST, limit, patience, *may_send).await);
+            let (limit, on_silence) = (LIMIT, OnSilence::Wait);
+            answers.push(
+                common::ask_if(&server.pool, Method::POST, limit, on_silence, *may_send).await,
+            );
         }
         assert_eq!(answers, case.expected, "{}", case.name);
         let requests = server.seen.lock().expect("no panic").requests;
@@ -148,7 +149,7 @@
 
 struct Silent {
     name: &'static str,
-    patience: Patience,
+    on_silence: OnSilence,
     others: bool,
     expected: &'static str,
 }
@@ -157,19 +158,19 @@
 const SILENT: &[Silent] = &[
     Silent {
         name: "others are answered",
-        patience: Patience::Evidence,
+        on_silence: OnSilence::GiveUp,
         others: true,
         expected: "silent",
     },
     Silent {
         name: "nothing is answered",
-        patience: Patience::Evidence,
+        on_silence: OnSilence::GiveUp,
         others: false,
         expected: "timeout",
     },
     Silent {
         name: "it is not to be sent again",
-        patience: Patience::Limit,
+        on_silence: OnSilence::Wait,
         others: true,
         expected: "timeout",
     },
@@ -181,16 +182,16 @@
         let server = common::start(Config::default(), 4, "", Then::Hold).await;
         let pool = Arc::clone(&server.pool);
         let limit = Duration::from_secs(2);
-        let patience = case.patience;
+        let on_silence = case.on_silence;
         let asking =
-            tokio::spawn(async move { common::ask(&pool, Method::GET, limit, patience).await });
+            tokio::spawn(async move { common::ask(&pool, Method::GET, limit, on_silence).await });
         let seen = Arc::clone(&server.seen);
         server
             .settle(|_| seen.lock().expect("no panic").requests == 1)
             .await;
         for _ in 0..if case.others { 5 } else { 0 } {
             assert_eq!(
-                server.ask(Method::GET, LIMIT, Patience::Limit).await,
+                server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
                 "200 next"
             );
         }
@@ -208,7 +209,7 @@
             case.name
         );
         assert_eq!(
-            server.ask(Method::GET, LIMIT, Patience::Limit).await,
+            server.ask(Method::GET, LIMIT, OnSilence::Wait).await,
             "200 next"
         );
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use log::debug;
 
-use crate::course;
+use crate::execution;
 use crate::plan::Plan;
 use crate::shared;
 use crate::state;
@@ -82,6 +82,6 @@
     if plan.join {
         shared::run(state, &plan).await
     } else {
-        course::run(state, &plan).await
+        execution::run(state, &plan).await
     }
 }
--- a/crates/node/src/course.rs
+++ b/crates/node/src/execution.rs
@@ -13,10 +13,10 @@
 use crate::attempt::Attempt;
 use crate::attempt::Failed;
 use crate::explain;
-use crate::fate;
-use crate::fate::Fate;
 use crate::plan::Plan;
 use crate::refuse;
+use crate::resolution;
+use crate::resolution::Resolution;
 use crate::state::State;
 use shallotrill_model::attempt::Number;
 use shallotrill_model::class::Class;
@@ -47,18 +47,18 @@
 ///
 /// Returns a [`Refusal`] that says whether the request can have run.
 pub(crate) async fn run(state: &Arc<State>, plan: &Arc<Plan>) -> Result<Response<Body>, Refusal> {
-    let mut course = Course::new(state, plan)?;
-    let result = match course.run().await {
+    let mut execution = Execution::new(state, plan)?;
+    let result = match execution.run().await {
         Err(refusal) if plan.class == Class::NonIdempotent => {
-            fate::confirm(state, plan, refusal).await
+            resolution::confirm(state, plan, refusal).await
         }
         result => result,
     };
-    course.explain(&result);
+    execution.explain(&result);
     result
 }
 
-struct Course<'request> {
+struct Execution<'request> {
     state: &'request Arc<State>,
     plan: &'request Arc<Plan>,
     decision: decision::State,
@@ -72,7 +72,7 @@
     steps: Vec<explain::Step>,
 }
 
-impl<'request> Course<'request> {
+impl<'request> Execution<'request> {
     fn new(state: &'request Arc<State>, plan: &'request Arc<Plan>) -> Result<Self, Refusal> {
         let call = call(state, plan)?;
         let decision = decision::State {
@@ -294,19 +294,19 @@
     /// Finds out what became of a non-idempotent attempt; returns the outcome if there is one.
     async fn resolve(&self, failed: &mut Failed) -> Option<Result<Response<Body>, Refusal>> {
         if failed.refusal.code == Code::Running {
-            return Some(fate::follow(self.state, self.plan).await);
+            return Some(resolution::follow(self.state, self.plan).await);
         }
         if failed.kind.proves_not_run() || failed.refusal.code == Code::OutcomeUnknown {
             return None;
         }
-        match fate::fence(self.state, self.plan, failed.attempt.number).await {
-            Fate::Fenced(attempt) => {
+        match resolution::fence(self.state, self.plan, failed.attempt.number).await {
+            Resolution::Fenced(attempt) => {
                 failed.kind = decision::Kind::Fenced;
                 failed.refusal =
                     Refusal::not_run(Code::Fenced, failed.refusal.message.clone()).fenced(attempt);
                 None
             }
-            Fate::Settled(result) => Some(result),
+            Resolution::Settled(result) => Some(result),
         }
     }
 
@@ -334,7 +334,7 @@
     }
 }
 
-impl Drop for Course<'_> {
+impl Drop for Execution<'_> {
     fn drop(&mut self) {
         let Ok(none) = Call::nested(0, 0) else { return };
         let call = std::mem::replace(&mut self.decision.call, none);
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -21,7 +21,7 @@
 use shallotrill_backend::answer::End;
 use shallotrill_backend::failure::Failure;
 use shallotrill_backend::head::Head;
-use shallotrill_backend::pool::Patience;
+use shallotrill_backend::pool::OnSilence;
 use shallotrill_limits::ticket;
 use shallotrill_model::attempt;
 use shallotrill_model::class::Class;
@@ -282,13 +282,13 @@
         slot.dispatching();
     }
     let request = request(plan, attempt, limit);
-    let patience = match plan.class {
-        Class::Idempotent => Patience::Evidence,
-        Class::NonIdempotent => Patience::Limit,
+    let on_silence = match plan.class {
+        Class::Idempotent => OnSilence::GiveUp,
+        Class::NonIdempotent => OnSilence::Wait,
     };
     let sending = state
         .backend
-        .dispatch_if(request, limit, patience, may_send);
+        .dispatch_if(request, limit, on_silence, may_send);
     match sending.await {
         Ok(head) => Ok(head),
         Err(failure) => {
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -12,7 +12,7 @@
 use log::debug;
 
 use crate::state::State;
-use shallotrill_backend::pool::Patience;
+use shallotrill_backend::pool::OnSilence;
 use shallotrill_limits::probe::Facts;
 use shallotrill_limits::probe::Permit;
 use shallotrill_limits::probe::Plan;
@@ -80,7 +80,7 @@
     request.headers_mut().insert(header::HOST, host);
     let head = match state
         .backend
-        .dispatch(request, LIMIT, Patience::Limit)
+        .dispatch(request, LIMIT, OnSilence::Wait)
         .await
     {
         Ok(head) => head,
--- a/crates/node/src/fate.rs
+++ b/crates/node/src/resolution.rs
@@ -68,7 +68,7 @@
 
 /// What an entry node found out about an attempt that it lost sight of.
 #[derive(Debug)]
-pub(crate) enum Fate {
+pub(crate) enum Resolution {
     /// The attempt never runs; a later one may.
     Fenced(attempt::Number),
     /// The request has an outcome.
@@ -76,37 +76,37 @@
 }
 
 /// Fences an attempt of which the target's node gave no answer, or waits for its outcome.
-pub(crate) async fn fence(state: &State, plan: &Plan, attempt: attempt::Number) -> Fate {
+pub(crate) async fn fence(state: &State, plan: &Plan, attempt: attempt::Number) -> Resolution {
     let change = Change::Fence {
         digest: plan.content,
         attempt,
     };
     let key = match key(plan) {
         Ok(key) => key,
-        Err(refusal) => return Fate::Settled(Err(refusal)),
+        Err(refusal) => return Resolution::Settled(Err(refusal)),
     };
     match ask(state, plan, &key, Task::Change(change), RECORD_LIMIT).await {
         Ok(Ok(Report::Outcome {
             attempt: fenced,
             outcome: Outcome::NotRun(_),
-        })) => Fate::Fenced(fenced.max(attempt)),
+        })) => Resolution::Fenced(fenced.max(attempt)),
         Ok(Ok(Report::Outcome {
             outcome: Outcome::Running,
             ..
-        })) => Fate::Settled(follow(state, plan).await),
-        Ok(Ok(Report::Outcome { outcome, .. })) => Fate::Settled(settled(&outcome)),
+        })) => Resolution::Settled(follow(state, plan).await),
+        Ok(Ok(Report::Outcome { outcome, .. })) => Resolution::Settled(settled(&outcome)),
         Ok(Ok(Report::Granted { .. } | Report::Absent)) => {
-            Fate::Settled(Err(running_refusal("the attempt may still run")))
+            Resolution::Settled(Err(running_refusal("the attempt may still run")))
         }
         Ok(Err(refusal)) => {
             let refusal = refuse::claim(&refusal);
             // This content never gets a grant under a key that belongs to another content.
-            Fate::Settled(Err(match refusal.code {
+            Resolution::Settled(Err(match refusal.code {
                 Code::KeyReused => refusal,
                 _ => maybe_ran(refusal),
             }))
         }
-        Err(message) => Fate::Settled(Err(maybe_ran(refuse::control(message)))),
+        Err(message) => Resolution::Settled(Err(maybe_ran(refuse::control(message)))),
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time;
 
-use crate::course;
+use crate::execution;
 use crate::plan::Plan;
 use crate::state::State;
 use shallotrill_model::request;
@@ -147,7 +147,7 @@
     // Callers may repeat the id of their request, and copies must still be told apart.
     let id = request::Id(rand::random());
     let (long, mut receiver) = match enter(state, plan, &key, id)? {
-        Entered::Alone => return course::run(state, plan).await,
+        Entered::Alone => return execution::run(state, plan).await,
         Entered::Lead(long, receiver) => (Some(long), receiver),
         Entered::Follow(receiver) => (None, receiver),
     };
@@ -164,7 +164,7 @@
         (Some(Ended::Whole(whole)), _) => Ok(response(&whole)),
         (Some(Ended::Refused(refusal)), _) => Err(refusal),
         (Some(Ended::Long), Some(long)) => long.await.ok().ok_or_else(gone),
-        (Some(Ended::Long), None) => course::run(state, plan).await,
+        (Some(Ended::Long), None) => execution::run(state, plan).await,
         (None, _) => Err(gone()),
     }
 }
@@ -217,7 +217,7 @@
     let state_of_task = Arc::clone(state);
     let plan = Arc::clone(plan);
     let task = state.tasks.spawn(async move {
-        let result = course::run(&state_of_task, &plan).await;
+        let result = execution::run(&state_of_task, &plan).await;
         let (ended, long) = collect(result).await;
         {
             let mut shared = state_of_task.shared.lock();
