bench: earn enough retry budget before look-ups lose their server

The requests before earned 8 tokens a node; the case needs up to 8, and hedges among the earlier ones had used some. Change: 900 requests first. The check is the same.

--- a/crates/bench/tests/processes/deposits.rs
+++ b/crates/bench/tests/processes/deposits.rs
@@ -245,8 +245,10 @@
 }
 
 fn killed_server(scene: &mut Scene) {
-    // A retry draws from a budget of 10% of the first attempts, so some requests go first.
-    for number in 0..240 {
+    // A retry draws from a budget of 10% of the first attempts, so some requests go first. The slow
+    // look-ups below are hedged too, so a node with a third of them needs up to 8 tokens; hedges of
+    // the requests here may use up half of the 30 that it earns.
+    for number in 0..900 {
         let ask = Ask::get(SERVICE, &format!("/earlier/{number}"));
         scene.send(number % 3, &ask).expect("answered");
     }
