--- a/crates/platform/tests/log.rs
+++ b/crates/platform/tests/log.rs
@@ -72,20 +72,24 @@
     },
 ];
 
+fn written(pairs: &dyn kv::Source, text: &str) -> String {
+    let mut record = log::Record::builder();
+    record
+        .level(log::Level::Info)
+        .module_path(Some("m"))
+        .key_values(pairs);
+    line(Wall(0), &record.args(format_args!("{text}")).build())
+}
+
 #[test]
 fn lines_are_json() {
     for case in LINES {
-        let pairs: &dyn kv::Source = &case.pairs;
-        let text = line(
-            Wall(0),
-            &log::Record::builder()
-                .level(log::Level::Info)
-                .module_path(Some("m"))
-                .key_values(pairs)
-                .args(format_args!("{}", case.event))
-                .build(),
+        assert_eq!(
+            written(&case.pairs, case.event),
+            case.expected,
+            "{}",
+            case.name
         );
-        assert_eq!(text, case.expected, "{}", case.name);
     }
 }
 
@@ -115,16 +119,11 @@
 #[test]
 fn events_have_names() {
     for case in NAMED {
-        let pairs: &dyn kv::Source = &case.pairs;
-        let text = line(
-            Wall(0),
-            &log::Record::builder()
-                .level(log::Level::Info)
-                .module_path(Some("m"))
-                .key_values(pairs)
-                .args(format_args!("{}", case.text))
-                .build(),
+        assert_eq!(
+            written(&case.pairs, case.text),
+            case.expected,
+            "{}",
+            case.name
         );
-        assert_eq!(text, case.expected, "{}", case.name);
     }
 }
