Run on the users' platform: items, registry, router and the adapter

Cause: the product had no route items with versions of their own, no group of control processes that forms from seeds, and no way to speak the platform's formats.

Change: crates/items (pure: versioned items, agreement for each item, roster), crates/feed (messages between our processes), crates/registry and crates/router (roles), platform/ (adapter) and deploy/system.toml. The package for settings, signals, logs and metrics is now crates/process, since platform/ is the adapter.

Ruled out: the replicated log of crates/control, whose group does not replace members without an operator and stops on either side of an even split.

--- a/crates/backend/src/config.rs
+++ b/crates/backend/src/config.rs
@@ -2,13 +2,20 @@
 
 use std::time::Duration;
 
+use http::HeaderName;
+
+use shallotrill_wire::context;
+
 /// Parameters of the connections.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     pub(crate) connect_timeout: Duration,
     pub(crate) user_timeout: Duration,
     pub(crate) idle_max: Duration,
     pub(crate) spare: usize,
+    pub(crate) identity: HeaderName,
+    pub(crate) echoes: bool,
+    pub(crate) not_run: Option<HeaderName>,
 }
 
 impl Default for Config {
@@ -18,6 +25,9 @@
             user_timeout: Duration::from_millis(500),
             idle_max: Duration::from_secs(30),
             spare: 1,
+            identity: context::REQUEST,
+            echoes: false,
+            not_run: None,
         }
     }
 }
@@ -50,4 +60,29 @@
         self.spare = spare;
         self
     }
+
+    /// Sets the header whose value an answer repeats from its request; `shallotrill-request` by default.
+    #[must_use]
+    pub fn identity(mut self, header: HeaderName) -> Self {
+        self.identity = header;
+        self
+    }
+
+    /// States that every answer repeats the identity, so that one without it is taken for another request's.
+    ///
+    /// Such a backend server may also end an answer without a length by closing its connection.
+    #[must_use]
+    pub const fn echoes(mut self, echoes: bool) -> Self {
+        self.echoes = echoes;
+        self
+    }
+
+    /// Sets a header whose presence states that the request did not run; none by default.
+    ///
+    /// With it, the answers keep all headers that do not concern one connection.
+    #[must_use]
+    pub fn not_run(mut self, header: HeaderName) -> Self {
+        self.not_run = Some(header);
+        self
+    }
 }
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -29,13 +29,15 @@
 use shallotrill_locks::Rank;
 use shallotrill_model::outcome::Run;
 use shallotrill_wire::body;
-use shallotrill_wire::context;
 use shallotrill_wire::hop;
 use shallotrill_wire::refusal;
 
 /// An idle connection that is not ready within this time after its answer ended is closed.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Part of the stated idle timeout of the backend server for which an idle connection is used.
+const IDLE_SHARE: f64 = 0.7;
+
 struct State {
     address: Option<SocketAddr>,
     /// Rises when the backend server is replaced; connections of a lower generation are closed.
@@ -45,6 +47,7 @@
     opening: usize,
     /// In the order of their last use.
     idle: Vec<Connection>,
+    idle_max: Duration,
     sequence: Sequence,
     evidence: Evidence,
     counts: Counts,
@@ -113,6 +116,7 @@
             open: 0,
             opening: 0,
             idle: Vec::new(),
+            idle_max: config.idle_max,
             sequence: Sequence::default(),
             evidence: Evidence::new(time::Instant::now()),
             counts: Counts::default(),
@@ -147,9 +151,10 @@
     pub fn counts(&self) -> Counts {
         let mut state = self.state.lock();
         let (generation, before) = (state.generation, state.idle.len());
+        let idle_max = state.idle_max;
         state
             .idle
-            .retain(|connection| self.is_usable(connection, generation));
+            .retain(|connection| Self::is_usable(connection, generation, idle_max));
         state.open -= before - state.idle.len();
         Counts {
             open: state.open,
@@ -188,7 +193,7 @@
         may_send: &(dyn Fn() -> bool + Send + Sync),
     ) -> Result<Head, Failure> {
         let started = time::Instant::now();
-        let identity = request.headers().get(context::REQUEST).cloned();
+        let identity = request.headers().get(&self.config.identity).cloned();
         let exchange = self.exchange(request, on_silence, may_send);
         let (response, lease) = match time::timeout(limit, exchange).await {
             Ok(exchanged) => exchanged?,
@@ -198,16 +203,22 @@
         if parts.status.is_informational() {
             return Err(Failure::Switched);
         }
-        if !body::is_framed(&parts.headers, &incoming) {
+        if !self.config.echoes && !body::is_framed(&parts.headers, &incoming) {
             return Err(Failure::Unframed);
         }
-        let echoed = parts.headers.get(context::REQUEST);
-        if echoed.is_some() && echoed != identity.as_ref() {
+        let echoed = parts.headers.get(&self.config.identity);
+        if (echoed.is_some() || self.config.echoes) && echoed != identity.as_ref() {
             return Err(Failure::Crossed);
         }
-        let not_run = states_not_run(&parts);
+        let not_run = match &self.config.not_run {
+            Some(header) => parts.headers.contains_key(header),
+            None => states_not_run(&parts),
+        };
+        self.note_idle_limit(&parts);
         hop::strip(&mut parts.headers);
-        hop::strip_own(&mut parts.headers);
+        if self.config.not_run.is_none() {
+            hop::strip_own(&mut parts.headers);
+        }
         Ok(Head {
             parts,
             not_run,
@@ -306,6 +317,17 @@
         }
     }
 
+    /// Takes the time after which the backend server closes idle connections, if the answer states it.
+    fn note_idle_limit(&self, parts: &Parts) {
+        let stated = parts.headers.get("keep-alive").and_then(|v| v.to_str().ok());
+        let Some(seconds) = stated.and_then(keep_alive_seconds) else {
+            return;
+        };
+        // A connection is given up well before the other end closes it under a request.
+        let limit = Duration::from_secs(seconds).mul_f64(IDLE_SHARE);
+        self.state.lock().idle_max = limit.min(self.config.idle_max);
+    }
+
     /// Numbers the request that a connection is to carry.
     fn start(&self, connection: &mut Connection) {
         let mut state = self.state.lock();
@@ -319,7 +341,8 @@
         let address = state.address.ok_or(Failure::Absent)?;
         let generation = state.generation;
         // The connections at the front were unused for longest; use takes from the back.
-        let usable = |connection: &Connection| self.is_usable(connection, generation);
+        let idle_max = state.idle_max;
+        let usable = |connection: &Connection| Self::is_usable(connection, generation, idle_max);
         if state.idle.first().is_some_and(|first| !usable(first)) {
             state.idle.remove(0);
             state.open -= 1;
@@ -341,10 +364,10 @@
         Ok(Found::Open(address, generation))
     }
 
-    fn is_usable(&self, connection: &Connection, generation: u64) -> bool {
+    fn is_usable(connection: &Connection, generation: u64, idle_max: Duration) -> bool {
         connection.generation == generation
             && !connection.sender.is_closed()
-            && connection.idle_since.elapsed() < self.config.idle_max
+            && connection.idle_since.elapsed() < idle_max
     }
 
     /// Opens a connection ahead of need when none is idle, so that its 1 ms is not on a request's path.
@@ -413,6 +436,13 @@
     }
 }
 
+/// The timeout that a `Keep-Alive` header states.
+fn keep_alive_seconds(value: &str) -> Option<u64> {
+    let mut parameters = value.split(',').filter_map(|p| p.split_once('='));
+    let timeout = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    timeout.and_then(|(_, seconds)| seconds.trim().parse().ok())
+}
+
 /// A success cannot claim that it did not run.
 fn states_not_run(parts: &Parts) -> bool {
     let stated = parts.headers.get(refusal::RUN);
--- a/crates/bench/src/group.rs
+++ b/crates/bench/src/group.rs
@@ -21,8 +21,8 @@
 use shallotrill_control::run::Control;
 use shallotrill_control_client::claim;
 use shallotrill_model::region;
-use shallotrill_platform::settings::Role;
-use shallotrill_platform::settings::Settings;
+use shallotrill_process::settings::Role;
+use shallotrill_process::settings::Settings;
 use shallotrill_rpc::link;
 use shallotrill_rpc::link::Link;
 
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -5,10 +5,10 @@
 use shallotrill_claim::proposer::Failure;
 use shallotrill_control_client::claim;
 use shallotrill_control_client::feed;
-use shallotrill_platform::metrics::Counters;
-use shallotrill_platform::metrics::Error;
-use shallotrill_platform::metrics::Registry;
-use shallotrill_platform::metrics::Set;
+use shallotrill_process::metrics::Counters;
+use shallotrill_process::metrics::Error;
+use shallotrill_process::metrics::Registry;
+use shallotrill_process::metrics::Set;
 
 /// The metrics of a control process.
 #[derive(Debug)]
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -51,12 +51,12 @@
 use shallotrill_membership::owner::Owner;
 use shallotrill_membership::table::Table;
 use shallotrill_operator::server as operator;
-use shallotrill_platform::clock::Clock;
-use shallotrill_platform::log as platform_log;
-use shallotrill_platform::metrics;
-use shallotrill_platform::process::Process;
-use shallotrill_platform::settings::Settings;
-use shallotrill_platform::settings::control;
+use shallotrill_process::clock::Clock;
+use shallotrill_process::log as process_log;
+use shallotrill_process::metrics;
+use shallotrill_process::process::Process;
+use shallotrill_process::settings::Settings;
+use shallotrill_process::settings::control;
 use shallotrill_replica::peers::Endpoint;
 use shallotrill_replica::peers::Peers;
 use shallotrill_rpc::link;
@@ -150,7 +150,7 @@
     let (rpc, rpc_address) = rpc::serve(Arc::clone(&state), control.rpc_listen)
         .await
         .map_err(Error::Rpc)?;
-    let config = operator::Config::new(control.operator_listen).logger(platform_log::slog_logger());
+    let config = operator::Config::new(control.operator_listen).logger(process_log::slog_logger());
     let operator = operator::start(config, handlers(&state)).map_err(Error::Operator)?;
     let addresses = Addresses {
         rpc: rpc_address,
--- a/crates/control/src/show.rs
+++ b/crates/control/src/show.rs
@@ -13,7 +13,7 @@
 use shallotrill_model::revision::Revision;
 use shallotrill_model::service;
 use shallotrill_operator::failure::Failure;
-use shallotrill_platform::calendar;
+use shallotrill_process::calendar;
 
 /// Changes that are shown when no number is stated.
 const HISTORY_DEFAULT: usize = 20;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -21,8 +21,8 @@
 use shallotrill_disk::journal::Journal;
 use shallotrill_locks::Mutex;
 use shallotrill_model::time::Instant;
-use shallotrill_platform::clock::Clock;
-use shallotrill_platform::process::Process;
+use shallotrill_process::clock::Clock;
+use shallotrill_process::process::Process;
 use shallotrill_replica::peers::Peers;
 
 /// A read that waits for its confirmation.
--- a/crates/control/tests/join.rs
+++ b/crates/control/tests/join.rs
@@ -13,8 +13,8 @@
 use shallotrill_control::run::Control;
 use shallotrill_operator::client::Client;
 use shallotrill_operator::wire::Request;
-use shallotrill_platform::settings::Role;
-use shallotrill_platform::settings::Settings;
+use shallotrill_process::settings::Role;
+use shallotrill_process::settings::Settings;
 
 /// Longest time until the group is complete.
 const LIMIT: Duration = Duration::from_secs(30);
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 pub mod counters;
+pub mod document;
 pub mod failure;
 pub mod folder;
 mod frame;
--- /dev/null
+++ b/crates/feed/src/message.rs
@@ -0,0 +1,123 @@
+//! Requests and replies.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use shallotrill_items::ballot::Ballot;
+use shallotrill_items::item::Item;
+use shallotrill_items::item::Key;
+use shallotrill_items::replica::Accepted;
+use shallotrill_items::replica::Entry;
+use shallotrill_items::roster::Member;
+use shallotrill_model::target::Target;
+
+/// Version of the messages; another one is refused.
+pub const VERSION: u8 = 1;
+
+/// A router and the backend server beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Where the router takes requests of other routers.
+    pub router: SocketAddr,
+    /// Start of the router process in calendar time; a later process replaces an earlier one.
+    pub session: u64,
+    /// Rises with each change in one session.
+    pub sequence: u64,
+    /// The backend server, if one has announced itself and is not gone.
+    pub target: Option<Target>,
+}
+
+/// How far a watcher has read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Session of the process that was read; another session starts from the beginning.
+    pub session: u64,
+    /// Revision of its items.
+    pub items: u64,
+    /// Revision of its announcements.
+    pub announcements: u64,
+}
+
+/// A request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Request {
+    /// A router asks for what is in force.
+    Watch {
+        /// How far it has read.
+        cursor: Cursor,
+        /// Its announcement, which also renews it.
+        announcement: Announcement,
+        /// Longest wait for a change.
+        wait_ms: u32,
+    },
+    /// A router announces a change at once.
+    Announce(Announcement),
+    /// A registry process asks for the registers of another one.
+    Copy {
+        /// How far it has read.
+        cursor: Cursor,
+        /// Who asks.
+        member: Member,
+        /// Longest wait for a change.
+        wait_ms: u32,
+    },
+    /// First step of a proposal.
+    Prepare {
+        /// Its number.
+        ballot: Ballot,
+        /// The registers that it needs.
+        keys: Vec<Key>,
+    },
+    /// Second step of a proposal.
+    Accept {
+        /// Its number.
+        ballot: Ballot,
+        /// The items.
+        items: Vec<Arc<Item>>,
+    },
+    /// A majority has accepted a proposal.
+    Commit {
+        /// Its number.
+        ballot: Ballot,
+        /// The items.
+        items: Vec<Arc<Item>>,
+    },
+}
+
+/// A reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// What has changed for a router.
+    View {
+        /// How far this reply reads.
+        cursor: Cursor,
+        /// Committed items that changed.
+        items: Vec<Arc<Item>>,
+        /// All announcements, if one of them has changed.
+        announcements: Option<Vec<Announcement>>,
+        /// Registry processes, the one that answers included.
+        registries: Vec<SocketAddr>,
+    },
+    /// What has changed for a registry process.
+    Registers {
+        /// How far this reply reads.
+        cursor: Cursor,
+        /// Registers that changed.
+        entries: Vec<Entry>,
+        /// Who answers.
+        member: Member,
+        /// Other registry processes that it knows.
+        registries: Vec<SocketAddr>,
+    },
+    /// The promise of a voter, and what it has accepted, in the order of the keys.
+    Promised(Vec<Option<Accepted>>),
+    /// The request was carried out and is durable.
+    Done,
+    /// A higher ballot was promised.
+    Overtaken(Ballot),
+    /// The process does not vote, or its disk refuses writes.
+    Unable,
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,10 +7,10 @@
 
 use shallotrill_backend::answer::End;
 use shallotrill_limits::ticket;
-use shallotrill_platform::metrics::Counters;
-use shallotrill_platform::metrics::Error;
-use shallotrill_platform::metrics::Registry;
-use shallotrill_platform::metrics::Set;
+use shallotrill_process::metrics::Counters;
+use shallotrill_process::metrics::Error;
+use shallotrill_process::metrics::Registry;
+use shallotrill_process::metrics::Set;
 use shallotrill_wire::refusal::Code;
 
 /// Bounds of latency histograms, in seconds.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -36,12 +36,12 @@
 use shallotrill_model::request;
 use shallotrill_peer::listener as peer_listener;
 use shallotrill_peer::pool as peer_pool;
-use shallotrill_platform::clock::Clock;
-use shallotrill_platform::log as platform_log;
-use shallotrill_platform::metrics;
-use shallotrill_platform::process::Process;
-use shallotrill_platform::settings::Settings;
-use shallotrill_platform::settings::node;
+use shallotrill_process::clock::Clock;
+use shallotrill_process::log as process_log;
+use shallotrill_process::metrics;
+use shallotrill_process::process::Process;
+use shallotrill_process::settings::Settings;
+use shallotrill_process::settings::node;
 use shallotrill_routing::policy;
 use shallotrill_routing::policy::Policy;
 use shallotrill_rpc::link;
@@ -139,7 +139,7 @@
     if let Some(view) = node.cache_folder.as_deref().and_then(cache::load) {
         *state.catalog.lock() = view;
     }
-    let log = platform_log::slog_logger();
+    let log = process_log::slog_logger();
     let announce =
         announce::start(node.announce_listen, handlers(&state), &log).map_err(Error::Announce)?;
     let addresses = Addresses {
--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -46,9 +46,9 @@
 use shallotrill_model::zone;
 use shallotrill_node::run;
 use shallotrill_node::run::Node;
-use shallotrill_platform::settings::Role;
-use shallotrill_platform::settings::Settings;
-use shallotrill_platform::settings::node;
+use shallotrill_process::settings::Role;
+use shallotrill_process::settings::Settings;
+use shallotrill_process::settings::node;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
 
--- a/crates/node/tests/contract/control.rs
+++ b/crates/node/tests/contract/control.rs
@@ -17,7 +17,7 @@
 use shallotrill_model::revision::Revision;
 use shallotrill_model::service;
 use shallotrill_model::zone;
-use shallotrill_platform::settings::node;
+use shallotrill_process::settings::node;
 use shallotrill_rpc::server::Handle;
 use shallotrill_rpc::server::Methods;
 
--- a/crates/platform/src/signal.rs
+++ b/crates/process/src/signal.rs
@@ -38,3 +38,32 @@
         }
     }
 }
+
+/// Waits for requests to read the settings again.
+#[derive(Debug)]
+pub struct Reload {
+    hangup: Signal,
+}
+
+impl Reload {
+    /// Registers for `SIGHUP`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the handler cannot be registered.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a Tokio runtime with I/O enabled.
+    pub fn listen() -> io::Result<Self> {
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub async fn wait(&mut self) {
+        // The stream ends only with the runtime.
+        let _ = self.hangup.recv().await;
+    }
+}
--- a/crates/platform/tests/log.rs
+++ b/crates/process/tests/log.rs
@@ -3,8 +3,8 @@
 use log::kv;
 
 use shallotrill_model::time::Wall;
-use shallotrill_platform::calendar;
-use shallotrill_platform::log::line;
+use shallotrill_process::calendar;
+use shallotrill_process::log::line;
 
 struct Time {
     name: &'static str,
--- a/crates/platform/tests/metrics.rs
+++ b/crates/process/tests/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics and process facts.
 
-use shallotrill_platform::metrics::Registry;
-use shallotrill_platform::metrics::Set;
-use shallotrill_platform::process::Process;
+use shallotrill_process::metrics::Registry;
+use shallotrill_process::metrics::Set;
+use shallotrill_process::process::Process;
 
 struct Case {
     name: &'static str,
--- a/crates/platform/tests/settings.rs
+++ b/crates/process/tests/settings.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use shallotrill_platform::settings::Error;
-use shallotrill_platform::settings::Settings;
+use shallotrill_process::settings::Error;
+use shallotrill_process::settings::Settings;
 
 struct Example {
     name: &'static str,
--- a/crates/platform/tests/signal.rs
+++ b/crates/process/tests/signal.rs
@@ -8,9 +8,9 @@
 use tokio::time;
 
 use shallotrill_model::time::Wall;
-use shallotrill_platform::log::line;
-use shallotrill_platform::log::slog_logger;
-use shallotrill_platform::signal::Stop;
+use shallotrill_process::log::line;
+use shallotrill_process::log::slog_logger;
+use shallotrill_process::signal::Stop;
 
 /// Longest wait for a signal that was sent.
 const LIMIT: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/router/src/entry.rs
@@ -0,0 +1,328 @@
+//! Requests of the callers on this instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use log::info;
+use rand::Rng;
+use rand::RngExt;
+
+use crate::attempt;
+use crate::forwarded::Denial;
+use crate::forwarded::Forwarded;
+use crate::serve::Message;
+use crate::state::State;
+use shallotrill_items::route::Route;
+use shallotrill_items::route::Share;
+use shallotrill_model::class::Class;
+use shallotrill_model::instance;
+use shallotrill_model::service;
+use shallotrill_model::time::Instant;
+use shallotrill_routing::choice::Choice;
+use shallotrill_routing::choice::Query;
+use shallotrill_wire::body;
+use shallotrill_wire::body::Body;
+use shallotrill_wire::hop;
+
+/// Longest body before limits are configured.
+const BODY_BYTES_DEFAULT: usize = 64 * 1024 * 1024;
+
+/// Refusals by gates that a request goes through before it is refused itself.
+const GATE_TRIES: u32 = 3;
+
+/// When a refused caller is asked to come again: about the service time, after which slots are free.
+const RETRY_AFTER: &str = "0.05";
+
+/// When a caller is asked to come again while nothing is configured or no target is known.
+const RETRY_AFTER_START: &str = "0.2";
+
+/// Part of the time left that a request may wait for a slot.
+const WAIT_SHARE: f64 = 0.6;
+
+/// A request with less time left than this is not sent again.
+const LEFT_MIN: Duration = Duration::from_millis(5);
+
+/// A request on its way.
+struct Work {
+    id: String,
+    message: Message,
+    host: Box<str>,
+    route: Arc<Route>,
+    service: service::Name,
+    arrived: Instant,
+    limit: Duration,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = state.now();
+    let id = text(request.headers().get(&state.settings.names.request)).to_owned();
+    let mut response = match accept(&state, request, arrived, &id).await {
+        Ok(work) => run(&state, &work).await,
+        Err(refused) => refused,
+    };
+    if !response.headers().contains_key(&state.settings.names.request) {
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            let name = state.settings.names.request.clone();
+            response.headers_mut().insert(name, value);
+        }
+    }
+    response
+}
+
+fn text(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+/// Checks a request, finds its route and reads its body.
+async fn accept(
+    state: &State,
+    request: Request<Incoming>,
+    arrived: Instant,
+    id: &str,
+) -> Result<Work, Response<Body>> {
+    let (mut parts, incoming) = request.into_parts();
+    if let Err(problem) = hop::check(&parts.method, &parts.headers) {
+        return Err(refuse(id, StatusCode::BAD_REQUEST, &problem.to_string()));
+    }
+    let items = state.items();
+    if items.is_empty() {
+        return Err(unavailable(id, RETRY_AFTER_START, "nothing is configured yet"));
+    }
+    let stated = text(parts.headers.get(header::HOST));
+    let host = parts.uri.authority().map_or(stated, |a| a.as_str());
+    let path = parts.uri.path();
+    let found = items.find(host, path).or_else(|| items.find(without_port(host), path));
+    let Some(rule) = found else {
+        return Err(refuse(id, StatusCode::NOT_FOUND, "no route matches"));
+    };
+    let route = Arc::clone(&rule.route);
+    let Some(service) = draw(&route.shares) else {
+        return Err(unavailable(id, RETRY_AFTER_START, "the route has no service"));
+    };
+    let service = service.clone();
+    let names = &state.settings.names;
+    let stated_ms: Option<u64> = text(parts.headers.get(&names.deadline_ms)).parse().ok();
+    let deadline = stated_ms.map_or(route.timeout, Duration::from_millis);
+    let limit = deadline.min(route.timeout);
+    let most = items.limits().map_or(BODY_BYTES_DEFAULT, |l| l.body_bytes);
+    let host = host.into();
+    let body = match body::collect(incoming, most, limit).await {
+        Ok(body) => body,
+        Err(body::Error::Large(_)) => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(refuse(id, status, "the body is too long"));
+        }
+        Err(error) => return Err(refuse(id, StatusCode::REQUEST_TIMEOUT, &error.to_string())),
+    };
+    let path = parts.uri.path_and_query().cloned();
+    hop::strip(&mut parts.headers);
+    parts.headers.remove(header::HOST);
+    parts.headers.remove(&names.caller);
+    parts.headers.remove(&names.expected);
+    state.earn(&service);
+    Ok(Work {
+        id: id.to_owned(),
+        message: Message {
+            method: parts.method,
+            path: path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
+            headers: parts.headers,
+            body,
+        },
+        host,
+        route,
+        service,
+        arrived,
+        limit,
+    })
+}
+
+fn without_port(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+/// Draws a service by its weight.
+fn draw(shares: &[Share]) -> Option<&service::Name> {
+    let total: u32 = shares.iter().map(|s| s.weight).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = rand::rng().random_range(0..total);
+    let drawn = shares.iter().find(|share| {
+        let hit = at < share.weight;
+        at = at.wrapping_sub(share.weight);
+        hit
+    });
+    drawn.map(|share| &share.service)
+}
+
+/// What is known of a request so far.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<instance::Name>,
+    gates: u32,
+    arrivals: u32,
+    /// The last denial, and whether one of them leaves open that the request ran.
+    last: Option<Denial>,
+    may_have_run: bool,
+    /// A failure that a backend server has answered.
+    failed: Option<Response<Body>>,
+}
+
+async fn run(state: &Arc<State>, work: &Work) -> Response<Body> {
+    let mut progress = Progress::default();
+    loop {
+        let left = work.limit.saturating_sub(state.now().since(work.arrived));
+        if left < LEFT_MIN {
+            return give_up(work, progress, left);
+        }
+        let Some(choice) = choose(state, work, &progress) else {
+            return give_up(work, progress, left);
+        };
+        if progress.arrivals > 0 && !state.spend(&work.service) {
+            cancel(state, &choice);
+            return give_up(work, progress, left);
+        }
+        let forwarded = forwarded(state, work, &choice, left);
+        let sent = attempt::send(state, work.message.clone(), &forwarded, &choice).await;
+        match sent {
+            Ok(response) if !may_repeat(work, &progress, &response) => return response,
+            Ok(response) => {
+                progress.arrivals += 1;
+                progress.may_have_run = true;
+                progress.failed = Some(response);
+            }
+            Err(denial) => {
+                note(work, &choice, denial, left);
+                progress.arrivals += u32::from(denial.has_arrived());
+                progress.gates += u32::from(!denial.has_arrived());
+                progress.may_have_run |= !denial.is_not_run();
+                progress.last = Some(denial);
+                if !goes_on(work, &progress) {
+                    let left = work.limit.saturating_sub(state.now().since(work.arrived));
+                    return give_up(work, progress, left);
+                }
+            }
+        }
+        progress.tried.push(choice.instance);
+    }
+}
+
+fn choose(state: &State, work: &Work, progress: &Progress) -> Option<Choice> {
+    let now = state.now();
+    let query = Query {
+        service: &work.service,
+        exclude: &progress.tried,
+        priority: u8::MAX - work.route.priority,
+    };
+    let mut routing = state.routing.lock();
+    match routing.choose(&query, now, &mut || rand::rng().next_u64()) {
+        Ok(choice) => {
+            routing.started(&choice.instance, now);
+            Some(choice)
+        }
+        Err(refusal) => {
+            drop(routing);
+            info!(event = "no-target", request = work.id.as_str(), service = work.service.as_str(); "{refusal}");
+            None
+        }
+    }
+}
+
+/// Takes back the start of a request that is not sent.
+fn cancel(state: &State, choice: &Choice) {
+    let sample = shallotrill_routing::sample::Sample {
+        incarnation: choice.incarnation,
+        outcome: shallotrill_routing::sample::Outcome::Cancelled,
+        latency: Duration::ZERO,
+    };
+    let now = state.now();
+    state.routing.lock().finished(&choice.instance, sample, now);
+}
+
+fn forwarded(state: &State, work: &Work, choice: &Choice, left: Duration) -> Forwarded {
+    // Work that starts later than this would miss its objective, and most of its value.
+    let since = state.now().since(work.arrived);
+    let valuable = work.route.objective.saturating_sub(since);
+    Forwarded {
+        instance: choice.instance.clone(),
+        incarnation: choice.incarnation,
+        service: work.service.clone(),
+        caller: state.settings.service.clone(),
+        left,
+        start_within: valuable.min(left).mul_f64(WAIT_SHARE),
+        priority: work.route.priority,
+        class: work.route.class,
+        host: work.host.clone(),
+    }
+}
+
+/// Whether a failure of the backend server is worth another attempt.
+fn may_repeat(work: &Work, progress: &Progress, response: &Response<Body>) -> bool {
+    response.status().is_server_error()
+        && work.route.class == Class::Idempotent
+        && progress.arrivals + 1 < work.route.attempts
+}
+
+/// Whether a denied request may be sent to another target.
+fn goes_on(work: &Work, progress: &Progress) -> bool {
+    let allowed = work.route.class == Class::Idempotent || !progress.may_have_run;
+    allowed && progress.arrivals < work.route.attempts && progress.gates < GATE_TRIES
+}
+
+fn note(work: &Work, choice: &Choice, denial: Denial, left: Duration) {
+    info!(
+        event = "attempt-denied",
+        request = work.id.as_str(),
+        service = work.service.as_str(),
+        instance = choice.instance.as_str(),
+        denial = denial.as_str(),
+        left_ms = left.as_millis() as u64,
+        candidates = choice.candidates.len();
+        ""
+    );
+}
+
+/// The final answer of a request that is not sent again.
+fn give_up(work: &Work, progress: Progress, left: Duration) -> Response<Body> {
+    if let Some(response) = progress.failed {
+        return response;
+    }
+    if !progress.may_have_run {
+        let reason = progress.last.map_or("no target", Denial::as_str);
+        return unavailable(&work.id, RETRY_AFTER, reason);
+    }
+    let reason = progress.last.map_or("unknown", Denial::as_str);
+    let status = if left < LEFT_MIN || progress.last == Some(Denial::Timeout) {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    refuse(&work.id, status, reason)
+}
+
+fn unavailable(id: &str, retry_after: &'static str, reason: &str) -> Response<Body> {
+    let mut response = refuse(id, StatusCode::SERVICE_UNAVAILABLE, reason);
+    let value = HeaderValue::from_static(retry_after);
+    response.headers_mut().insert(header::RETRY_AFTER, value);
+    response
+}
+
+fn refuse(id: &str, status: StatusCode, reason: &str) -> Response<Body> {
+    info!(event = "request-ended", request = id, status = status.as_u16(); "{reason}");
+    let text = format!("{reason}\n");
+    let mut response = Response::new(body::full(Bytes::from(text)));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    let headers: &mut HeaderMap = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, plain);
+    response
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,206 @@
+//! Starts and stops the router role.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+use crate::backend::Backend;
+use crate::entry;
+use crate::follow;
+use crate::follow::Views;
+use crate::serve;
+use crate::settings::Settings;
+use crate::state::State;
+use shallotrill_backend::config::Config;
+use shallotrill_backend::pool;
+use shallotrill_caller::listener;
+use shallotrill_items::table;
+use shallotrill_locks::Mutex;
+use shallotrill_locks::Rank;
+use shallotrill_peer::listener as peer_listener;
+use shallotrill_peer::pool as peer_pool;
+use shallotrill_process::clock::Clock;
+use shallotrill_routing::config;
+use shallotrill_routing::table as routing;
+use shallotrill_wire::listen;
+use shallotrill_wire::listen::Listener;
+
+/// Longest head of a request.
+const HEADER_BYTES: usize = 64 * 1024;
+
+/// Longest time for a head to arrive, the time between two requests included. Above the idle
+/// times that operators configure, so that a caller's request never meets a close.
+const HEADER_TIMEOUT: Duration = Duration::from_mins(2);
+
+/// Most connections of callers.
+const CALLERS_MAX: usize = 1_800;
+
+/// Most connections of other routers.
+const ROUTERS_MAX: usize = 1_000;
+
+/// Interval of the work that no event triggers.
+const UPKEEP: Duration = Duration::from_millis(500);
+
+/// Part of the grace in which callers and other routers learn that this one stops.
+const NOTICE_SHARE: f64 = 0.4;
+
+/// Part of the grace after which requests in flight are given up.
+const END_SHARE: f64 = 0.9;
+
+/// A connection to another router that owes an answer is pinged after this time without bytes.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// An unanswered ping closes a connection to another router; a busy one needs up to a second to answer.
+const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time until a target without one is warm.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// A running router.
+#[derive(Debug)]
+pub struct Router {
+    state: Arc<State>,
+    listeners: Vec<JoinHandle<()>>,
+    stop_listeners: watch::Sender<bool>,
+    stop_loops: watch::Sender<bool>,
+}
+
+/// Starts a router.
+///
+/// # Errors
+///
+/// Returns the error of a listener.
+pub async fn start(settings: Settings) -> Result<Router, listen::Error> {
+    let callers = Listener::bind(settings.caller_listen).await?;
+    let routers = Listener::bind(settings.router_listen).await?;
+    let registries = settings.registries.clone();
+    let state = Arc::new(state(settings));
+    let (stop_listeners, stopped) = watch::channel(false);
+    let (stop_loops, loops_stopped) = watch::channel(false);
+    let entering = Arc::clone(&state);
+    let serving = Arc::clone(&state);
+    let listeners = vec![
+        tokio::spawn(listener::run(
+            callers,
+            listener::Config::default()
+                .header_bytes(HEADER_BYTES)
+                .header_timeout(HEADER_TIMEOUT)
+                .connections_max(CALLERS_MAX),
+            stopped.clone(),
+            Arc::new(move |request| Box::pin(entry::answer(Arc::clone(&entering), request))),
+        )),
+        tokio::spawn(peer_listener::run(
+            routers,
+            ROUTERS_MAX,
+            stopped,
+            Arc::new(move |request| Box::pin(serve::answer(Arc::clone(&serving), request))),
+        )),
+    ];
+    follow::meet(&state, &registries, &loops_stopped);
+    tokio::spawn(upkeep(Arc::clone(&state), loops_stopped));
+    info!(
+        event = "router-started",
+        callers = state.settings.caller_listen.to_string().as_str(),
+        routers = state.settings.router_listen.to_string().as_str();
+        ""
+    );
+    Ok(Router {
+        state,
+        listeners,
+        stop_listeners,
+        stop_loops,
+    })
+}
+
+fn state(settings: Settings) -> State {
+    let clock = Clock::start();
+    let session = clock.wall().0;
+    let names = &settings.names;
+    let connections = Config::default()
+        .spare(0)
+        .identity(names.request.clone())
+        .echoes(true)
+        .not_run(names.not_run.clone());
+    let routers = peer_pool::Config::default()
+        .connections(1)
+        .ping_interval(PING_INTERVAL)
+        .ping_timeout(PING_TIMEOUT);
+    let choice = config::Config::new(settings.region.clone(), settings.zone.clone()).warm_up(WARM_UP);
+    let (published, _) = watch::channel(0);
+    State {
+        session,
+        clock,
+        items: Mutex::new(Rank::Catalog, Arc::new(table::Table::default())),
+        views: Mutex::new(Rank::Membership, Views::default()),
+        routing: Mutex::new(Rank::Routing, routing::Table::new(choice)),
+        backend: Mutex::new(Rank::Gate, Backend::default()),
+        budgets: Mutex::new(Rank::Budget, Vec::new()),
+        pool: Arc::new(pool::Pool::new(connections)),
+        routers: peer_pool::Pool::new(routers),
+        published,
+        stopping: AtomicBool::new(false),
+        numbers: AtomicU64::new(0),
+        settings,
+    }
+}
+
+/// Does the work that no event triggers.
+async fn upkeep(state: Arc<State>, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = time::sleep(UPKEEP) => {}
+            () = listen::stopped(&mut stop) => return,
+        }
+        state.routers.close_idle(state.now());
+        // Closes connections that were idle for long.
+        let _ = state.pool.counts();
+        follow::apply_targets(&state);
+    }
+}
+
+impl Router {
+    /// The state, for the interfaces of backend servers and of the platform.
+    pub fn state(&self) -> Arc<State> {
+        Arc::clone(&self.state)
+    }
+
+    /// Follows other registry processes from now on.
+    pub fn reseed(&self, registries: &[SocketAddr]) {
+        follow::meet(&self.state, registries, &self.stop_loops.subscribe());
+    }
+
+    /// Stops gracefully. Returns whether every request in flight finished.
+    ///
+    /// Callers and other routers learn first that this router stops, while it still serves;
+    /// then its connections close as they become idle.
+    pub async fn stop(self) -> bool {
+        info!(event = "router-stopping"; "");
+        self.state.stopping.store(true, Ordering::Relaxed);
+        self.state.publish();
+        let grace = self.state.settings.grace;
+        let started = time::Instant::now();
+        time::sleep(grace.mul_f64(NOTICE_SHARE)).await;
+        self.stop_listeners.send_replace(true);
+        let finished = async {
+            for listener in self.listeners {
+                if let Err(error) = listener.await {
+                    warn!(event = "listener-failed"; "{error}");
+                }
+            }
+        };
+        let end = started + grace.mul_f64(END_SHARE);
+        let whole = time::timeout_at(end, finished).await.is_ok();
+        self.stop_loops.send_replace(true);
+        info!(event = "router-stopped", whole = whole; "");
+        whole
+    }
+}
--- /dev/null
+++ b/crates/router/src/slot.rs
@@ -0,0 +1,109 @@
+//! Slots of the backend server, and the wait for one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time;
+
+use crate::forwarded::Denial;
+use crate::forwarded::Forwarded;
+use crate::state::State;
+use shallotrill_limits::ticket;
+use shallotrill_limits::ticket::Release;
+use shallotrill_limits::ticket::Ticket;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
+use shallotrill_model::partner;
+use shallotrill_model::time::Instant;
+
+/// A place in the queue or a slot. Dropping it gives it back.
+#[derive(Debug)]
+pub struct Slot {
+    state: Arc<State>,
+    instance: instance::Name,
+    incarnation: Incarnation,
+    id: ticket::Id,
+    started: Instant,
+    outcome: ticket::Outcome,
+    runs: bool,
+}
+
+impl Slot {
+    /// Notes how the request ended; a slot that is dropped without it counts as cancelled.
+    pub const fn ended(&mut self, outcome: ticket::Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let mut backend = self.state.backend.lock();
+        let Some(life) = backend.is(&self.instance, self.incarnation) else {
+            return;
+        };
+        let mut effect = life.gate.cancel(self.id, now);
+        let release = Release {
+            id: self.id,
+            latency: now.since(self.started),
+            outcome: self.outcome,
+        };
+        if !self.runs {
+            effect.refused.clear();
+        }
+        life.settle(effect);
+        let effect = life.gate.release(release, now);
+        life.settle(effect);
+    }
+}
+
+/// Waits for a slot.
+///
+/// # Errors
+///
+/// Returns a [`Denial`] that states that the request did not run.
+pub async fn admit(state: &Arc<State>, forwarded: &Forwarded) -> Result<Slot, Denial> {
+    let now = state.now();
+    let id = ticket::Id(state.unique());
+    let within = forwarded.start_within.min(forwarded.left);
+    let ticket = Ticket {
+        id,
+        partner: partner::Name::new(forwarded.caller.as_str()).or(Err(Denial::Gone))?,
+        priority: u8::MAX - forwarded.priority,
+        deadline: now + within,
+    };
+    let queued = {
+        let mut backend = state.backend.lock();
+        let life = backend
+            .is(&forwarded.instance, forwarded.incarnation)
+            .ok_or(Denial::Gone)?;
+        life.offer(ticket, now)?
+    };
+    let mut slot = Slot {
+        state: Arc::clone(state),
+        instance: forwarded.instance.clone(),
+        incarnation: forwarded.incarnation,
+        id,
+        started: now,
+        outcome: ticket::Outcome::Cancelled,
+        runs: queued.is_none(),
+    };
+    if let Some(receiver) = queued {
+        wait(receiver, within).await?;
+        slot.runs = true;
+        slot.started = state.now();
+    }
+    Ok(slot)
+}
+
+async fn wait(
+    receiver: tokio::sync::oneshot::Receiver<Result<(), Denial>>,
+    within: Duration,
+) -> Result<(), Denial> {
+    match time::timeout(within, receiver).await {
+        Ok(Ok(answer)) => answer,
+        // The backend server was replaced, and its queue with it.
+        Ok(Err(_)) => Err(Denial::Gone),
+        Err(_) => Err(Denial::Busy),
+    }
+}
--- a/crates/shallotrill/src/main.rs
+++ b/crates/shallotrill/src/main.rs
@@ -1,8 +1,10 @@
 //! The process that runs everywhere, in the role that its settings state.
 
+use std::env;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -13,11 +15,14 @@
 use log::info;
 use mimalloc::MiMalloc;
 use tokio::runtime::Builder;
+use tokio::time;
 
-use shallotrill_platform::log as platform_log;
-use shallotrill_platform::settings::Role;
-use shallotrill_platform::settings::Settings;
-use shallotrill_platform::signal::Stop;
+use shallotrill_platform::run as platform;
+use shallotrill_process::log as process_log;
+use shallotrill_process::settings::Role;
+use shallotrill_process::settings::Settings;
+use shallotrill_process::signal::Reload;
+use shallotrill_process::signal::Stop;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
@@ -36,11 +41,13 @@
 
 Usage: shallotrill run --settings FILE
        shallotrill check --settings FILE
+       shallotrill platform
        shallotrill --help | --version
 
 Commands:
   run    run until SIGTERM or SIGINT, then stop gracefully; a second signal ends at once
   check  check the settings and exit
+  platform  run the role that the platform's settings file (SHALLOTRILL_NODE_FILE) names
 
 Exit codes:
   0  success
@@ -52,6 +59,7 @@
 enum Request {
     Run(PathBuf),
     Check(PathBuf),
+    Platform(PathBuf),
     Help,
     Version,
 }
@@ -80,6 +88,7 @@
             }
             None => USAGE,
         },
+        Request::Platform(path) => outcome(run_on_platform(&path)),
         Request::Run(path) => match load(&path) {
             Some(settings) => run(&settings),
             None => USAGE,
@@ -107,8 +116,12 @@
     match command.as_deref() {
         Some("run") => Ok(Request::Run(settings?)),
         Some("check") => Ok(Request::Check(settings?)),
-        Some(other) => Err(format!("unknown command '{other}': expected run or check").into()),
-        None => Err("a command is missing: expected run or check".into()),
+        Some("platform") => match env::var_os(platform::SETTINGS_VARIABLE) {
+            Some(path) => Ok(Request::Platform(path.into())),
+            None => Err(format!("{} is not set", platform::SETTINGS_VARIABLE).into()),
+        },
+        Some(other) => Err(format!("unknown command '{other}': expected run, check or platform").into()),
+        None => Err("a command is missing: expected run, check or platform".into()),
     }
 }
 
@@ -123,7 +136,11 @@
 }
 
 fn run(settings: &Settings) -> u8 {
-    match try_run(settings) {
+    outcome(try_run(settings))
+}
+
+fn outcome(result: Result<bool>) -> u8 {
+    match result {
         Ok(true) => SUCCESS,
         Ok(false) => FAILURE,
         Err(error) => {
@@ -134,9 +151,40 @@
     }
 }
 
+/// Workers of the runtime on the platform, whose machines give a process a part of one core.
+const PLATFORM_WORKERS: usize = 1;
+
+/// The settings file is read again in this interval, since it may change without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Runs a role on the platform; returns whether everything in flight finished when it stopped.
+fn run_on_platform(path: &Path) -> Result<bool> {
+    process_log::start(log::LevelFilter::Info).context("the log could not be started")?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(PLATFORM_WORKERS)
+        .enable_all()
+        .build()
+        .context("the runtime could not be started")?;
+    info!(event = "process-started", version = env!("CARGO_PKG_VERSION"); "");
+    runtime.block_on(async {
+        let mut stop = Stop::listen().context("signals could not be listened for")?;
+        let mut reload = Reload::listen().context("signals could not be listened for")?;
+        let running = platform::start(path)
+            .await
+            .context("the process could not be started")?;
+        loop {
+            tokio::select! {
+                () = stop.wait() => return Ok(running.stop().await),
+                () = reload.wait() => running.reload(path),
+                () = time::sleep(RELOAD_INTERVAL) => running.reload(path),
+            }
+        }
+    })
+}
+
 /// Runs the role; returns whether everything in flight finished when it stopped.
 fn try_run(settings: &Settings) -> Result<bool> {
-    platform_log::start(settings.log).context("the log could not be started")?;
+    process_log::start(settings.log).context("the log could not be started")?;
     let workers = match &settings.role {
         Role::Node(node) => node.workers,
         Role::Control(control) => control.workers,
