items: let a change name an item in several versions

Cause: a valid change names one route in two versions, and the check refused the change (400), so it was never acknowledged. Ruled out: an unreadable body; the log names the check. Change: the highest version counts; two contents of one version stay invalid.

--- a/crates/items/src/check.rs
+++ b/crates/items/src/check.rs
@@ -30,9 +30,7 @@
     Host,
     /// No share of the route has a weight.
     NoWeight,
-    /// Another route has the same host and prefix.
-    SamePlace(Key),
-    /// Its key stands twice in one change.
+    /// Its key stands twice in one change, with the same version and different content.
     Twice,
 }
 
@@ -48,8 +46,7 @@
             Self::Prefix => f.write_str("the prefix must begin with '/'"),
             Self::Host => f.write_str("the host is empty"),
             Self::NoWeight => f.write_str("at least one service must have a weight"),
-            Self::SamePlace(other) => write!(f, "{other} has the same host and prefix"),
-            Self::Twice => f.write_str("the item stands twice in the change"),
+            Self::Twice => f.write_str("the change holds two contents of one version"),
         }
     }
 }
@@ -90,7 +87,8 @@
             let key = item.key.clone();
             Err(Refusal::Invalid { key, problem })
         };
-        if items[..at].iter().any(|other| other.key == item.key) {
+        let same = items[..at].iter().filter(|other| other.key == item.key);
+        if same.clone().any(|other| other.version == item.version && other != item) {
             return refuse(Problem::Twice);
         }
         let Content::Route(route) = &item.content else {
--- a/crates/items/src/proposal.rs
+++ b/crates/items/src/proposal.rs
@@ -61,6 +61,11 @@
     let mut held = Vec::new();
     let mut refusal = None;
     for item in change {
+        let overtaken = |other: &Item| other.key == item.key && other.version > item.version;
+        let repeats = |other: &Arc<Item>| other.key == item.key;
+        if change.iter().any(overtaken) || items.iter().any(repeats) {
+            continue;
+        }
         match reading.get(&item.key) {
             Some(known) if known.version >= item.version => {
                 if known.version == item.version && !same(known, item) {
