routing: keep failing targets reachable

Cause: a target whose failure rate passed one half was left out for good. Its rate fell only by new requests, and only those of priority 0 of the product's own scale try it, which the routers never sent. Change: the failure rate of a target without requests halves in 2 s, idempotent requests try failing targets, and when all fail one is used all the same. The defaults of the package stay as they were.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -221,7 +221,8 @@
     let query = Query {
         service: &work.service,
         exclude: &progress.tried,
-        priority: u8::MAX - work.route.priority,
+        // Only a request that can be sent again tries a failing target.
+        priority: u8::from(work.route.class == Class::NonIdempotent),
     };
     let mut routing = state.routing.lock();
     match routing.choose(&query, now, &mut || rand::rng().next_u64()) {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -65,6 +65,9 @@
 /// Time until a target without one is warm.
 const WARM_UP: Duration = Duration::from_secs(3);
 
+/// The failure rate of a target that gets no requests halves in this time; faults of a few seconds are common.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// A running router.
 #[derive(Debug)]
 pub struct Router {
@@ -134,7 +137,10 @@
         .connections(1)
         .ping_interval(PING_INTERVAL)
         .ping_timeout(PING_TIMEOUT);
-    let choice = config::Config::new(settings.region.clone(), settings.zone.clone()).warm_up(WARM_UP);
+    let choice = config::Config::new(settings.region.clone(), settings.zone.clone())
+        .warm_up(WARM_UP)
+        .failure_half_life(FAILURE_HALF_LIFE)
+        .last_resort(true);
     let (published, _) = watch::channel(0);
     State {
         session,
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -20,6 +20,8 @@
     pub(crate) recovery_interval: Duration,
     pub(crate) failing: f64,
     pub(crate) trickle: f64,
+    pub(crate) last_resort: bool,
+    pub(crate) failure_half_life: Option<Duration>,
     pub(crate) cross_zone: f64,
     pub(crate) same_zone: Duration,
     pub(crate) same_region: Duration,
@@ -41,6 +43,8 @@
             recovery_interval: Duration::from_millis(100),
             failing: 0.5,
             trickle: 0.02,
+            last_resort: false,
+            failure_half_life: None,
             cross_zone: 0.25,
             same_zone: Duration::from_micros(100),
             same_region: Duration::from_millis(1),
@@ -102,6 +106,25 @@
         self
     }
 
+    /// Time without a request in which the failure rate of a target halves; it stays by default.
+    ///
+    /// A target that is left out brings no news, so without this only the trickle shows that it is well again.
+    #[must_use]
+    pub fn failure_half_life(mut self, time: Duration) -> Self {
+        self.failure_half_life = Some(time.max(Duration::from_micros(1)));
+        self
+    }
+
+    /// Whether a failing target is used when all of a service fail; not by default.
+    ///
+    /// The cause may lie below the service or be over, and a service without
+    /// any target would get no answer that shows it.
+    #[must_use]
+    pub const fn last_resort(mut self, allowed: bool) -> Self {
+        self.last_resort = allowed;
+        self
+    }
+
     /// Proportion of choices that also consider a target of another availability zone.
     #[must_use]
     pub fn cross_zone(mut self, proportion: f64) -> Self {
--- a/crates/routing/src/draw.rs
+++ b/crates/routing/src/draw.rs
@@ -22,6 +22,13 @@
 /// Score of the local best, as a multiple of the median latency, above which another zone is always considered.
 const BUSY: f64 = 2.0;
 
+/// Which targets a draw admits beside the usual ones.
+#[derive(Clone, Copy, Debug, Default)]
+struct Admit {
+    any_warmth: bool,
+    failing: bool,
+}
+
 /// State of drawing candidates.
 pub(crate) struct Draw<'table, 'query> {
     pub(crate) table: &'table Table,
@@ -52,7 +59,10 @@
             self.draw_others(own, wanted, random);
         }
         if self.picks.is_empty() && self.recovery.is_none() {
-            self.scan(random);
+            self.scan(false, random);
+        }
+        if config.last_resort && self.picks.is_empty() && self.recovery.is_none() {
+            self.scan(true, random);
         }
     }
 
@@ -74,7 +84,7 @@
                 return;
             }
             let index = members[below(members.len(), random)];
-            self.take(index, false, random);
+            self.take(index, Admit::default(), random);
         }
     }
 
@@ -95,7 +105,7 @@
                     continue;
                 }
                 if let Some(index) = group.members.get(at) {
-                    self.take(*index, false, random);
+                    self.take(*index, Admit::default(), random);
                     break;
                 }
                 at -= group.members.len();
@@ -104,7 +114,7 @@
     }
 
     /// Takes any usable target, from a random place on; reached only when nearly all are unusable.
-    fn scan(&mut self, random: &mut dyn FnMut() -> u64) {
+    fn scan(&mut self, failing: bool, random: &mut dyn FnMut() -> u64) {
         let service = &self.table.services[self.service];
         let length = service.len();
         if length == 0 {
@@ -112,7 +122,11 @@
         }
         let skip = below(length, random);
         for index in service.members_from(skip) {
-            self.take(index, true, random);
+            let admit = Admit {
+                any_warmth: true,
+                failing,
+            };
+            self.take(index, admit, random);
             if !self.picks.is_empty() {
                 return;
             }
@@ -120,7 +134,7 @@
     }
 
     /// Adds a drawn target unless it is known, excluded, failing, or too cold for this draw.
-    fn take(&mut self, index: Index, any_warmth: bool, random: &mut dyn FnMut() -> u64) {
+    fn take(&mut self, index: Index, admit: Admit, random: &mut dyn FnMut() -> u64) {
         let Some(entry) = self.table.entry(index) else {
             return;
         };
@@ -128,7 +142,7 @@
             return;
         }
         let config = &self.table.config;
-        if entry.failure_rate() >= config.failing {
+        if !admit.failing && entry.failure_rate(config, self.now) >= config.failing {
             if self.may_recover(entry) && unit(random) < config.trickle {
                 self.recovery = Some(index);
             }
@@ -136,7 +150,7 @@
         }
         let service = &self.table.services[self.service];
         let warmth = entry.warmth(config, service.warmest, self.now);
-        if !any_warmth && warmth < 1.0 && unit(random) >= warmth {
+        if !admit.any_warmth && warmth < 1.0 && unit(random) >= warmth {
             return;
         }
         let estimate = score::estimate(entry, service, config, self.now);
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -31,6 +31,8 @@
     /// Own requests sent later than this cannot be in the report.
     seen: Instant,
     pub(crate) failures: f64,
+    /// When the failure rate was last updated.
+    pub(crate) judged: Instant,
     pub(crate) latency_us: f64,
     /// Since when the target is ready; nothing while it starts.
     pub(crate) ready: Option<Instant>,
@@ -49,6 +51,7 @@
             flight: Vec::new(),
             seen: Instant(0),
             failures: 0.0,
+            judged: now,
             latency_us: 0.0,
             ready,
             recovery: None,
@@ -138,6 +141,7 @@
             Outcome::Cancelled => return,
         };
         self.failures += FAILURE_WEIGHT * (failed - self.failures);
+        self.judged = now;
         if sample.outcome == Outcome::Success {
             let latency = sample.latency.as_micros() as f64;
             let weight = if self.latency_us == 0.0 {
@@ -150,7 +154,16 @@
     }
 
     /// Failure rate, the worse of the own one and the reported one.
-    pub(crate) fn failure_rate(&self) -> f64 {
+    pub(crate) fn failure_rate(&self, config: &Config, now: Instant) -> f64 {
+        let rate = self.latest_failure_rate();
+        let Some(half_life) = config.failure_half_life else {
+            return rate;
+        };
+        let age = now.since(self.judged).as_secs_f64();
+        rate * (-age / half_life.as_secs_f64()).exp2()
+    }
+
+    fn latest_failure_rate(&self) -> f64 {
         let reported = self
             .report
             .map_or(0.0, |r| f64::from(r.failure_permille) / 1_000.0);
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -58,7 +58,7 @@
         ahead: ahead.max(entry.flight.len() as f64),
         limit,
         latency_us: latency.max(oldest_us),
-        failures: entry.failure_rate(),
+        failures: entry.failure_rate(config, now),
     }
 }
 
