router: probe the pace of the machine and pass slow targets by

The backend server states the pace on its answers, which stay away just then. Change: the router probes the health path each 100 ms unless an answer told the pace within 60 ms; a request that comes to a slow target is passed on once; reported latencies count for half after 300 ms.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -81,7 +81,7 @@
     flight.outcome = match &result {
         Ok(response) if response.status().is_server_error() => Outcome::Failure,
         Ok(_) => Outcome::Success,
-        Err(Denial::Busy | Denial::Gone) => Outcome::Refused,
+        Err(Denial::Busy | Denial::Slow | Denial::Gone) => Outcome::Refused,
         Err(_) => Outcome::Failure,
     };
     result
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -85,10 +85,25 @@
     pub gate: Gate,
     /// Sorted by ticket.
     waiting: Vec<(ticket::Id, oneshot::Sender<Result<(), Denial>>)>,
-    /// How slow its machine is, in percent of the usual.
-    pub slowness: u32,
+    pace: Pace,
 }
 
+/// How long work takes on the machine of a backend server, compared with the usual.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    slowness: u32,
+    stated: Instant,
+}
+
+/// Slowness of a machine that works as usual, in percent.
+const USUAL: u32 = 100;
+
+/// A statement older than this says nothing of the present: noise on shared machines lasts some hundred milliseconds.
+const PACE_AGE_MAX: Duration = Duration::from_millis(300);
+
+/// Slowness from which another target is the better choice, a second hop included.
+const SLOW: u32 = 180;
+
 /// The backend server beside this router.
 #[derive(Debug, Default)]
 pub struct Backend {
@@ -197,10 +212,40 @@
             incarnation,
             gate,
             waiting: Vec::new(),
-            slowness: 100,
+            pace: Pace {
+                slowness: USUAL,
+                stated: now,
+            },
+        }
+    }
+
+    /// Takes a statement of how slow the machine is, in percent of the usual.
+    pub const fn note_pace(&mut self, slowness: u32, now: Instant) {
+        self.pace = Pace {
+            slowness,
+            stated: now,
+        };
+    }
+
+    /// How slow the machine is, in percent of the usual, as far as it is known.
+    pub fn slowness(&self, now: Instant) -> u32 {
+        if self.pace_age(now) > PACE_AGE_MAX {
+            USUAL
+        } else {
+            self.pace.slowness
         }
     }
 
+    /// Age of the last statement of how slow the machine is.
+    pub const fn pace_age(&self, now: Instant) -> Duration {
+        now.since(self.pace.stated)
+    }
+
+    /// Whether the machine is so slow that another target is the better choice.
+    pub fn is_slow(&self, now: Instant) -> bool {
+        self.slowness(now) >= SLOW
+    }
+
     /// Offers a ticket to the gate. A queued one gets its answer on the receiver.
     ///
     /// # Errors
@@ -275,6 +320,7 @@
             let slots = backend.life.as_ref().map_or(1, |l| l.announcement.slots);
             let limit = slots.saturating_mul(2).max(1) as usize;
             state.pool.connect_to(state.settings.backend, true, limit);
+            state.probes.connect_to(state.settings.backend, true, 1);
         }
         change
     };
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -169,6 +169,8 @@
 struct Progress {
     tried: Vec<instance::Name>,
     gates: u32,
+    /// Every target that was asked is slow or full, so the best of them is to take the request.
+    insist: bool,
     arrivals: u32,
     /// The last denial, and whether one of them leaves open that the request ran.
     last: Option<Denial>,
@@ -185,13 +187,18 @@
             return give_up(work, progress, left);
         }
         let Some(choice) = choose(state, work, &progress) else {
+            if progress.gates > 0 && !progress.insist {
+                progress.insist = true;
+                progress.tried.clear();
+                continue;
+            }
             return give_up(work, progress, left);
         };
         if progress.arrivals > 0 && !state.spend(&work.service) {
             cancel(state, &choice);
             return give_up(work, progress, left);
         }
-        let forwarded = forwarded(state, work, &choice, left);
+        let forwarded = forwarded(state, work, &choice, &progress, left);
         let sent = attempt::send(state, work.message.clone(), &forwarded, &choice).await;
         match sent {
             Ok(response) if !may_repeat(work, &progress, &response) => return response,
@@ -249,7 +256,13 @@
     state.routing.lock().finished(&choice.instance, sample, now);
 }
 
-fn forwarded(state: &State, work: &Work, choice: &Choice, left: Duration) -> Forwarded {
+fn forwarded(
+    state: &State,
+    work: &Work,
+    choice: &Choice,
+    progress: &Progress,
+    left: Duration,
+) -> Forwarded {
     // Work that starts later than this would miss its objective, and most of its value.
     let since = state.now().since(work.arrived);
     let valuable = work.route.objective.saturating_sub(since);
@@ -262,6 +275,7 @@
         start_within: valuable.min(left).mul_f64(WAIT_SHARE),
         priority: work.route.priority,
         class: work.route.class,
+        insist: progress.insist || progress.gates + 1 >= GATE_TRIES,
         host: work.host.clone(),
     }
 }
--- a/crates/router/src/forwarded.rs
+++ b/crates/router/src/forwarded.rs
@@ -36,6 +36,8 @@
     pub priority: u8,
     /// Whether the request may run more than once.
     pub class: Class,
+    /// Whether a slow target takes it all the same.
+    pub insist: bool,
     /// Host that the caller named.
     pub host: Box<str>,
 }
@@ -50,7 +52,7 @@
             Class::NonIdempotent => 'n',
         };
         let text = format!(
-            "{};{};{};{};{};{};{};{class};{}",
+            "{};{};{};{};{};{};{};{class};{};{}",
             self.instance,
             self.incarnation.0,
             self.service,
@@ -58,6 +60,7 @@
             self.left.as_millis(),
             self.start_within.as_millis(),
             self.priority,
+            u8::from(self.insist),
             self.host
         );
         HeaderValue::try_from(text).ok()
@@ -65,7 +68,7 @@
 
     /// Reads the header value.
     pub fn decode(value: &HeaderValue) -> Option<Self> {
-        let mut fields = value.to_str().ok()?.splitn(9, ';');
+        let mut fields = value.to_str().ok()?.splitn(10, ';');
         let mut next = || fields.next();
         Some(Self {
             instance: instance::Name::new(next()?).ok()?,
@@ -80,6 +83,7 @@
                 "n" => Class::NonIdempotent,
                 _ => return None,
             },
+            insist: next()? == "1",
             host: next()?.into(),
         })
     }
@@ -90,6 +94,8 @@
 pub enum Denial {
     /// All slots are taken and the queue is full or too slow; the request did not run.
     Busy,
+    /// The machine of the backend server is slow at the moment; the request did not run.
+    Slow,
     /// Another backend server or another life of it is here, or it is leaving; the request did not run.
     Gone,
     /// The backend server refused the request and states that it did not run.
@@ -105,8 +111,9 @@
 }
 
 impl Denial {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Busy,
+        Self::Slow,
         Self::Gone,
         Self::Shed,
         Self::Unreachable,
@@ -119,7 +126,7 @@
     pub const fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Busy | Self::Gone | Self::Shed | Self::Unreachable
+            Self::Busy | Self::Slow | Self::Gone | Self::Shed | Self::Unreachable
         )
     }
 
@@ -135,6 +142,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Busy => "busy",
+            Self::Slow => "slow",
             Self::Gone => "gone",
             Self::Shed => "shed",
             Self::Unreachable => "unreachable",
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod forwarded;
 pub mod names;
+pub mod probe;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -17,6 +17,7 @@
 use crate::entry;
 use crate::follow;
 use crate::follow::Views;
+use crate::probe;
 use crate::serve;
 use crate::settings::Settings;
 use crate::state::State;
@@ -65,6 +66,9 @@
 /// Time until a target without one is warm.
 const WARM_UP: Duration = Duration::from_secs(3);
 
+/// A reported latency counts for half after this time; noise on shared machines lasts some hundred milliseconds.
+const LATENCY_HALF_LIFE: Duration = Duration::from_millis(300);
+
 /// The failure rate of a target that gets no requests halves in this time; faults of a few seconds are common.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -109,6 +113,7 @@
         )),
     ];
     follow::meet(&state, &registries, &loops_stopped);
+    tokio::spawn(probe::run(Arc::clone(&state), loops_stopped.clone()));
     tokio::spawn(upkeep(Arc::clone(&state), loops_stopped));
     info!(
         event = "router-started",
@@ -133,12 +138,16 @@
         .identity(names.request.clone())
         .echoes(true)
         .not_run(names.not_run.clone());
+    let probes = Config::default().spare(0).not_run(names.not_run.clone());
     let routers = peer_pool::Config::default()
         .connections(1)
         .ping_interval(PING_INTERVAL)
         .ping_timeout(PING_TIMEOUT);
     let choice = config::Config::new(settings.region.clone(), settings.zone.clone())
         .warm_up(WARM_UP)
+        .latency_band(1.0)
+        .latency_half_life(LATENCY_HALF_LIFE)
+        .cross_zone(1.0)
         .failure_half_life(FAILURE_HALF_LIFE)
         .last_resort(true);
     let (published, _) = watch::channel(0);
@@ -151,6 +160,7 @@
         backend: Mutex::new(Rank::Gate, Backend::default()),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
         pool: Arc::new(pool::Pool::new(connections)),
+        probes: Arc::new(pool::Pool::new(probes)),
         routers: peer_pool::Pool::new(routers),
         published,
         stopping: AtomicBool::new(false),
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -95,7 +95,7 @@
     let mut backend = state.backend.lock();
     if let Some(life) = &mut backend.life {
         let mut report = life.gate.report(now);
-        let slowed = u64::from(report.latency_us) * u64::from(life.slowness) / 100;
+        let slowed = u64::from(report.latency_us) * u64::from(life.slowness(now)) / 100;
         report.latency_us = u32::try_from(slowed).unwrap_or(u32::MAX);
         response
             .headers_mut()
@@ -239,11 +239,12 @@
 }
 
 /// Takes the slowness of the machine that the backend server states: the fourth figure of its load.
-fn note_slowness(state: &State, response: &Response<Body>) {
+pub(crate) fn note_slowness(state: &State, response: &Response<Body>) {
     let stated = response.headers().get(&state.settings.names.load);
     let figures = stated.and_then(|value| value.to_str().ok());
     let slowness = figures.and_then(|text| text.split(',').nth(3)?.trim().parse().ok());
+    let now = state.now();
     if let (Some(slowness), Some(life)) = (slowness, &mut state.backend.lock().life) {
-        life.slowness = slowness;
+        life.note_pace(slowness, now);
     }
 }
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -77,6 +77,9 @@
         let life = backend
             .is(&forwarded.instance, forwarded.incarnation)
             .ok_or(Denial::Gone)?;
+        if !forwarded.insist && life.is_slow(now) {
+            return Err(Denial::Slow);
+        }
         life.offer(ticket, now)?
     };
     let mut slot = Slot {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -50,6 +50,8 @@
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
     /// Connections to the backend server.
     pub pool: Arc<pool::Pool>,
+    /// The connection for probes of the backend server.
+    pub probes: Arc<pool::Pool>,
     /// Connections to other routers.
     pub routers: peer_pool::Pool,
     /// Rises with each change that the registries must know.
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -20,6 +20,7 @@
     pub(crate) recovery_interval: Duration,
     pub(crate) failing: f64,
     pub(crate) trickle: f64,
+    pub(crate) latency_band: f64,
     pub(crate) last_resort: bool,
     pub(crate) failure_half_life: Option<Duration>,
     pub(crate) cross_zone: f64,
@@ -43,6 +44,7 @@
             recovery_interval: Duration::from_millis(100),
             failing: 0.5,
             trickle: 0.02,
+            latency_band: 2.0,
             last_resort: false,
             failure_half_life: None,
             cross_zone: 0.25,
@@ -115,6 +117,16 @@
         self
     }
 
+    /// Ratio to the median of the service up to which a latency counts as the median; 2 by default.
+    ///
+    /// Within the band a difference says more of the past than of the next request. Where
+    /// targets state how slow they are at the moment, a narrow band makes use of it.
+    #[must_use]
+    pub const fn latency_band(mut self, ratio: f64) -> Self {
+        self.latency_band = ratio.max(1.0);
+        self
+    }
+
     /// Whether a failing target is used when all of a service fail; not by default.
     ///
     /// The cause may lie below the service or be over, and a service without
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -14,9 +14,6 @@
 /// Requests ahead for each slot that a refusal stands for; it decays like a report.
 const REFUSED_LOAD: f64 = 4.0;
 
-/// Ratio to the median of the service up to which a latency counts as the median.
-const LATENCY_BAND: f64 = 2.0;
-
 /// Factor on the score of a target that reports shedding.
 const SHEDDING_PENALTY: f64 = 4.0;
 
@@ -79,8 +76,8 @@
     };
     let fresh = (-age / config.latency_half_life.as_secs_f64()).exp2();
     let known = known * fresh + median * (1.0 - fresh);
-    // Within the band a difference says more of the past than of the next request.
-    median.max(known / LATENCY_BAND)
+    let banded = median.max(known / config.latency_band);
+    if config.latency_band > 1.0 { banded } else { known }
 }
 
 /// Expected response time with penalties, in microseconds.
