Logs that never block, metrics of both roles, containment of crashing requests

Cause: the platform's engineers have only logs and metrics. Logs went to standard error through a blocking write, requests that were answered left no line, and the new roles had no metrics. A request that crashes its backend server was sent again without end. A registry process waited at its end for a write that the disk did not finish (2 processes killed at the end of the grace time).

Decisions on requests are logged with their inputs, usual answers at 10 lines a second. Both roles serve metrics. Routers state in their announcements which requests were in flight when a backend server crashed; retry::containment counts them.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -319,7 +319,10 @@
 
     /// Takes the time after which the backend server closes idle connections, if the answer states it.
     fn note_idle_limit(&self, parts: &Parts) {
-        let stated = parts.headers.get("keep-alive").and_then(|v| v.to_str().ok());
+        let stated = parts
+            .headers
+            .get("keep-alive")
+            .and_then(|v| v.to_str().ok());
         let Some(seconds) = stated.and_then(keep_alive_seconds) else {
             return;
         };
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -13,6 +13,7 @@
 use shallotrill_items::replica::Entry;
 use shallotrill_items::roster::Member;
 use shallotrill_model::target::Target;
+use shallotrill_retry::containment::Fact;
 
 /// Version of the messages; another one is refused.
 pub const VERSION: u8 = 1;
@@ -28,6 +29,8 @@
     pub sequence: u64,
     /// The backend server, if one has announced itself and is not gone.
     pub target: Option<Target>,
+    /// Requests that were in flight when the backend server crashed.
+    pub crashes: Vec<Fact>,
 }
 
 /// How far a watcher has read.
--- a/crates/items/src/check.rs
+++ b/crates/items/src/check.rs
@@ -81,14 +81,20 @@
 /// # Errors
 ///
 /// Returns the first item that cannot be in force.
-pub fn check<'a>(items: &'a [Item], current: &dyn Fn(&Key) -> Option<&'a Item>) -> Result<(), Refusal> {
+pub fn check<'a>(
+    items: &'a [Item],
+    current: &dyn Fn(&Key) -> Option<&'a Item>,
+) -> Result<(), Refusal> {
     for (at, item) in items.iter().enumerate() {
         let refuse = |problem| {
             let key = item.key.clone();
             Err(Refusal::Invalid { key, problem })
         };
         let same = items[..at].iter().filter(|other| other.key == item.key);
-        if same.clone().any(|other| other.version == item.version && other != item) {
+        if same
+            .clone()
+            .any(|other| other.version == item.version && other != item)
+        {
             return refuse(Problem::Twice);
         }
         let Content::Route(route) = &item.content else {
--- a/crates/items/src/replica.rs
+++ b/crates/items/src/replica.rs
@@ -93,7 +93,11 @@
     /// # Errors
     ///
     /// Returns the higher ballot that one of them has promised already; nothing changes then.
-    pub fn prepare(&mut self, ballot: Ballot, keys: &[Key]) -> Result<Vec<Option<Accepted>>, Ballot> {
+    pub fn prepare(
+        &mut self,
+        ballot: Ballot,
+        keys: &[Key],
+    ) -> Result<Vec<Option<Accepted>>, Ballot> {
         let promised = self.promised(keys);
         if promised > ballot {
             return Err(promised);
--- a/crates/items/src/table.rs
+++ b/crates/items/src/table.rs
@@ -84,7 +84,8 @@
 
     /// What is configured of a service.
     pub fn service(&self, name: &service::Name) -> Option<&Service> {
-        let matches = |key: &Key| (key.kind, &*key.name).cmp(&(crate::item::Kind::Service, name.as_str()));
+        let matches =
+            |key: &Key| (key.kind, &*key.name).cmp(&(crate::item::Kind::Service, name.as_str()));
         let at = self.items.binary_search_by(|i| matches(&i.key)).ok()?;
         match &self.items[at].content {
             Content::Service(service) => Some(service),
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod log;
 pub mod metrics;
+pub mod output;
 pub mod process;
 pub mod settings;
 pub mod signal;
--- a/crates/process/src/log.rs
+++ b/crates/process/src/log.rs
@@ -1,12 +1,18 @@
 //! Logs: one JSON object per line with stable keys.
 
 use std::fmt;
+use std::io;
 use std::io::Write;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use log::kv;
 
 use crate::calendar;
 use crate::clock;
+use crate::output::Output;
+use shallotrill_model::time::Instant;
 use shallotrill_model::time::Wall;
 
 /// Keys that each line has; a pair with one of these keys is written with the prefix `field_`.
@@ -18,22 +24,26 @@
 /// Libraries that log each request or connection at the level of information.
 const CHATTY: [&str; 4] = ["dropshot", "jsonrpsee", "hyper", "h2"];
 
-/// Sends records of `level` and above to standard error. `RUST_LOG` takes precedence when it is set.
+/// Sends records of `level` and above to standard output. `RUST_LOG` takes precedence when it is set.
 ///
-/// Libraries are logged from warnings on, unless `RUST_LOG` says otherwise.
+/// Libraries are logged from warnings on, unless `RUST_LOG` says otherwise. No caller waits for the
+/// output; see [`crate::output`].
 ///
 /// # Errors
 ///
 /// Returns an error when a logger is already set.
-pub fn start(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+pub fn start(level: log::LevelFilter) -> Result<Output, log::SetLoggerError> {
+    let output = Output::start(Box::new(io::stdout()));
     let mut builder = env_logger::Builder::new();
+    builder.target(env_logger::Target::Pipe(Box::new(output.lines())));
     builder.filter_level(level);
     for module in CHATTY {
         builder.filter_module(module, level.min(log::LevelFilter::Warn));
     }
     builder.parse_default_env();
     builder.format(|out, record| writeln!(out, "{}", line(clock::wall(), record)));
-    builder.try_init()
+    builder.try_init()?;
+    Ok(output)
 }
 
 /// The line of a record, without the line break.
@@ -159,3 +169,44 @@
         Ok(())
     }
 }
+
+/// Bounds the lines of one kind that are written in a second.
+///
+/// It is asked before a line is formatted, so a line that is left out costs nearly nothing.
+#[derive(Debug)]
+pub struct Quota {
+    per_second: u32,
+    second: AtomicU64,
+    used: AtomicU32,
+    left_out: AtomicU64,
+}
+
+impl Quota {
+    /// A quota of so many lines a second.
+    pub const fn new(per_second: u32) -> Self {
+        Self {
+            per_second,
+            second: AtomicU64::new(0),
+            used: AtomicU32::new(0),
+            left_out: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether one more line may be written now.
+    pub fn allows(&self, now: Instant) -> bool {
+        let second = now.0 / 1_000_000;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.used.store(0, Ordering::Relaxed);
+        }
+        let allowed = self.used.fetch_add(1, Ordering::Relaxed) < self.per_second;
+        if !allowed {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        allowed
+    }
+
+    /// Lines that were left out so far, for metrics.
+    pub fn left_out(&self) -> u64 {
+        self.left_out.load(Ordering::Relaxed)
+    }
+}
--- a/crates/process/src/metrics.rs
+++ b/crates/process/src/metrics.rs
@@ -230,3 +230,8 @@
         self.family.with_label_values(&[self.set.admit(value)])
     }
 }
+
+/// A count as the value of a gauge.
+pub fn count(number: impl TryInto<i64>) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod announcements;
 pub mod members;
+pub mod metrics;
 pub mod propose;
 pub mod run;
 pub mod settings;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -22,6 +22,7 @@
 use shallotrill_items::replica::Entry;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
+use shallotrill_process::metrics::count;
 use shallotrill_wire::listen;
 
 /// Longest wait of a long poll between registry processes; it is also their heartbeat.
@@ -67,13 +68,19 @@
         }
         Request::Prepare { ballot, keys } => {
             let promised = vote(state, *ballot, |agreement| {
-                agreement.replica.prepare(*ballot, keys).map(Reply::Promised)
+                agreement
+                    .replica
+                    .prepare(*ballot, keys)
+                    .map(Reply::Promised)
             });
             durable(state, promised).await
         }
         Request::Accept { ballot, items } => {
             let accepted = vote(state, *ballot, |agreement| {
-                agreement.replica.accept(*ballot, items).map(|()| Reply::Done)
+                agreement
+                    .replica
+                    .accept(*ballot, items)
+                    .map(|()| Reply::Done)
             });
             durable(state, accepted).await
         }
@@ -130,10 +137,22 @@
 
 fn announce(state: &State, announcement: Announcement) {
     let now = state.now();
-    let line = format!("{announcement:?}");
+    let (router, session, sequence) = (
+        announcement.router,
+        announcement.session,
+        announcement.sequence,
+    );
+    let target = announcement.target.as_ref();
+    let target = target.map(|t| (t.instance.clone(), t.state));
     let changed = state.announcements.lock().take(announcement, now);
     if changed {
-        info!(event = "announcement-changed"; "{line}");
+        info!(
+            event = "announcement-changed",
+            router = router.to_string().as_str(),
+            session = session,
+            sequence = sequence;
+            "{target:?}"
+        );
         state.notify();
     }
 }
@@ -321,7 +340,8 @@
             let mut agreement = state.agreement.lock();
             agreement.roster.forget(FORGET, now);
             let entries = agreement.replica.unsettled();
-            let ballots = entries.filter_map(|e| Some((e.key.clone(), e.accepted.as_ref()?.ballot)));
+            let ballots =
+                entries.filter_map(|e| Some((e.key.clone(), e.accepted.as_ref()?.ballot)));
             ballots.collect::<Vec<_>>()
         };
         let old = unsettled.iter().filter(|u| before.contains(u));
@@ -333,10 +353,24 @@
                 Err(failure) => warn!(event = "items-unsettled", items = count; "{failure}"),
             }
         }
+        state.metrics.unsettled.set(count(unsettled.len()));
+        observe(&state);
         before = unsettled;
     }
 }
 
+/// Updates the gauges.
+fn observe(state: &State) {
+    let routers = state.announcements.lock().all().len();
+    let now = state.now();
+    let agreement = state.agreement.lock();
+    state.metrics.routers.set(count(routers));
+    let votes = agreement.roster.own().votes;
+    state.metrics.votes.set(i64::from(votes));
+    let quorum = agreement.roster.quorum(now);
+    state.metrics.quorum.set(count(quorum));
+}
+
 async fn admit(state: &State) {
     let now = state.now();
     let admitted = {
--- /dev/null
+++ b/crates/registry/src/metrics.rs
@@ -0,0 +1,61 @@
+//! Metrics of a registry process.
+
+use prometheus::IntGauge;
+
+use shallotrill_process::metrics::Counters;
+use shallotrill_process::metrics::Error;
+use shallotrill_process::metrics::Registry;
+use shallotrill_process::metrics::Set;
+
+/// The metrics of a registry process.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Encodes them.
+    pub registry: Registry,
+    changes: Counters,
+    /// Whether this process votes: 0 or 1.
+    pub votes: IntGauge,
+    /// Replicas that must accept a change.
+    pub quorum: IntGauge,
+    /// Routers that have announced themselves.
+    pub routers: IntGauge,
+    /// Items whose last proposal is not known to be settled.
+    pub unsettled: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a name is not valid.
+    pub fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        Ok(Self {
+            changes: registry.counters(
+                "shallotrill_registry_changes_total",
+                "Changes of operators by outcome.",
+                Set::new("outcome", 4),
+            )?,
+            votes: registry.gauge("shallotrill_registry_votes", "Whether this process votes.")?,
+            quorum: registry.gauge(
+                "shallotrill_registry_quorum",
+                "Replicas that must accept a change.",
+            )?,
+            routers: registry.gauge(
+                "shallotrill_registry_routers",
+                "Routers that have announced themselves.",
+            )?,
+            unsettled: registry.gauge(
+                "shallotrill_registry_unsettled",
+                "Items whose last proposal is not known to be settled.",
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts a change by its outcome.
+    pub fn changed(&self, outcome: &str) {
+        self.changes.of(outcome).inc();
+    }
+}
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -78,6 +78,11 @@
         Ok(plan) => plan.refusal.map_or(Ok(()), |r| Err(Failure::Refused(r))),
         Err(failure) => Err(failure),
     };
+    state.metrics.changed(match &outcome {
+        Ok(()) => "accepted",
+        Err(Failure::Refused(_)) => "refused",
+        Err(_) => "unclear",
+    });
     match &outcome {
         Ok(()) => info!(event = "change-accepted", items = items.len(); ""),
         Err(failure) => warn!(event = "change-not-accepted", items = items.len(); "{failure}"),
@@ -93,7 +98,11 @@
 pub async fn repair(state: &Arc<State>, keys: Vec<Key>) -> Result<(), Failure> {
     let wanted = keys.clone();
     let latest = move |reading: &Reading| Plan {
-        items: wanted.iter().filter_map(|k| reading.get(k)).cloned().collect(),
+        items: wanted
+            .iter()
+            .filter_map(|k| reading.get(k))
+            .cloned()
+            .collect(),
         refusal: None,
     };
     settle(state, keys, &latest).await.map(|_| ())
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts and stops the registry role.
 
+use std::error;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +10,7 @@
 
 use crate::announcements;
 use crate::members;
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::state::Agreement;
 use crate::state::State;
@@ -22,6 +25,7 @@
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_process::clock::Clock;
+use shallotrill_process::metrics;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
 
@@ -31,6 +35,26 @@
 /// The registers of so many others must have been copied within this time for an answer on what is in force.
 const FRESH: Duration = Duration::from_secs(2);
 
+/// Why a registry process could not be started.
+#[derive(Debug)]
+pub enum Error {
+    /// The address cannot be listened on.
+    Listen(listen::Error),
+    /// The metrics could not be registered.
+    Metrics(metrics::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(cause) => cause.fmt(f),
+            Self::Metrics(cause) => cause.fmt(f),
+        }
+    }
+}
+
+impl error::Error for Error {}
+
 /// A running registry process.
 #[derive(Debug)]
 pub struct Registry {
@@ -42,9 +66,12 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the listener.
-pub async fn start(settings: Settings) -> Result<Registry, listen::Error> {
-    let listener = Listener::bind(settings.listen).await?;
+/// Returns [`Error`] when the address cannot be listened on.
+pub async fn start(mut settings: Settings) -> Result<Registry, Error> {
+    let listener = Listener::bind(settings.listen)
+        .await
+        .map_err(Error::Listen)?;
+    settings.listen = listener.address();
     let (store, identity, content) = store::open(&settings.folder).await;
     let clock = Clock::start();
     let remembered = content.as_ref().is_some_and(|c| c.votes);
@@ -73,6 +100,7 @@
             },
         ),
         changed,
+        metrics: Metrics::new().map_err(Error::Metrics)?,
         store,
         settings,
     });
@@ -82,7 +110,12 @@
         let state = Arc::clone(&answering);
         Box::pin(async move { members::answer(&state, &request).await })
     });
-    tokio::spawn(server::run(listener, CONNECTIONS_MAX, stopped.clone(), handler));
+    tokio::spawn(server::run(
+        listener,
+        CONNECTIONS_MAX,
+        stopped.clone(),
+        handler,
+    ));
     let seeds = state.settings.seeds.clone();
     members::meet(&state, &seeds);
     tokio::spawn(members::upkeep(Arc::clone(&state), stopped));
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use crate::announcements;
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::store::Content;
 use crate::store::Store;
@@ -60,6 +61,8 @@
     pub agreement: Mutex<Agreement>,
     /// Wakes long polls.
     pub changed: watch::Sender<u64>,
+    /// Counters and gauges.
+    pub metrics: Metrics,
     /// The disk.
     pub store: Store,
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -100,7 +100,10 @@
     *request.headers_mut() = message.headers;
     let value = forwarded.encode().ok_or(Denial::Gone)?;
     request.headers_mut().insert(forwarded::FORWARDED, value);
-    let id = request.headers().get(&state.settings.names.request).cloned();
+    let id = request
+        .headers()
+        .get(&state.settings.names.request)
+        .cloned();
     let now = state.now();
     let sent = state
         .routers
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -67,7 +67,9 @@
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Service(name) => write!(f, "the service '{name}' is not the one of this instance"),
+            Self::Service(name) => {
+                write!(f, "the service '{name}' is not the one of this instance")
+            }
         }
     }
 }
@@ -143,7 +145,11 @@
                     life.settle(effect);
                 }
                 life.announcement = announcement;
-                return if changed { Change::Target } else { Change::None };
+                return if changed {
+                    Change::Target
+                } else {
+                    Change::None
+                };
             }
             if announcement.born < known.born {
                 return Change::None;
@@ -192,7 +198,9 @@
 
 impl Life {
     fn new(announcement: Announcement, now: Instant) -> Self {
-        let slots = (f64::from(announcement.slots) * SLOT_SHARE).floor().max(1.0) as u32;
+        let slots = (f64::from(announcement.slots) * SLOT_SHARE)
+            .floor()
+            .max(1.0) as u32;
         // A life without a stated start is told from others by when it was first heard.
         let incarnation = Incarnation(if announcement.born > 0 {
             announcement.born
@@ -312,7 +320,7 @@
         return Err(Refusal::Service(announcement.service));
     }
     let now = state.now();
-    let line = format!("{announcement:?}");
+    let told = announcement.clone();
     let change = {
         let mut backend = state.backend.lock();
         let change = backend.announce(announcement, now);
@@ -325,7 +333,16 @@
         change
     };
     if change != Change::None {
-        info!(event = "backend-changed"; "{line}");
+        info!(
+            event = "backend-changed",
+            instance = told.instance.as_str(),
+            born = told.born,
+            sequence = told.sequence,
+            draining = told.draining,
+            slots = told.slots,
+            cold_ms = told.cold.as_millis() as u64;
+            ""
+        );
         state.publish();
     }
     Ok(())
@@ -348,7 +365,7 @@
     let backend = state.backend.lock();
     let life = backend.life.as_ref()?;
     let known = &life.announcement;
-    let stage = if known.draining {
+    let offer = if known.draining {
         target::State::Draining
     } else if known.cold.is_zero() {
         target::State::Ready
@@ -362,7 +379,7 @@
         zone: state.settings.zone.clone(),
         region: state.settings.region.clone(),
         address: state.settings.router_listen,
-        state: stage,
+        state: offer,
         slots: known.slots,
     })
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 
 use crate::attempt;
+use crate::crashes;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
 use crate::serve::Message;
@@ -44,6 +45,9 @@
 /// When a caller is asked to come again while nothing is configured or no target is known.
 const RETRY_AFTER_START: &str = "0.2";
 
+/// When the caller of a request that crashes backend servers is asked to come again.
+const RETRY_AFTER_QUARANTINE: &str = "60";
+
 /// Part of the time left that a request may wait for a slot.
 const WAIT_SHARE: f64 = 0.6;
 
@@ -56,6 +60,7 @@
     message: Message,
     host: Box<str>,
     route: Arc<Route>,
+    route_version: u64,
     service: service::Name,
     arrived: Instant,
     limit: Duration,
@@ -69,11 +74,14 @@
         Ok(work) => run(&state, &work).await,
         Err(refused) => refused,
     };
-    if !response.headers().contains_key(&state.settings.names.request) {
-        if let Ok(value) = HeaderValue::from_str(&id) {
-            let name = state.settings.names.request.clone();
-            response.headers_mut().insert(name, value);
-        }
+    let took = state.now().since(arrived);
+    state.metrics.answered(response.status(), took);
+    let name = &state.settings.names.request;
+    if let (false, Ok(value)) = (
+        response.headers().contains_key(name),
+        HeaderValue::from_str(&id),
+    ) {
+        response.headers_mut().insert(name.clone(), value);
     }
     response
 }
@@ -95,18 +103,29 @@
     }
     let items = state.items();
     if items.is_empty() {
-        return Err(unavailable(id, RETRY_AFTER_START, "nothing is configured yet"));
+        return Err(unavailable(
+            id,
+            RETRY_AFTER_START,
+            "nothing is configured yet",
+        ));
     }
     let stated = text(parts.headers.get(header::HOST));
     let host = parts.uri.authority().map_or(stated, |a| a.as_str());
     let path = parts.uri.path();
-    let found = items.find(host, path).or_else(|| items.find(without_port(host), path));
+    let found = items
+        .find(host, path)
+        .or_else(|| items.find(without_port(host), path));
     let Some(rule) = found else {
         return Err(refuse(id, StatusCode::NOT_FOUND, "no route matches"));
     };
     let route = Arc::clone(&rule.route);
+    let route_version = rule.version;
     let Some(service) = draw(&route.shares) else {
-        return Err(unavailable(id, RETRY_AFTER_START, "the route has no service"));
+        return Err(unavailable(
+            id,
+            RETRY_AFTER_START,
+            "the route has no service",
+        ));
     };
     let service = service.clone();
     let names = &state.settings.names;
@@ -128,17 +147,24 @@
     parts.headers.remove(header::HOST);
     parts.headers.remove(&names.caller);
     parts.headers.remove(&names.expected);
+    let message = Message {
+        method: parts.method,
+        path: path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
+        headers: parts.headers,
+        body,
+    };
+    if crashes::is_quarantined(state, crashes::digest(&service, &message)) {
+        state.metrics.quarantined.inc();
+        let reason = "the request crashes the backend servers that run it";
+        return Err(unavailable(id, RETRY_AFTER_QUARANTINE, reason));
+    }
     state.earn(&service);
     Ok(Work {
         id: id.to_owned(),
-        message: Message {
-            method: parts.method,
-            path: path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
-            headers: parts.headers,
-            body,
-        },
+        message,
         host,
         route,
+        route_version,
         service,
         arrived,
         limit,
@@ -201,14 +227,19 @@
         let forwarded = forwarded(state, work, &choice, &progress, left);
         let sent = attempt::send(state, work.message.clone(), &forwarded, &choice).await;
         match sent {
-            Ok(response) if !may_repeat(work, &progress, &response) => return response,
+            Ok(response) if !may_repeat(work, &progress, &response) => {
+                note_answer(state, work, &choice, &progress, response.status());
+                return response;
+            }
             Ok(response) => {
+                note_repeat(work, &choice, response.status());
                 progress.arrivals += 1;
                 progress.may_have_run = true;
                 progress.failed = Some(response);
             }
             Err(denial) => {
-                note(work, &choice, denial, left);
+                state.metrics.denied(denial);
+                note_denial(state, work, &choice, denial, left);
                 progress.arrivals += u32::from(denial.has_arrived());
                 progress.gates += u32::from(!denial.has_arrived());
                 progress.may_have_run |= !denial.is_not_run();
@@ -294,7 +325,34 @@
     allowed && progress.arrivals < work.route.attempts && progress.gates < GATE_TRIES
 }
 
-fn note(work: &Work, choice: &Choice, denial: Denial, left: Duration) {
+/// The estimate that decided a choice, for the log.
+fn reason(choice: &Choice) -> String {
+    let chosen = choice
+        .candidates
+        .iter()
+        .find(|c| c.instance == choice.instance);
+    let Some(chosen) = chosen else {
+        return String::new();
+    };
+    let age = chosen.age.map_or(-1, |age| age.as_millis() as i64);
+    let estimate = &chosen.estimate;
+    format!(
+        "score {:.0}, ahead {:.1} of {}, latency {:.0} us, failures {:.2}, report {age} ms old, {} candidates",
+        chosen.score,
+        estimate.ahead,
+        estimate.limit,
+        estimate.latency_us,
+        estimate.failures,
+        choice.candidates.len()
+    )
+}
+
+fn note_denial(state: &State, work: &Work, choice: &Choice, denial: Denial, left: Duration) {
+    // A full or slow target is part of the routine under load; what it leads to is always written.
+    let routine = matches!(denial, Denial::Busy | Denial::Slow);
+    if routine && !state.routine.allows(state.now()) {
+        return;
+    }
     info!(
         event = "attempt-denied",
         request = work.id.as_str(),
@@ -303,9 +361,44 @@
         denial = denial.as_str(),
         priority = work.route.priority,
         objective_ms = work.route.objective.as_millis() as u64,
-        left_ms = left.as_millis() as u64,
-        candidates = choice.candidates.len();
-        ""
+        left_ms = left.as_millis() as u64;
+        "{}", reason(choice)
+    );
+}
+
+fn note_repeat(work: &Work, choice: &Choice, status: StatusCode) {
+    info!(
+        event = "attempt-repeated",
+        request = work.id.as_str(),
+        service = work.service.as_str(),
+        instance = choice.instance.as_str(),
+        status = status.as_u16();
+        "{}", reason(choice)
+    );
+}
+
+fn note_answer(
+    state: &State,
+    work: &Work,
+    choice: &Choice,
+    progress: &Progress,
+    status: StatusCode,
+) {
+    let now = state.now();
+    let plain = status.is_success() && progress.last.is_none() && progress.failed.is_none();
+    if plain && !state.routine.allows(now) {
+        return;
+    }
+    info!(
+        event = "request-answered",
+        request = work.id.as_str(),
+        service = work.service.as_str(),
+        route_version = work.route_version,
+        instance = choice.instance.as_str(),
+        status = status.as_u16(),
+        tries = progress.tried.len() + 1,
+        took_ms = now.since(work.arrived).as_millis() as u64;
+        "{}", reason(choice)
     );
 }
 
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -47,6 +47,12 @@
     announcements: Vec<Announcement>,
 }
 
+impl View {
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < FRESH)
+    }
+}
+
 /// What all registry processes say of the targets.
 #[derive(Clone, Debug, Default)]
 pub struct Views {
@@ -99,13 +105,17 @@
         }
     }
 
+    /// Registry processes that were heard lately.
+    pub fn heard_lately(&self, now: Instant) -> usize {
+        self.views.iter().filter(|view| view.is_fresh(now)).count()
+    }
+
     /// The newest announcement of each router, over the registries that were heard lately.
     ///
     /// While none was, the last views stand: a router goes on without registries.
     fn merge(&self, now: Instant) -> Vec<Target> {
-        let is_fresh = |view: &&View| view.heard.is_some_and(|at| now.since(at) < FRESH);
-        let any_fresh = self.views.iter().any(|view| is_fresh(&view));
-        let views = self.views.iter().filter(|v| !any_fresh || is_fresh(v));
+        let any_fresh = self.heard_lately(now) > 0;
+        let views = self.views.iter().filter(|v| !any_fresh || v.is_fresh(now));
         let mut newest: Vec<&Announcement> = views.flat_map(|v| &v.announcements).collect();
         newest.sort_by_key(|a| (a.router, std::cmp::Reverse((a.session, a.sequence))));
         newest.dedup_by_key(|a| a.router);
@@ -177,6 +187,7 @@
                 heard = state.now();
                 cursor = read;
                 apply_items(&state, &items);
+                merge_crashes(&state, announcements.as_deref().unwrap_or_default());
                 state.views.lock().heard(address, announcements, heard);
                 apply_targets(&state);
                 meet(&state, &registries, &stop);
@@ -207,7 +218,12 @@
             () = listen::stopped(&mut stop) => return,
             changed = published.changed() => if changed.is_err() { return },
         }
-        let known = state.views.lock().views.iter().any(|v| v.registry == address);
+        let known = state
+            .views
+            .lock()
+            .views
+            .iter()
+            .any(|v| v.registry == address);
         if !known {
             return;
         }
@@ -233,6 +249,13 @@
     }
 }
 
+fn merge_crashes(state: &State, announcements: &[Announcement]) {
+    let now = state.now();
+    for fact in announcements.iter().flat_map(|a| &a.crashes) {
+        state.crashes.lock().merge(fact, now);
+    }
+}
+
 /// Passes what has changed on to the choice of targets.
 pub fn apply_targets(state: &State) {
     let now = state.now();
--- a/crates/router/src/forwarded.rs
+++ b/crates/router/src/forwarded.rs
@@ -159,7 +159,9 @@
     /// Reads the denial of an answer, if it is one.
     pub fn read(headers: &HeaderMap) -> Option<Self> {
         let value = headers.get(DENIAL)?.as_bytes();
-        let named = Self::ALL.into_iter().find(|d| d.as_str().as_bytes() == value);
+        let named = Self::ALL
+            .into_iter()
+            .find(|d| d.as_str().as_bytes() == value);
         // A denial that this release does not know proves nothing.
         Some(named.unwrap_or(Self::Lost))
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod attempt;
 pub mod backend;
+pub mod crashes;
 pub mod entry;
 pub mod follow;
 pub mod forwarded;
+pub mod metrics;
 pub mod names;
 pub mod probe;
 pub mod run;
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -67,6 +67,7 @@
 }
 
 async fn send(state: &Arc<State>, request: Request<Full<Bytes>>) {
+    state.metrics.probes.inc();
     let sent = state.probes.dispatch(request, LIMIT, OnSilence::Wait).await;
     match sent {
         Ok(head) => {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts and stops the router role.
 
+use std::error;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -14,9 +16,11 @@
 use tokio::time;
 
 use crate::backend::Backend;
+use crate::crashes::Crashes;
 use crate::entry;
 use crate::follow;
 use crate::follow::Views;
+use crate::metrics::Metrics;
 use crate::probe;
 use crate::serve;
 use crate::settings::Settings;
@@ -30,6 +34,8 @@
 use shallotrill_peer::listener as peer_listener;
 use shallotrill_peer::pool as peer_pool;
 use shallotrill_process::clock::Clock;
+use shallotrill_process::log::Quota;
+use shallotrill_process::metrics;
 use shallotrill_routing::config;
 use shallotrill_routing::table as routing;
 use shallotrill_wire::listen;
@@ -72,6 +78,29 @@
 /// The failure rate of a target that gets no requests halves in this time; faults of a few seconds are common.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Lines a second for requests that were answered as usual. All others are written.
+const ROUTINE_LINES: u32 = 10;
+
+/// Why a router could not be started.
+#[derive(Debug)]
+pub enum Error {
+    /// An address cannot be listened on.
+    Listen(listen::Error),
+    /// The metrics could not be registered.
+    Metrics(metrics::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(cause) => cause.fmt(f),
+            Self::Metrics(cause) => cause.fmt(f),
+        }
+    }
+}
+
+impl error::Error for Error {}
+
 /// A running router.
 #[derive(Debug)]
 pub struct Router {
@@ -85,12 +114,15 @@
 ///
 /// # Errors
 ///
-/// Returns the error of a listener.
-pub async fn start(settings: Settings) -> Result<Router, listen::Error> {
-    let callers = Listener::bind(settings.caller_listen).await?;
-    let routers = Listener::bind(settings.router_listen).await?;
+/// Returns [`Error`] when an address cannot be listened on.
+pub async fn start(mut settings: Settings) -> Result<Router, Error> {
+    let bind = async |address| Listener::bind(address).await.map_err(Error::Listen);
+    let callers = bind(settings.caller_listen).await?;
+    let routers = bind(settings.router_listen).await?;
+    settings.caller_listen = callers.address();
+    settings.router_listen = routers.address();
     let registries = settings.registries.clone();
-    let state = Arc::new(state(settings));
+    let state = Arc::new(state(settings).map_err(Error::Metrics)?);
     let (stop_listeners, stopped) = watch::channel(false);
     let (stop_loops, loops_stopped) = watch::channel(false);
     let entering = Arc::clone(&state);
@@ -129,7 +161,7 @@
     })
 }
 
-fn state(settings: Settings) -> State {
+fn state(settings: Settings) -> Result<State, metrics::Error> {
     let clock = Clock::start();
     let session = clock.wall().0;
     let names = &settings.names;
@@ -151,7 +183,7 @@
         .failure_half_life(FAILURE_HALF_LIFE)
         .last_resort(true);
     let (published, _) = watch::channel(0);
-    State {
+    Ok(State {
         session,
         clock,
         items: Mutex::new(Rank::Catalog, Arc::new(table::Table::default())),
@@ -159,6 +191,10 @@
         routing: Mutex::new(Rank::Routing, routing::Table::new(choice)),
         backend: Mutex::new(Rank::Gate, Backend::default()),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
+        crashes: Mutex::new(Rank::Report, Crashes::default()),
+        checking: AtomicBool::new(false),
+        metrics: Metrics::new()?,
+        routine: Quota::new(ROUTINE_LINES),
         pool: Arc::new(pool::Pool::new(connections)),
         probes: Arc::new(pool::Pool::new(probes)),
         routers: peer_pool::Pool::new(routers),
@@ -166,7 +202,7 @@
         stopping: AtomicBool::new(false),
         numbers: AtomicU64::new(0),
         settings,
-    }
+    })
 }
 
 /// Does the work that no event triggers.
@@ -180,6 +216,10 @@
         // Closes connections that were idle for long.
         let _ = state.pool.counts();
         follow::apply_targets(&state);
+        let left_out = state.routine.left_out();
+        state.metrics.log_left_out.set(metrics::count(left_out));
+        let heard = state.views.lock().heard_lately(state.now());
+        state.metrics.registries.set(metrics::count(heard));
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -13,6 +13,8 @@
 use hyper::body::Incoming;
 use log::warn;
 
+use crate::crashes;
+use crate::crashes::Running;
 use crate::forwarded;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
@@ -48,7 +50,7 @@
 
 /// Answers a request of another router.
 pub async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
-    let result = match read(&state, request).await {
+    let result = match read(request).await {
         Some((message, forwarded)) => run(&state, message, &forwarded).await,
         None => Err(Denial::Gone),
     };
@@ -58,7 +60,7 @@
     }
 }
 
-async fn read(state: &State, request: Request<Incoming>) -> Option<(Message, Forwarded)> {
+async fn read(request: Request<Incoming>) -> Option<(Message, Forwarded)> {
     let (mut parts, incoming) = request.into_parts();
     let value = parts.headers.remove(forwarded::FORWARDED)?;
     let forwarded = Forwarded::decode(&value)?;
@@ -77,7 +79,6 @@
         headers: parts.headers,
         body,
     };
-    let _ = state;
     Some((message, forwarded))
 }
 
@@ -115,13 +116,19 @@
 ) -> Result<Response<Body>, Denial> {
     let arrived = state.now();
     let slot = slot::admit(state, forwarded).await?;
-    let left = forwarded.left.saturating_sub(state.now().since(arrived));
+    let waited = state.now().since(arrived);
+    state.metrics.waited(waited);
+    let left = forwarded.left.saturating_sub(waited);
+    let running = Running::start(state, crashes::digest(&forwarded.service, &message));
     let request = request(state, message, forwarded, left);
     let on_silence = match forwarded.class {
         Class::Idempotent => OnSilence::GiveUp,
         Class::NonIdempotent => OnSilence::Wait,
     };
-    let id = request.headers().get(&state.settings.names.request).cloned();
+    let id = request
+        .headers()
+        .get(&state.settings.names.request)
+        .cloned();
     let may_send = || {
         let mut backend = state.backend.lock();
         let life = backend.is(&forwarded.instance, forwarded.incarnation);
@@ -132,6 +139,10 @@
         Ok(head) => finish(state, head, slot),
         Err(failure) => {
             let denial = denial(&failure);
+            if denial == Denial::Lost {
+                crashes::suspect(state, &forwarded.instance, forwarded.incarnation);
+            }
+            drop(running);
             log_failure(id.as_ref(), forwarded, denial, &failure);
             let mut slot = slot;
             slot.ended(outcome(denial));
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -9,7 +9,9 @@
 
 use crate::backend;
 use crate::backend::Backend;
+use crate::crashes::Crashes;
 use crate::follow::Views;
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 use shallotrill_backend::pool;
 use shallotrill_feed::message::Announcement;
@@ -19,6 +21,7 @@
 use shallotrill_model::time::Instant;
 use shallotrill_peer::pool as peer_pool;
 use shallotrill_process::clock::Clock;
+use shallotrill_process::log::Quota;
 use shallotrill_retry::budget;
 use shallotrill_retry::budget::Budget;
 use shallotrill_routing::table;
@@ -30,7 +33,7 @@
 /// Routers that are assumed to share the slack, since none knows how many there are.
 const SLACK_ROUTERS: u32 = 20;
 
-/// Shared state. Lock order: `items`, `views`, `routing`, `backend`, `budgets`.
+/// Shared state. Lock order: `items`, `views`, `routing`, `backend`, `budgets`, `crashes`.
 pub struct State {
     /// The settings.
     pub settings: Settings,
@@ -48,6 +51,14 @@
     pub backend: Mutex<Backend>,
     /// Copies that may be sent, one budget for each service, sorted by name.
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
+    /// Requests that crash backend servers.
+    pub crashes: Mutex<Crashes>,
+    /// A backend server that dropped a connection is being called.
+    pub checking: AtomicBool,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Bounds the lines of requests that were answered as usual.
+    pub routine: Quota,
     /// Connections to the backend server.
     pub pool: Arc<pool::Pool>,
     /// The connection for probes of the backend server.
@@ -109,6 +120,7 @@
             session: self.session,
             sequence,
             target: backend::target(self),
+            crashes: self.crashes.lock().facts(self.now()),
         }
     }
 
@@ -120,7 +132,14 @@
     /// Takes the token for one copy. Returns whether there was one.
     pub fn spend(&self, service: &service::Name) -> bool {
         let now = self.now();
-        self.with_budget(service, |budget| budget.spend(now).is_ok())
+        let spent = self.with_budget(service, |budget| budget.spend(now).is_ok());
+        let counter = if spent {
+            &self.metrics.copies
+        } else {
+            &self.metrics.copies_refused
+        };
+        counter.inc();
+        spent
     }
 
     fn with_budget<T>(&self, service: &service::Name, use_it: impl FnOnce(&mut Budget) -> T) -> T {
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -77,7 +77,11 @@
     let fresh = (-age / config.latency_half_life.as_secs_f64()).exp2();
     let known = known * fresh + median * (1.0 - fresh);
     let banded = median.max(known / config.latency_band);
-    if config.latency_band > 1.0 { banded } else { known }
+    if config.latency_band > 1.0 {
+        banded
+    } else {
+        known
+    }
 }
 
 /// Expected response time with penalties, in microseconds.
--- a/crates/shallotrill/src/main.rs
+++ b/crates/shallotrill/src/main.rs
@@ -41,7 +41,7 @@
 
 Usage: shallotrill run --settings FILE
        shallotrill check --settings FILE
-       shallotrill platform
+       shallotrill platform [--metrics-port PORT]
        shallotrill --help | --version
 
 Commands:
@@ -59,7 +59,7 @@
 enum Request {
     Run(PathBuf),
     Check(PathBuf),
-    Platform(PathBuf),
+    Platform(PathBuf, Option<u16>),
     Help,
     Version,
 }
@@ -88,7 +88,7 @@
             }
             None => USAGE,
         },
-        Request::Platform(path) => outcome(run_on_platform(&path)),
+        Request::Platform(path, metrics) => outcome(run_on_platform(&path, metrics)),
         Request::Run(path) => match load(&path) {
             Some(settings) => run(&settings),
             None => USAGE,
@@ -101,6 +101,7 @@
     let mut parser = Parser::from_env();
     let mut command = None;
     let mut settings = None;
+    let mut metrics_port = None;
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Short('h') | Arg::Long("help") => return Ok(Request::Help),
@@ -108,6 +109,7 @@
             Arg::Short('s') | Arg::Long("settings") => {
                 settings = Some(PathBuf::from(parser.value()?));
             }
+            Arg::Long("metrics-port") => metrics_port = Some(parser.value()?.parse()?),
             Arg::Value(value) if command.is_none() => command = Some(value.string()?),
             other => return Err(other.unexpected()),
         }
@@ -117,10 +119,12 @@
         Some("run") => Ok(Request::Run(settings?)),
         Some("check") => Ok(Request::Check(settings?)),
         Some("platform") => match env::var_os(platform::SETTINGS_VARIABLE) {
-            Some(path) => Ok(Request::Platform(path.into())),
+            Some(path) => Ok(Request::Platform(path.into(), metrics_port)),
             None => Err(format!("{} is not set", platform::SETTINGS_VARIABLE).into()),
         },
-        Some(other) => Err(format!("unknown command '{other}': expected run, check or platform").into()),
+        Some(other) => {
+            Err(format!("unknown command '{other}': expected run, check or platform").into())
+        }
         None => Err("a command is missing: expected run, check or platform".into()),
     }
 }
@@ -151,6 +155,9 @@
     }
 }
 
+/// Longest wait at the end for unfinished writes, and for a reader of the log.
+const END_LIMIT: Duration = Duration::from_millis(200);
+
 /// Workers of the runtime on the platform, whose machines give a process a part of one core.
 const PLATFORM_WORKERS: usize = 1;
 
@@ -158,18 +165,19 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs a role on the platform; returns whether everything in flight finished when it stopped.
-fn run_on_platform(path: &Path) -> Result<bool> {
-    process_log::start(log::LevelFilter::Info).context("the log could not be started")?;
+fn run_on_platform(path: &Path, metrics_port: Option<u16>) -> Result<bool> {
+    let output =
+        process_log::start(log::LevelFilter::Info).context("the log could not be started")?;
     let runtime = Builder::new_multi_thread()
         .worker_threads(PLATFORM_WORKERS)
         .enable_all()
         .build()
         .context("the runtime could not be started")?;
     info!(event = "process-started", version = env!("CARGO_PKG_VERSION"); "");
-    runtime.block_on(async {
+    let result = runtime.block_on(async {
         let mut stop = Stop::listen().context("signals could not be listened for")?;
         let mut reload = Reload::listen().context("signals could not be listened for")?;
-        let running = platform::start(path)
+        let running = platform::start(path, metrics_port)
             .await
             .context("the process could not be started")?;
         loop {
@@ -179,12 +187,16 @@
                 () = time::sleep(RELOAD_INTERVAL) => running.reload(path),
             }
         }
-    })
+    });
+    // A write that the disk does not finish must not keep the process.
+    runtime.shutdown_timeout(END_LIMIT);
+    output.flush(END_LIMIT);
+    result
 }
 
 /// Runs the role; returns whether everything in flight finished when it stopped.
 fn try_run(settings: &Settings) -> Result<bool> {
-    process_log::start(settings.log).context("the log could not be started")?;
+    let output = process_log::start(settings.log).context("the log could not be started")?;
     let workers = match &settings.role {
         Role::Node(node) => node.workers,
         Role::Control(control) => control.workers,
@@ -195,7 +207,7 @@
         .build()
         .context("the runtime could not be started")?;
     info!(event = "process-started", instance = settings.instance.as_str(), version = env!("CARGO_PKG_VERSION"); "");
-    runtime.block_on(async {
+    let result = runtime.block_on(async {
         let mut stop = Stop::listen().context("signals could not be listened for")?;
         match &settings.role {
             Role::Node(node) => {
@@ -217,5 +229,9 @@
                 Ok(whole && !failed)
             }
         }
-    })
+    });
+    // A write that the disk does not finish must not keep the process.
+    runtime.shutdown_timeout(END_LIMIT);
+    output.flush(END_LIMIT);
+    result
 }
