--- a/crates/items/src/check.rs
+++ b/crates/items/src/check.rs
@@ -81,9 +81,9 @@
 /// # Errors
 ///
 /// Returns the first item that cannot be in force.
-pub fn check<'a>(
-    items: &'a [Item],
-    current: &dyn Fn(&Key) -> Option<&'a Item>,
+pub fn check<'held>(
+    items: &[Item],
+    current: &dyn Fn(&Key) -> Option<&'held Item>,
 ) -> Result<(), Refusal> {
     for (at, item) in items.iter().enumerate() {
         let refuse = |problem| {
--- a/crates/items/src/replica.rs
+++ b/crates/items/src/replica.rs
@@ -164,8 +164,8 @@
 
     /// Takes the registers of another replica. Returns whether anything changed.
     ///
-    /// An accepted item is copied only at or above the own promise: copied below
-    /// it, it would look accepted to a proposal that this replica did not show it to.
+    /// A copy counts for nobody: only a replica that was asked to accept answers its proposer,
+    /// so a copy below the own promise does no harm.
     pub fn merge(&mut self, others: &[Entry]) -> bool {
         let mut changed = false;
         for other in others {
@@ -183,8 +183,7 @@
             let higher = known
                 .and_then(|e| e.accepted.as_ref())
                 .is_none_or(|own| own.ballot < accepted.ballot);
-            let allowed = known.is_none_or(|e| e.promised <= accepted.ballot);
-            if higher && allowed {
+            if higher {
                 self.entry(&other.key).accepted = Some(accepted.clone());
                 changed = true;
             }
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -129,8 +129,7 @@
 
 fn next_ballot(state: &State) -> Ballot {
     let mut agreement = state.agreement.lock();
-    let own = agreement.roster.own().identity;
-    agreement.seen = Ballot::above(agreement.seen, own);
+    agreement.seen = Ballot::above(agreement.seen, state.proposer);
     agreement.seen
 }
 
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -18,6 +18,7 @@
 use crate::store::Content;
 use shallotrill_feed::server;
 use shallotrill_items::ballot::Ballot;
+use shallotrill_items::ballot::Identity;
 use shallotrill_items::item::Item;
 use shallotrill_items::replica::Replica;
 use shallotrill_items::roster::Member;
@@ -87,6 +88,7 @@
     let (changed, _) = watch::channel(0);
     let state = Arc::new(State {
         session: clock.wall().0,
+        proposer: Identity(rand::random()),
         clock,
         announcements: Mutex::new(Rank::Membership, announcements::Table::default()),
         peers: Mutex::new(Rank::Pool, Vec::new()),
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -13,6 +13,7 @@
 use crate::store::Store;
 use shallotrill_feed::link::Link;
 use shallotrill_items::ballot::Ballot;
+use shallotrill_items::ballot::Identity;
 use shallotrill_items::item::Item;
 use shallotrill_items::replica::Replica;
 use shallotrill_items::roster::Roster;
@@ -51,6 +52,9 @@
     pub settings: Settings,
     /// Tells this process from an earlier one at the same address.
     pub session: u64,
+    /// Drawn at each start: a process that restarts must not use the number of an earlier proposal
+    /// again, and its disk may not know the last one.
+    pub proposer: Identity,
     /// The clock.
     pub clock: Clock,
     /// The announcements of routers.
