registry: stop following others when the process stops; tests of the group

Cause: found by the new tests: after a stop the loops that follow other processes went on, so the others still counted the stopped process as a voter and its data folder stayed locked. Ruled out: the admission rule itself, which the roster's table covers. Change: the loops end with the process. Tests of a group over real sockets and disks: changes, races of equal versions, a minority, two lost disks, a restart of all. Before: two_lost_disks_lose_nothing and a_restart_of_all_keeps_the_items failed. After: 5 of 5 pass.

--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -254,6 +254,7 @@
 async fn follow(state: Arc<State>, peer: Arc<Peer>) {
     let address = peer.link.address();
     let link = Link::new(address);
+    let mut stop = state.stop.subscribe();
     let mut cursor = Cursor::default();
     let mut heard = state.now();
     let mut reachable = false;
@@ -263,7 +264,11 @@
             member: state.agreement.lock().roster.own(),
             wait_ms: COPY_WAIT.as_millis() as u32,
         };
-        match link.call(&request, COPY_WAIT + REPLY_SLACK).await {
+        let reply = tokio::select! {
+            () = listen::stopped(&mut stop) => return,
+            reply = link.call(&request, COPY_WAIT + REPLY_SLACK) => reply,
+        };
+        match reply {
             Ok(Reply::Registers {
                 cursor: read,
                 entries,
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -60,7 +60,6 @@
 #[derive(Debug)]
 pub struct Registry {
     state: Arc<State>,
-    stop: watch::Sender<bool>,
 }
 
 /// Starts a registry process. Waits while its disk refuses.
@@ -86,6 +85,7 @@
         votes: remembered || settings.first_start,
     };
     let (changed, _) = watch::channel(0);
+    let (stop, stopped) = watch::channel(false);
     let state = Arc::new(State {
         session: clock.wall().0,
         proposer: Identity(rand::random()),
@@ -102,11 +102,11 @@
             },
         ),
         changed,
+        stop,
         metrics: Metrics::new().map_err(Error::Metrics)?,
         store,
         settings,
     });
-    let (stop, stopped) = watch::channel(false);
     let answering = Arc::clone(&state);
     let handler: server::Handler = Arc::new(move |request| {
         let state = Arc::clone(&answering);
@@ -122,7 +122,7 @@
     members::meet(&state, &seeds);
     tokio::spawn(members::upkeep(Arc::clone(&state), stopped));
     info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = own.votes; "");
-    Ok(Registry { state, stop })
+    Ok(Registry { state })
 }
 
 fn highest(replica: &Replica) -> Ballot {
@@ -141,9 +141,9 @@
         members::meet(&self.state, seeds);
     }
 
-    /// Stops: later messages get no answer.
+    /// Stops: later messages get no answer, and no other process is followed.
     pub fn stop(&self) {
-        self.stop.send_replace(true);
+        self.state.stop.send_replace(true);
     }
 }
 
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -65,6 +65,8 @@
     pub agreement: Mutex<Agreement>,
     /// Wakes long polls.
     pub changed: watch::Sender<u64>,
+    /// Becomes true when the process stops.
+    pub stop: watch::Sender<bool>,
     /// Counters and gauges.
     pub metrics: Metrics,
     /// The disk.
--- /dev/null
+++ b/crates/registry/tests/group.rs
@@ -0,0 +1,209 @@
+//! A group of registry processes in one test process, over real sockets and disks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tempfile::TempDir;
+use tokio::time;
+
+use shallotrill_items::item::Content;
+use shallotrill_items::item::Item;
+use shallotrill_items::item::Key;
+use shallotrill_items::item::Kind;
+use shallotrill_items::route::Service;
+use shallotrill_registry::propose;
+use shallotrill_registry::propose::Failure;
+use shallotrill_registry::run;
+use shallotrill_registry::run::Registry;
+use shallotrill_registry::settings::Settings;
+
+/// Longest wait for something that must happen.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at a state that no notification tells.
+const LOOK: Duration = Duration::from_millis(50);
+
+struct Member {
+    registry: Registry,
+    folder: TempDir,
+    address: SocketAddr,
+}
+
+async fn start(seeds: Vec<SocketAddr>, first_start: bool, folder: TempDir) -> Member {
+    let settings = Settings {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        seeds,
+        tolerated_disks: 2,
+        first_start,
+        folder: folder.path().to_owned(),
+    };
+    let registry = run::start(settings).await.expect("a registry process");
+    let address = registry.state().settings.listen;
+    Member {
+        registry,
+        folder,
+        address,
+    }
+}
+
+fn folder() -> TempDir {
+    TempDir::new().expect("a folder")
+}
+
+async fn group() -> Vec<Member> {
+    let first = start(Vec::new(), true, folder()).await;
+    let seed = first.address;
+    let mut members = vec![first];
+    for _ in 1..5 {
+        members.push(start(vec![seed], true, folder()).await);
+    }
+    members
+}
+
+fn service(name: &str, version: u64, connections: u32) -> Item {
+    Item {
+        key: Key {
+            kind: Kind::Service,
+            name: name.into(),
+        },
+        version,
+        content: Content::Service(Service {
+            health_path: "/healthz".into(),
+            connections,
+        }),
+        document: connections.to_string().into(),
+    }
+}
+
+/// Sends a change until the outcome is clear, as an operator does.
+async fn change(member: &Member, item: &Item) -> Result<(), Failure> {
+    let state = member.registry.state();
+    let sending = async {
+        loop {
+            match propose::change(&state, std::slice::from_ref(item)).await {
+                Err(Failure::Unavailable { .. } | Failure::Overtaken) => time::sleep(LOOK).await,
+                clear => return clear,
+            }
+        }
+    };
+    time::timeout(LIMIT, sending).await.expect("a clear answer")
+}
+
+async fn wait_for(what: &str, is_so: impl Fn() -> bool) {
+    let waiting = async {
+        while !is_so() {
+            time::sleep(LOOK).await;
+        }
+    };
+    assert!(time::timeout(LIMIT, waiting).await.is_ok(), "{what}");
+}
+
+fn holds(member: &Member, item: &Item) -> bool {
+    let items = run::in_force(&member.registry.state());
+    items.is_some_and(|items| items.iter().any(|held| **held == *item))
+}
+
+/// Guards against a change that is acknowledged and not in force everywhere.
+#[tokio::test]
+async fn a_change_reaches_all() {
+    let members = group().await;
+    let item = service("a", 1, 10);
+    change(&members[3], &item).await.expect("accepted");
+    for member in &members {
+        wait_for("the item is in force", || holds(member, &item)).await;
+    }
+}
+
+/// Guards against two contents of one version that are both acknowledged.
+#[tokio::test]
+async fn of_two_racing_changes_one_wins() {
+    let members = group().await;
+    for version in 1..6 {
+        let (one, two) = (service("a", version, 10), service("a", version, 20));
+        let (first, second) = tokio::join!(change(&members[1], &one), change(&members[2], &two));
+        assert!(first.is_ok() != second.is_ok(), "{first:?} {second:?}");
+        let winner = if first.is_ok() { &one } else { &two };
+        for member in &members {
+            wait_for("the winner is in force", || holds(member, winner)).await;
+        }
+        // The same again is acknowledged again.
+        change(&members[4], winner).await.expect("accepted again");
+    }
+}
+
+/// Guards against a change that fewer replicas hold than disks may be lost.
+#[tokio::test]
+async fn a_minority_accepts_nothing() {
+    let mut members = group().await;
+    let item = service("a", 1, 10);
+    change(&members[0], &item).await.expect("accepted");
+    for member in members.split_off(2) {
+        member.registry.stop();
+    }
+    let state = members[0].registry.state();
+    let outcome = propose::change(&state, &[service("a", 2, 20)]).await;
+    assert!(
+        matches!(outcome, Err(Failure::Unavailable { .. })),
+        "{outcome:?}"
+    );
+}
+
+/// Guards against a change that is lost with the two disks that may be lost, and against an
+/// emptied disk that votes before it remembers.
+#[tokio::test]
+async fn two_lost_disks_lose_nothing() {
+    let mut members = group().await;
+    let item = service("a", 7, 10);
+    change(&members[0], &item).await.expect("accepted");
+    // Right after the acknowledgement, the process that gave it and another one lose their disks.
+    let lost: Vec<Member> = members.drain(..2).collect();
+    let seeds: Vec<SocketAddr> = members.iter().map(|m| m.address).collect();
+    for member in lost {
+        member.registry.stop();
+    }
+    for _ in 0..2 {
+        members.push(start(seeds.clone(), false, folder()).await);
+    }
+    for member in &members {
+        wait_for("the item is in force", || holds(member, &item)).await;
+    }
+    let newcomers = &members[3..];
+    for member in newcomers {
+        let state = member.registry.state();
+        let votes = || state.agreement.lock().roster.own().votes;
+        wait_for("the newcomer votes", votes).await;
+    }
+    // An older change that comes again does not undo it, and a conflict is refused.
+    let conflict = change(&members[4], &service("a", 7, 20)).await;
+    assert!(matches!(conflict, Err(Failure::Refused(_))), "{conflict:?}");
+    change(&members[3], &service("a", 8, 30))
+        .await
+        .expect("accepted");
+}
+
+/// Guards against a change that a restart forgets.
+#[tokio::test]
+async fn a_restart_of_all_keeps_the_items() {
+    let members = group().await;
+    let item = service("a", 3, 10);
+    change(&members[0], &item).await.expect("accepted");
+    let mut folders = Vec::new();
+    for member in members {
+        member.registry.stop();
+        let ended = Arc::downgrade(&member.registry.state());
+        drop(member.registry);
+        wait_for("the process has ended", || ended.strong_count() == 0).await;
+        folders.push(member.folder);
+    }
+    let mut folders = folders.into_iter();
+    let first = start(Vec::new(), false, folders.next().expect("five")).await;
+    let seed = first.address;
+    let mut members = vec![first];
+    for folder in folders {
+        members.push(start(vec![seed], false, folder).await);
+    }
+    for member in &members {
+        wait_for("the item is in force", || holds(member, &item)).await;
+    }
+}
