router: a status that promises 'not run' needs the backend server's statement

Cause: found by a new test: a bare 503 of a backend server was passed on to the caller, for whom it promises that the request has not run. Ruled out: the gate's own refusals, which are given before anything is sent. Change: 408, 421, 429 and 503 without the statement count as an answer that proves nothing: 502, or another attempt of an idempotent request. Proof: a_bare_503_is_no_promise failed before and passes after.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -35,6 +35,15 @@
 /// Longest body that a router takes from another one; the limit of the configuration applies at the entry.
 const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
 
+/// Statuses that promise a caller that its request has not run. A backend server that does not
+/// state so may have run it.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A request without its connection.
 #[derive(Clone, Debug)]
 pub struct Message {
@@ -242,7 +251,8 @@
     let headers = response.headers();
     let sealed = headers.contains_key(&names.seal);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
-    if encoded || (response.status().is_success() && !sealed) {
+    let promises = PROMISES.contains(&response.status());
+    if encoded || promises || (response.status().is_success() && !sealed) {
         return Err(Denial::Spoiled);
     }
     add_load(state, &mut response);
