Name the inputs of a request that is given up; reload only settings that changed

Change: request-given-up carries service, route version, targets, refusals of gates, arrivals and times. A file that is as before is not read again.

--- a/crates/items/tests/agreement.rs
+++ b/crates/items/tests/agreement.rs
@@ -38,19 +38,19 @@
     let mut acknowledged: Vec<Item> = Vec::new();
     let mut refused: Vec<Item> = Vec::new();
     let mut pending: Vec<Pending> = Vec::new();
-    let mut seen = Ballot::default();
+    let mut highest = Ballot::default();
     for step in 0..STEPS {
         if random.random_bool(0.5) || pending.is_empty() {
             // No two proposals have the same number: a process draws its part at its start.
             let proposer = Identity(step as u128);
             // A proposer that knows an old number is overtaken, as one behind a partition is.
             let base = if random.random_bool(0.8) {
-                seen
+                highest
             } else {
                 Ballot::default()
             };
             let ballot = Ballot::above(base, proposer);
-            seen = seen.max(ballot);
+            highest = highest.max(ballot);
             pending.extend(prepare(&mut replicas, ballot, &mut random));
         } else {
             let at = random.random_range(0..pending.len());
--- a/crates/items/tests/scene/mod.rs
+++ b/crates/items/tests/scene/mod.rs
@@ -1,4 +1,4 @@
-#![expect(dead_code, reason = "each test file uses its own part")]
+#![allow(dead_code, reason = "each test file uses its own part")]
 //! Items and members for the tests.
 
 use std::sync::Arc;
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -210,7 +210,7 @@
     loop {
         let left = work.limit.saturating_sub(state.now().since(work.arrived));
         if left < LEFT_MIN {
-            return give_up(work, progress, left);
+            return give_up(state, work, progress, left);
         }
         let Some(choice) = choose(state, work, &progress) else {
             if progress.gates > 0 && !progress.insist {
@@ -218,11 +218,11 @@
                 progress.tried.clear();
                 continue;
             }
-            return give_up(work, progress, left);
+            return give_up(state, work, progress, left);
         };
         if progress.arrivals > 0 && !state.spend(&work.service) {
             cancel(state, &choice);
-            return give_up(work, progress, left);
+            return give_up(state, work, progress, left);
         }
         let forwarded = forwarded(state, work, &choice, &progress, left);
         let sent = attempt::send(state, work.message.clone(), &forwarded, &choice).await;
@@ -246,7 +246,7 @@
                 progress.last = Some(denial);
                 if !goes_on(work, &progress) {
                     let left = work.limit.saturating_sub(state.now().since(work.arrived));
-                    return give_up(work, progress, left);
+                    return give_up(state, work, progress, left);
                 }
             }
         }
@@ -403,15 +403,28 @@
 }
 
 /// The final answer of a request that is not sent again.
-fn give_up(work: &Work, progress: Progress, left: Duration) -> Response<Body> {
+fn give_up(state: &State, work: &Work, progress: Progress, left: Duration) -> Response<Body> {
     if let Some(response) = progress.failed {
         return response;
     }
+    let reason = progress.last.map_or("no target", Denial::as_str);
+    info!(
+        event = "request-given-up",
+        request = work.id.as_str(),
+        service = work.service.as_str(),
+        route_version = work.route_version,
+        last = reason,
+        refused_by_gates = progress.gates,
+        arrivals = progress.arrivals,
+        may_have_run = progress.may_have_run,
+        targets = state.routing.lock().targets(&work.service),
+        left_ms = left.as_millis() as u64,
+        took_ms = state.now().since(work.arrived).as_millis() as u64;
+        ""
+    );
     if !progress.may_have_run {
-        let reason = progress.last.map_or("no target", Denial::as_str);
         return unavailable(&work.id, RETRY_AFTER, reason);
     }
-    let reason = progress.last.map_or("unknown", Denial::as_str);
     let status = if left < LEFT_MIN || progress.last == Some(Denial::Timeout) {
         StatusCode::GATEWAY_TIMEOUT
     } else {
--- a/crates/shallotrill/src/main.rs
+++ b/crates/shallotrill/src/main.rs
@@ -177,14 +177,14 @@
     let result = runtime.block_on(async {
         let mut stop = Stop::listen().context("signals could not be listened for")?;
         let mut reload = Reload::listen().context("signals could not be listened for")?;
-        let running = platform::start(path, metrics_port)
+        let mut running = platform::start(path, metrics_port)
             .await
             .context("the process could not be started")?;
         loop {
             tokio::select! {
                 () = stop.wait() => return Ok(running.stop().await),
-                () = reload.wait() => running.reload(path),
-                () = time::sleep(RELOAD_INTERVAL) => running.reload(path),
+                () = reload.wait() => running.reload(path, true),
+                () = time::sleep(RELOAD_INTERVAL) => running.reload(path, false),
             }
         }
     });
