--- a/crates/model/src/service.rs
+++ b/crates/model/src/service.rs
@@ -46,7 +46,7 @@
 }
 
 impl Spec {
-    /// A service with the defaults that `docs/operating.md` lists.
+    /// A service with the defaults that `docs/OPERATIONS.md` lists.
     pub fn new(name: Name, claim_region: region::Name) -> Self {
         Self {
             name,
