router: keep the target in use for most of the notice of a stop

Ruled out: other routers' knowledge: they learn of a change within milliseconds. Change: the target is withdrawn after 0.3 of the grace, the listeners close after 0.4 as before.

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fmt;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::info;
@@ -359,7 +360,7 @@
 
 /// The target that others may send requests to.
 pub fn target(state: &State) -> Option<Target> {
-    if state.is_stopping() {
+    if state.withdrawn.load(Ordering::Relaxed) {
         return None;
     }
     let backend = state.backend.lock();
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -57,9 +57,14 @@
 /// Interval of the work that no event triggers.
 const UPKEEP: Duration = Duration::from_millis(500);
 
-/// Part of the grace in which callers and other routers learn that this one stops.
+/// Part of the grace in which callers learn that this router stops; the platform asks each second
+/// and needs two answers.
 const NOTICE_SHARE: f64 = 0.4;
 
+/// Part of the grace after which other routers are told that the target here is out of use. They
+/// learn it within milliseconds, so it stays in use for most of the callers' notice.
+const WITHDRAW_SHARE: f64 = 0.3;
+
 /// Part of the grace after which requests in flight are given up.
 const END_SHARE: f64 = 0.9;
 
@@ -187,6 +192,7 @@
         session,
         clock,
         items: Mutex::new(Rank::Catalog, Arc::new(table::Table::default())),
+        splits: Mutex::new(Rank::Join, Vec::new()),
         views: Mutex::new(Rank::Membership, Views::default()),
         routing: Mutex::new(Rank::Routing, routing::Table::new(choice)),
         backend: Mutex::new(Rank::Gate, Backend::default()),
@@ -200,6 +206,7 @@
         routers: peer_pool::Pool::new(routers),
         published,
         stopping: AtomicBool::new(false),
+        withdrawn: AtomicBool::new(false),
         numbers: AtomicU64::new(0),
         settings,
     })
@@ -241,10 +248,12 @@
     pub async fn stop(self) -> bool {
         info!(event = "router-stopping"; "");
         self.state.stopping.store(true, Ordering::Relaxed);
-        self.state.publish();
         let grace = self.state.settings.grace;
         let started = time::Instant::now();
-        time::sleep(grace.mul_f64(NOTICE_SHARE)).await;
+        time::sleep(grace.mul_f64(WITHDRAW_SHARE)).await;
+        self.state.withdrawn.store(true, Ordering::Relaxed);
+        self.state.publish();
+        time::sleep_until(started + grace.mul_f64(NOTICE_SHARE)).await;
         self.stop_listeners.send_replace(true);
         let finished = async {
             for listener in self.listeners {
