router: divide the requests of a route by turns

Services were drawn at random. Ruled out: versions: each router takes the two changes within milliseconds. Change: smooth weighted turns for each version of a route, begun anywhere in the cycle (items::split, with a table of cases). The turns stay: they keep the shares exactly.

--- a/crates/items/src/lib.rs
+++ b/crates/items/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod replica;
 pub mod roster;
 pub mod route;
+pub mod split;
 pub mod table;
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -13,7 +13,6 @@
 use hyper::body::Incoming;
 use log::info;
 use rand::Rng;
-use rand::RngExt;
 
 use crate::attempt;
 use crate::crashes;
@@ -22,7 +21,6 @@
 use crate::serve::Message;
 use crate::state::State;
 use shallotrill_items::route::Route;
-use shallotrill_items::route::Share;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::service;
@@ -120,14 +118,13 @@
     };
     let route = Arc::clone(&rule.route);
     let route_version = rule.version;
-    let Some(service) = draw(&route.shares) else {
+    let Some(service) = state.draw(rule) else {
         return Err(unavailable(
             id,
             RETRY_AFTER_START,
             "the route has no service",
         ));
     };
-    let service = service.clone();
     let names = &state.settings.names;
     let stated_ms: Option<u64> = text(parts.headers.get(&names.deadline_ms)).parse().ok();
     let deadline = stated_ms.map_or(route.timeout, Duration::from_millis);
@@ -175,21 +172,6 @@
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
 
-/// Draws a service by its weight.
-fn draw(shares: &[Share]) -> Option<&service::Name> {
-    let total: u32 = shares.iter().map(|s| s.weight).sum();
-    if total == 0 {
-        return None;
-    }
-    let mut at = rand::rng().random_range(0..total);
-    let drawn = shares.iter().find(|share| {
-        let hit = at < share.weight;
-        at = at.wrapping_sub(share.weight);
-        hit
-    });
-    drawn.map(|share| &share.service)
-}
-
 /// What is known of a request so far.
 #[derive(Default)]
 struct Progress {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -15,6 +15,8 @@
 use crate::settings::Settings;
 use shallotrill_backend::pool;
 use shallotrill_feed::message::Announcement;
+use shallotrill_items::split::Split;
+use shallotrill_items::table::Rule;
 use shallotrill_items::table::Table;
 use shallotrill_locks::Mutex;
 use shallotrill_model::service;
@@ -33,7 +35,15 @@
 /// Routers that are assumed to share the slack, since none knows how many there are.
 const SLACK_ROUTERS: u32 = 20;
 
-/// Shared state. Lock order: `items`, `views`, `routing`, `backend`, `budgets`, `crashes`.
+/// The turns of the services of one version of a route.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    route: Arc<str>,
+    version: u64,
+    split: Split,
+}
+
+/// Shared state. Lock order: `items`, `views`, `splits`, `routing`, `backend`, `budgets`, `crashes`.
 pub struct State {
     /// The settings.
     pub settings: Settings,
@@ -43,6 +53,8 @@
     pub clock: Clock,
     /// What is in force.
     pub items: Mutex<Arc<Table>>,
+    /// The turns of routes with several services, sorted by name.
+    pub splits: Mutex<Vec<Turns>>,
     /// What each registry process says of the targets.
     pub views: Mutex<Views>,
     /// Load estimates of the targets.
@@ -69,6 +81,8 @@
     pub published: watch::Sender<u64>,
     /// Becomes true when the process stops.
     pub stopping: AtomicBool,
+    /// Becomes true when the target here is out of use because the process stops.
+    pub withdrawn: AtomicBool,
     /// Source of unique numbers.
     pub numbers: AtomicU64,
 }
@@ -97,6 +111,34 @@
         Arc::clone(&self.items.lock())
     }
 
+    /// The service whose turn it is for a route; nothing while none has a weight.
+    pub fn draw(&self, rule: &Rule) -> Option<service::Name> {
+        let shares = &rule.route.shares;
+        if let [only] = shares.as_slice() {
+            return (only.weight > 0).then(|| only.service.clone());
+        }
+        let mut splits = self.splits.lock();
+        let at = splits.binary_search_by(|turns| turns.route.cmp(&rule.name));
+        let fresh = || Turns {
+            route: Arc::clone(&rule.name),
+            version: rule.version,
+            split: Split::new(shares, rand::random()),
+        };
+        let at = match at {
+            Ok(at) if splits[at].version == rule.version => at,
+            Ok(at) => {
+                splits[at] = fresh();
+                at
+            }
+            Err(at) => {
+                splits.insert(at, fresh());
+                at
+            }
+        };
+        let share = splits[at].split.next(shares)?;
+        Some(share.service.clone())
+    }
+
     /// Whether the process stops.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
