--- a/crates/process/tests/log.rs
+++ b/crates/process/tests/log.rs
@@ -2,8 +2,10 @@
 
 use log::kv;
 
+use shallotrill_model::time::Instant;
 use shallotrill_model::time::Wall;
 use shallotrill_process::calendar;
+use shallotrill_process::log::Quota;
 use shallotrill_process::log::line;
 
 struct Time {
@@ -127,3 +129,43 @@
         );
     }
 }
+
+struct Second {
+    name: &'static str,
+    /// Moments at which a line is asked for, in milliseconds.
+    asked: &'static [u64],
+    allowed: usize,
+}
+
+/// Guards against a log that grows with the load, and against a kind of line that stays away for good.
+const SECONDS: &[Second] = &[
+    Second {
+        name: "within the quota",
+        asked: &[0, 1],
+        allowed: 2,
+    },
+    Second {
+        name: "above the quota",
+        asked: &[0, 1, 2, 3],
+        allowed: 2,
+    },
+    Second {
+        name: "the next second starts anew",
+        asked: &[0, 1, 2, 1_000, 1_001, 1_002],
+        allowed: 4,
+    },
+];
+
+#[test]
+fn quotas_bound_lines() {
+    for case in SECONDS {
+        let quota = Quota::new(2);
+        let asked = case.asked.iter();
+        let allowed = asked
+            .filter(|at| quota.allows(Instant(**at * 1_000)))
+            .count();
+        assert_eq!(allowed, case.allowed, "{}", case.name);
+        let left_out = (case.asked.len() - allowed) as u64;
+        assert_eq!(quota.left_out(), left_out, "{}", case.name);
+    }
+}
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -14,7 +14,6 @@
 use shallotrill_feed::link::Link;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::ballot::Identity;
-use shallotrill_items::item::Item;
 use shallotrill_items::replica::Replica;
 use shallotrill_items::roster::Roster;
 use shallotrill_locks::Mutex;
@@ -115,10 +114,4 @@
         addresses.push(self.settings.listen);
         addresses
     }
-
-    /// The items in force as this replica knows them, removed ones included.
-    pub fn committed(&self) -> Vec<Arc<Item>> {
-        let agreement = self.agreement.lock();
-        agreement.replica.committed().cloned().collect()
-    }
 }
