--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -42,6 +43,9 @@
 /// Time limit of the routes.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Work of a request for `/a/slow`: longer than the notice of a stop, shorter than its grace.
+const WORK: Duration = Duration::from_millis(1_100);
+
 /// What the backend server does with a request; `{id}` stands for the request's identity.
 type Reply = &'static str;
 
@@ -173,6 +177,8 @@
 #[derive(Default)]
 struct Count {
     arrived: AtomicUsize,
+    /// The head of the latest request.
+    head: Mutex<String>,
 }
 
 /// A backend server that gives one reply to every request.
@@ -196,7 +202,11 @@
             }
             continue;
         }
+        head.clone_into(&mut count.head.lock().expect("no panic"));
         count.arrived.fetch_add(1, Ordering::SeqCst);
+        if head.starts_with("GET /a/slow") {
+            time::sleep(WORK).await;
+        }
         let id = header(&head, "shallotrill-request").unwrap_or_default();
         let text = reply.replace("{id}", id);
         let sent = stream.write_all(text.as_bytes()).await;
@@ -337,26 +347,7 @@
 
     /// Sends a request to the first router; returns status and body.
     async fn ask(&self, path: &str) -> (u16, String) {
-        let address = self.routers[0].state().settings.caller_listen;
-        let mut stream = TcpStream::connect(address).await.expect("connected");
-        let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: host\r\nshallotrill-request: one\r\n\
-             shallotrill-deadline-ms: 1500\r\nConnection: close\r\n\r\n"
-        );
-        stream.write_all(request.as_bytes()).await.expect("sent");
-        let mut answer = Vec::new();
-        let read = stream.read_to_end(&mut answer);
-        let read = time::timeout(LIMIT, read).await.expect("answered");
-        read.expect("a whole answer");
-        let answer = String::from_utf8_lossy(&answer).into_owned();
-        let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
-        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
-        if status == Some(503) {
-            assert!(header(head, "retry-after").is_some(), "{head}");
-        }
-        assert!(!head.contains("shallotrill-forwarded"), "{head}");
-        assert!(!head.contains("shallotrill-denial"), "{head}");
-        (status.expect("a status"), body.to_owned())
+        ask(self.routers[0].state().settings.caller_listen, path).await
     }
 
     async fn stop(self) {
@@ -367,6 +358,28 @@
     }
 }
 
+async fn ask(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(address).await.expect("connected");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: host\r\nshallotrill-request: one\r\n\
+             shallotrill-deadline-ms: 1500\r\nshallotrill-caller: forged\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let read = time::timeout(LIMIT, read).await.expect("answered");
+    read.expect("a whole answer");
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    if status == Some(503) {
+        assert!(header(head, "retry-after").is_some(), "{head}");
+    }
+    assert!(!head.contains("shallotrill-forwarded"), "{head}");
+    assert!(!head.contains("shallotrill-denial"), "{head}");
+    (status.expect("a status"), body.to_owned())
+}
+
 #[tokio::test]
 async fn answers_are_the_backend_servers() {
     for case in CASES {
@@ -436,3 +449,45 @@
     scene.stop().await;
     assert!(!state.is_ready());
 }
+
+/// Guards against a request that is cut off because its router stops.
+#[tokio::test]
+async fn a_stop_lets_requests_in_flight_finish() {
+    let count = Arc::new(Count::default());
+    let one = backend_server(WHOLE, Arc::clone(&count)).await;
+    let mut scene = scene(Class::NonIdempotent, &[one]).await;
+    let router = scene.routers.pop().expect("a router");
+    let address = router.state().settings.caller_listen;
+    let asking = tokio::spawn(async move { ask(address, "/a/slow").await });
+    let arrived = async {
+        while count.arrived.load(Ordering::SeqCst) == 0 {
+            time::sleep(LOOK).await;
+        }
+    };
+    time::timeout(LIMIT, arrived).await.expect("it arrives");
+    assert!(router.stop().await);
+    assert_eq!(asking.await.expect("no panic").0, 200);
+}
+
+/// Guards against a backend server that gets another request, more time than the caller has, or a
+/// forged origin.
+#[tokio::test]
+async fn the_backend_server_gets_what_was_sent() {
+    let count = Arc::new(Count::default());
+    let one = backend_server(WHOLE, Arc::clone(&count)).await;
+    let scene = scene(Class::Idempotent, &[one]).await;
+    assert_eq!(scene.ask("/a/b?c=d%20e").await.0, 200);
+    let head = count.head.lock().expect("no panic").clone();
+    assert!(head.starts_with("GET /a/b?c=d%20e HTTP/1.1\r\n"), "{head}");
+    assert_eq!(header(&head, "host"), Some("host"), "{head}");
+    assert_eq!(header(&head, "shallotrill-request"), Some("one"), "{head}");
+    assert_eq!(header(&head, "shallotrill-expected"), Some("i-0"), "{head}");
+    assert_eq!(
+        header(&head, "shallotrill-caller"),
+        Some("catalogue"),
+        "{head}"
+    );
+    assert_eq!(header(&head, "shallotrill-forwarded"), None, "{head}");
+    let left = header(&head, "shallotrill-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
+    assert!(left.is_some_and(|ms| (1..=1_500).contains(&ms)), "{head}");
+}
