control: replace a seat only from what a quorum confirmed, and report a refused seat

Cause: after a replacement was interrupted, the repeated command found no member left to change and read the seats from the leader's applied configuration without a quorum's confirmation. A leader that has just been elected, or restarted, may not have applied the log yet; it found no seat to replace and answered that the member is replaced. The refusal of a seat (another one still copying) was ignored in the same way. The member then stayed a stranger to its claim group.

Change: the seats are read after a read index was confirmed and applied, again after each accepted step; a refused seat is the operator's answer.

Before: a leader whose followers were killed answered 'member 3 is replaced by 3', and with another seat copying 'member 2 is replaced by 5'. After: no-quorum and the reason.

--- a/crates/control/src/replace.rs
+++ b/crates/control/src/replace.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::warn;
 use tokio::time;
 
 use crate::bootstrap;
@@ -19,8 +20,11 @@
 use crate::submit;
 use shallotrill_catalog::action::Action;
 use shallotrill_catalog::command::Command;
+use shallotrill_catalog::group;
 use shallotrill_catalog::group::Group;
 use shallotrill_catalog::member as listed;
+use shallotrill_catalog::reply::Refusal as CatalogRefusal;
+use shallotrill_catalog::reply::Reply as Outcome;
 use shallotrill_consensus::change::Change;
 use shallotrill_consensus::failure;
 use shallotrill_consensus::member::Id;
@@ -56,7 +60,7 @@
         };
         take(state, change, deadline).await?;
     }
-    replace_seats(state, old, new).await
+    replace_seats(state, old, new, deadline).await
 }
 
 /// Adds a member without a vote as the leader.
@@ -177,33 +181,52 @@
 }
 
 /// Gives the seats of the old member in claim groups to the new one, which then copies.
-async fn replace_seats(state: &Arc<State>, old: Id, new: Peer) -> Result<(), Refusal> {
-    let groups: Vec<Group> = {
-        let catalog = state.catalog.lock();
-        catalog
-            .groups()
-            .iter()
-            .map(|entry| entry.value.clone())
-            .collect()
-    };
+///
+/// The seats are read only after a quorum confirmed what is in force: a process that has just been
+/// elected may not have applied the configuration yet, and would find no seat to replace.
+async fn replace_seats(
+    state: &Arc<State>,
+    old: Id,
+    new: Peer,
+    deadline: Instant,
+) -> Result<(), Refusal> {
     let old = listed::Id(identity::short(old));
     let disk = listed::Disk(identity::folded(new.disk));
-    for group in groups {
-        let seat = group.seats.iter().find(|seat| seat.member == old);
-        if seat.is_none_or(|seat| seat.disk == disk) {
-            continue;
-        }
+    loop {
+        submit::read(state).await?;
+        let Some(group) = outdated(state, old, disk) else {
+            return Ok(());
+        };
         let action = Action::ReplaceSeat {
-            region: group.region.clone(),
+            region: group.region,
             epoch: group.epoch,
             old,
             new: listed::Id(identity::short(new.id)),
             disk,
         };
         let command = own_command(state, action);
-        submit::command(state, command).await?;
+        match submit::command(state, command).await? {
+            Outcome::Accepted(_) => {}
+            // The group has changed since it was read.
+            Outcome::Refused(CatalogRefusal::Group(group::Refusal::Epoch { .. }))
+                if state.now() < deadline => {}
+            Outcome::Refused(refusal) => {
+                warn!(event = "seat-not-replaced", member = old.0; "{refusal}");
+                return Err(Refusal::Member(refusal.to_string()));
+            }
+        }
     }
-    Ok(())
+}
+
+/// A claim group in which the member's seat is on another disk.
+fn outdated(state: &State, member: listed::Id, disk: listed::Disk) -> Option<Group> {
+    let catalog = state.catalog.lock();
+    let mut groups = catalog.groups().iter().map(|entry| &entry.value);
+    let is_outdated = |group: &&Group| {
+        let seat = group.seats.iter().find(|seat| seat.member == member);
+        seat.is_some_and(|seat| seat.disk != disk)
+    };
+    groups.find(is_outdated).cloned()
 }
 
 /// A command of the control processes themselves. Its id follows from its action, so that repetitions are one command.
--- a/crates/control/tests/faults/operators.rs
+++ b/crates/control/tests/faults/operators.rs
@@ -28,8 +28,12 @@
 use shallotrill_operator::wire::Request;
 
 async fn start() -> (TempDir, Group) {
+    start_of(3).await
+}
+
+async fn start_of(members: usize) -> (TempDir, Group) {
     let folder = tempfile::tempdir().unwrap();
-    let group = Group::start(cluster::own_ip(), folder.path(), 3, Duration::ZERO).await;
+    let group = Group::start(cluster::own_ip(), folder.path(), members, Duration::ZERO).await;
     let group = group.unwrap();
     Rogue::new(&group, 1).await;
     (folder, group)
@@ -350,3 +354,67 @@
         println!("{interruption:?}: done");
     }
 }
+
+/// What keeps a replacement from being complete.
+#[derive(Clone, Copy, Debug)]
+enum Obstacle {
+    /// The leader has no quorum, so its own view of the seats may be outdated.
+    NoQuorum,
+    /// The seat of another member is still copying.
+    AnotherCopies,
+}
+
+struct Incomplete {
+    name: &'static str,
+    members: usize,
+    obstacle: Obstacle,
+    /// What the operator is told.
+    expected: &'static str,
+}
+
+/// Guards against a replacement that is reported as done while the seat in the claim group is not replaced.
+const INCOMPLETE: &[Incomplete] = &[
+    Incomplete {
+        name: "a leader without a quorum",
+        members: 3,
+        obstacle: Obstacle::NoQuorum,
+        expected: "no-quorum",
+    },
+    Incomplete {
+        name: "another seat is still copying",
+        members: 5,
+        obstacle: Obstacle::AnotherCopies,
+        expected: "request",
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replacement_that_is_not_complete_is_refused() {
+    for case in INCOMPLETE {
+        let (_folder, mut group) = start_of(case.members).await;
+        let operators = group.operators();
+        let told = match case.obstacle {
+            Obstacle::NoQuorum => {
+                let leader = leader(&group).await;
+                for index in 0..case.members {
+                    if index != leader {
+                        group.kill(index);
+                    }
+                }
+                let number = leader + 1;
+                let statement = format!("replace member {number} with {number}");
+                say(&operators[leader..=leader], &statement, rand::random()).await
+            }
+            Obstacle::AnotherCopies => {
+                // A seat copies from every other voter, so it waits for the one that is down.
+                group.kill(2);
+                let asked = [operators[3], operators[4]];
+                operate::insist(&asked, "replace member 1 with 4", PATIENCE)
+                    .await
+                    .unwrap();
+                say(&asked, "replace member 2 with 5", rand::random()).await
+            }
+        };
+        assert!(told.starts_with(case.expected), "{}: {told}", case.name);
+    }
+}
