registry, router: an advertised address and an error of the clock from the command line

Cause: a fault soak runs real processes behind forwarders, and a process told others the address that it listens on, so nothing could stand between them; nor could its clock be wrong without changing the machine's.

Without them nothing changes.

Ruled out: fields in the platform's settings file (its format is the users'); a library that replaces calls of the system.

--- a/crates/process/src/clock.rs
+++ b/crates/process/src/clock.rs
@@ -10,9 +10,11 @@
 use shallotrill_model::time::Wall;
 
 /// Gives elapsed time since its start and calendar time.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Clock {
     origin: Duration,
+    /// Added to the calendar time, in milliseconds.
+    offset_ms: i64,
 }
 
 impl Clock {
@@ -20,9 +22,17 @@
     pub fn start() -> Self {
         Self {
             origin: since_boot(),
+            offset_ms: 0,
         }
     }
 
+    /// The same clock with another error of its calendar time, for tests.
+    #[must_use]
+    pub const fn offset_ms(mut self, offset_ms: i64) -> Self {
+        self.offset_ms = offset_ms;
+        self
+    }
+
     /// Elapsed time since the start. It never goes back.
     pub fn now(&self) -> Instant {
         let elapsed = since_boot().saturating_sub(self.origin);
@@ -32,7 +42,7 @@
 
     /// Calendar time. A clock set before 1970 reads as zero.
     pub fn wall(&self) -> Wall {
-        wall()
+        Wall(wall().0.saturating_add_signed(self.offset_ms))
     }
 }
 
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -230,7 +230,7 @@
 /// Starts to follow registry processes that are not known yet.
 pub fn meet(state: &Arc<State>, addresses: &[SocketAddr]) {
     for &address in addresses {
-        if address == state.settings.listen {
+        if address == state.settings.address() {
             continue;
         }
         let peer = {
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -25,7 +25,6 @@
 use shallotrill_items::roster::Roster;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
-use shallotrill_process::clock::Clock;
 use shallotrill_process::metrics;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
@@ -73,7 +72,7 @@
         .map_err(Error::Listen)?;
     settings.listen = listener.address();
     let (store, identity, content) = store::open(&settings.folder).await;
-    let clock = Clock::start();
+    let clock = settings.clock;
     let remembered = content.as_ref().is_some_and(|c| c.votes);
     let Content { replica, .. } = content.unwrap_or(Content {
         votes: false,
@@ -81,7 +80,7 @@
     });
     let own = Member {
         identity,
-        address: settings.listen,
+        address: settings.address(),
         votes: remembered || settings.first_start,
     };
     let (changed, _) = watch::channel(0);
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -111,7 +111,7 @@
     /// Addresses of all known registry processes, the own one included.
     pub fn registries(&self) -> Vec<SocketAddr> {
         let mut addresses = self.agreement.lock().roster.addresses();
-        addresses.push(self.settings.listen);
+        addresses.push(self.settings.address());
         addresses
     }
 }
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -12,6 +12,7 @@
 use shallotrill_items::item::Key;
 use shallotrill_items::item::Kind;
 use shallotrill_items::route::Service;
+use shallotrill_process::clock::Clock;
 use shallotrill_registry::propose;
 use shallotrill_registry::propose::Failure;
 use shallotrill_registry::run;
@@ -33,10 +34,12 @@
 async fn start(seeds: Vec<SocketAddr>, first_start: bool, folder: TempDir) -> Member {
     let settings = Settings {
         listen: "127.0.0.1:0".parse().expect("an address"),
+        advertised: None,
         seeds,
         tolerated_disks: 2,
         first_start,
         folder: folder.path().to_owned(),
+        clock: Clock::start(),
     };
     let registry = run::start(settings).await.expect("a registry process");
     let address = registry.state().settings.listen;
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -69,7 +69,7 @@
         started: state.now(),
         outcome: Outcome::Cancelled,
     };
-    let result = if choice.address == state.settings.router_listen {
+    let result = if choice.address == state.settings.address() {
         serve::run(state, message, forwarded).await
     } else {
         remote(state, message, forwarded, choice).await
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -379,7 +379,7 @@
         incarnation: life.incarnation,
         zone: state.settings.zone.clone(),
         region: state.settings.region.clone(),
-        address: state.settings.router_listen,
+        address: state.settings.address(),
         state: offer,
         slots: known.slots,
     })
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -33,7 +33,6 @@
 use shallotrill_locks::Rank;
 use shallotrill_peer::listener as peer_listener;
 use shallotrill_peer::pool as peer_pool;
-use shallotrill_process::clock::Clock;
 use shallotrill_process::log::Quota;
 use shallotrill_process::metrics;
 use shallotrill_routing::config;
@@ -167,7 +166,7 @@
 }
 
 fn state(settings: Settings) -> Result<State, metrics::Error> {
-    let clock = Clock::start();
+    let clock = settings.clock;
     let session = clock.wall().0;
     let names = &settings.names;
     let connections = Config::default()
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -7,6 +7,7 @@
 use shallotrill_model::region;
 use shallotrill_model::service;
 use shallotrill_model::zone;
+use shallotrill_process::clock::Clock;
 
 /// Settings of a router.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     pub caller_listen: SocketAddr,
     /// Where other routers send requests.
     pub router_listen: SocketAddr,
+    /// Where other routers reach it, unless that is where it listens.
+    pub advertised: Option<SocketAddr>,
     /// The backend server beside this router.
     pub backend: SocketAddr,
     /// Its service.
@@ -33,4 +36,13 @@
     pub grace: Duration,
     /// Names of the headers.
     pub names: Names,
+    /// The clock of the process.
+    pub clock: Clock,
+}
+
+impl Settings {
+    /// The address that other processes are told.
+    pub fn address(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.router_listen)
+    }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -158,7 +158,7 @@
     pub fn announcement(&self) -> Announcement {
         let sequence = *self.published.borrow();
         Announcement {
-            router: self.settings.router_listen,
+            router: self.settings.address(),
             session: self.session,
             sequence,
             target: backend::target(self),
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -26,6 +26,7 @@
 use shallotrill_model::region;
 use shallotrill_model::service;
 use shallotrill_model::zone;
+use shallotrill_process::clock::Clock;
 use shallotrill_registry::propose;
 use shallotrill_registry::run as registry;
 use shallotrill_router::backend;
@@ -245,10 +246,12 @@
     let folder = TempDir::new().expect("a folder");
     let registry = registry::start(shallotrill_registry::settings::Settings {
         listen: "127.0.0.1:0".parse().expect("an address"),
+        advertised: None,
         seeds: Vec::new(),
         tolerated_disks: 0,
         first_start: true,
         folder: folder.path().to_owned(),
+        clock: Clock::start(),
     })
     .await
     .expect("a registry process");
@@ -261,6 +264,7 @@
         let router = shallotrill_router::run::start(Settings {
             caller_listen: "127.0.0.1:0".parse().expect("an address"),
             router_listen: "127.0.0.1:0".parse().expect("an address"),
+            advertised: None,
             backend: address,
             service: service_name(),
             zone: zone::Name::new("bodo").expect("a name"),
@@ -270,6 +274,7 @@
             retry_slack: 1_000,
             grace: Duration::from_secs(2),
             names: Names::default(),
+            clock: Clock::start(),
         })
         .await
         .expect("a router");
--- a/crates/shallotrill/src/main.rs
+++ b/crates/shallotrill/src/main.rs
@@ -18,6 +18,8 @@
 use tokio::time;
 
 use shallotrill_platform::run as platform;
+use shallotrill_platform::run::Options;
+use shallotrill_process::clock::Clock;
 use shallotrill_process::log as process_log;
 use shallotrill_process::settings::Role;
 use shallotrill_process::settings::Settings;
@@ -41,7 +43,7 @@
 
 Usage: shallotrill run --settings FILE
        shallotrill check --settings FILE
-       shallotrill platform [--metrics-port PORT]
+       shallotrill platform [--metrics-port PORT] [--advertise IP] [--clock-offset-ms N]
        shallotrill --help | --version
 
 Commands:
@@ -49,6 +51,11 @@
   check  check the settings and exit
   platform  run the role that the platform's settings file (SHALLOTRILL_NODE_FILE) names
 
+Options of platform:
+  --metrics-port PORT   serve metrics at this port of the machine
+  --advertise IP        address that other processes are told, when a forwarder stands between them
+  --clock-offset-ms N   error of the calendar time, for tests
+
 Exit codes:
   0  success
   1  the process failed, or requests were cut when it stopped
@@ -59,7 +66,7 @@
 enum Request {
     Run(PathBuf),
     Check(PathBuf),
-    Platform(PathBuf, Option<u16>),
+    Platform(PathBuf, Options),
     Help,
     Version,
 }
@@ -88,7 +95,7 @@
             }
             None => USAGE,
         },
-        Request::Platform(path, metrics) => outcome(run_on_platform(&path, metrics)),
+        Request::Platform(path, options) => outcome(run_on_platform(&path, &options)),
         Request::Run(path) => match load(&path) {
             Some(settings) => run(&settings),
             None => USAGE,
@@ -101,7 +108,11 @@
     let mut parser = Parser::from_env();
     let mut command = None;
     let mut settings = None;
-    let mut metrics_port = None;
+    let mut options = Options {
+        metrics_port: None,
+        advertised: None,
+        clock: Clock::start(),
+    };
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Short('h') | Arg::Long("help") => return Ok(Request::Help),
@@ -109,7 +120,11 @@
             Arg::Short('s') | Arg::Long("settings") => {
                 settings = Some(PathBuf::from(parser.value()?));
             }
-            Arg::Long("metrics-port") => metrics_port = Some(parser.value()?.parse()?),
+            Arg::Long("metrics-port") => options.metrics_port = Some(parser.value()?.parse()?),
+            Arg::Long("advertise") => options.advertised = Some(parser.value()?.parse()?),
+            Arg::Long("clock-offset-ms") => {
+                options.clock = options.clock.offset_ms(parser.value()?.parse()?);
+            }
             Arg::Value(value) if command.is_none() => command = Some(value.string()?),
             other => return Err(other.unexpected()),
         }
@@ -119,7 +134,7 @@
         Some("run") => Ok(Request::Run(settings?)),
         Some("check") => Ok(Request::Check(settings?)),
         Some("platform") => match env::var_os(platform::SETTINGS_VARIABLE) {
-            Some(path) => Ok(Request::Platform(path.into(), metrics_port)),
+            Some(path) => Ok(Request::Platform(path.into(), options)),
             None => Err(format!("{} is not set", platform::SETTINGS_VARIABLE).into()),
         },
         Some(other) => {
@@ -165,7 +180,7 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs a role on the platform; returns whether everything in flight finished when it stopped.
-fn run_on_platform(path: &Path, metrics_port: Option<u16>) -> Result<bool> {
+fn run_on_platform(path: &Path, options: &Options) -> Result<bool> {
     let output =
         process_log::start(log::LevelFilter::Info).context("the log could not be started")?;
     let runtime = Builder::new_multi_thread()
@@ -177,7 +192,7 @@
     let result = runtime.block_on(async {
         let mut stop = Stop::listen().context("signals could not be listened for")?;
         let mut reload = Reload::listen().context("signals could not be listened for")?;
-        let mut running = platform::start(path, metrics_port)
+        let mut running = platform::start(path, options)
             .await
             .context("the process could not be started")?;
         loop {
