soak: real processes under drawn faults, checked by what callers and backend servers see

Cause: faults were played by the users' bench and by tests of one part each; nothing in the tree ran the real program with forwarders, signals, disks and clocks going wrong at once.

Change: crates/soak.

--- /dev/null
+++ b/crates/soak/src/regressions.rs
@@ -0,0 +1,13 @@
+//! Seeds that failed once, with what they showed.
+
+/// A seed and the fault that it found.
+#[derive(Clone, Copy, Debug)]
+pub struct Regression {
+    /// The seed.
+    pub seed: u64,
+    /// Cause of the failure.
+    pub cause: &'static str,
+}
+
+/// All of them; the short run of the tests plays each.
+pub const REGRESSIONS: &[Regression] = &[];
