wire: a further connection try beside one that hangs

A router started at 31.17 s; its first packets to the registry machines, which came back at 31.37 to 31.46 s, were lost, and the kernel repeated them only after 1 s: it knew its items at 32.18 s and refused everything until then.

Ruled out: the disks (items in force at the registry at 31.46 and 31.70 s); the announcements (taken within 5 ms of the connection).

Change: a try that hangs for 200 ms gets another one beside it; the first that ends counts. For links to registries and between routers.

--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -14,6 +14,7 @@
 use crate::frame;
 use crate::message::Reply;
 use crate::message::Request;
+use shallotrill_wire::dial;
 use shallotrill_wire::listen;
 
 /// Longest time to open a connection.
@@ -90,9 +91,8 @@
     }
 
     async fn open(&self) -> Result<BufReader<TcpStream>, Error> {
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+        let stream = dial::open(self.address, CONNECT_TIMEOUT)
             .await
-            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(Error::Connect)?;
         listen::tune(&stream, CONNECT_TIMEOUT).map_err(Error::Connect)?;
         Ok(BufReader::new(stream))
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -19,7 +19,6 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
-use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 use tokio::time;
 
@@ -27,6 +26,7 @@
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_model::time::Instant;
+use shallotrill_wire::dial;
 use shallotrill_wire::listen;
 
 /// Parameters of the connections.
@@ -219,10 +219,7 @@
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Sender, io::Error> {
-        let connecting = TcpStream::connect(address);
-        let stream = time::timeout(self.config.connect_timeout, connecting)
-            .await
-            .or(Err(io::Error::from(io::ErrorKind::TimedOut)))??;
+        let stream = dial::open(address, self.config.connect_timeout).await?;
         listen::tune(&stream, self.config.ping_timeout)?;
         let handshake = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod context;
+pub mod dial;
 pub mod hop;
 pub mod listen;
 pub mod load;
