registry, router: announcements by difference

Cause: each change of one announcement sent the whole list of all routers to every watcher.

Change: a registry process remembers at which revision each announcement changed and the last 1,024 removals; a watcher gets what changed after the revision that it has read, and everything when it is new or lags by more. Messages have version 2.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -16,7 +16,7 @@
 use shallotrill_retry::containment::Fact;
 
 /// Version of the messages; another one is refused.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// A router and the backend server beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +33,37 @@
     pub crashes: Vec<Fact>,
 }
 
+/// What has changed among the announcements that a registry process holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcements {
+    /// Whether these are all, so that any other one is gone.
+    pub complete: bool,
+    /// New and changed ones.
+    pub changed: Vec<Announcement>,
+    /// Routers whose announcements are gone.
+    pub removed: Vec<SocketAddr>,
+}
+
+impl Announcements {
+    /// Brings a list, sorted by the address of the router, up to date.
+    pub fn apply(self, held: &mut Vec<Announcement>) {
+        if self.complete {
+            held.clear();
+        }
+        for router in &self.removed {
+            if let Ok(at) = held.binary_search_by(|a| a.router.cmp(router)) {
+                held.remove(at);
+            }
+        }
+        for announcement in self.changed {
+            match held.binary_search_by(|a| a.router.cmp(&announcement.router)) {
+                Ok(at) => held[at] = announcement,
+                Err(at) => held.insert(at, announcement),
+            }
+        }
+    }
+}
+
 /// How far a watcher has read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cursor {
@@ -99,8 +130,8 @@
         cursor: Cursor,
         /// Committed items that changed.
         items: Vec<Arc<Item>>,
-        /// All announcements, if one of them has changed.
-        announcements: Option<Vec<Announcement>>,
+        /// Announcements that changed.
+        announcements: Announcements,
         /// Registry processes, the one that answers included.
         registries: Vec<SocketAddr>,
     },
--- a/crates/feed/tests/frames.rs
+++ b/crates/feed/tests/frames.rs
@@ -14,6 +14,7 @@
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
+use shallotrill_feed::message::VERSION;
 use shallotrill_feed::server;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_wire::listen::Listener;
@@ -41,7 +42,7 @@
     },
     Case {
         name: "cut in the body",
-        bytes: &[9, 0, 0, 0, 1, 3],
+        bytes: &[9, 0, 0, 0, VERSION, 3],
         expected: |error| matches!(error, Error::Stream(_)),
     },
     Case {
@@ -59,9 +60,14 @@
         bytes: &[2, 0, 0, 0, 9, 3],
         expected: |error| matches!(error, Error::Version(9)),
     },
+    Case {
+        name: "the version before, in which a view had the whole list",
+        bytes: &[2, 0, 0, 0, 1, 3],
+        expected: |error| matches!(error, Error::Version(1)),
+    },
     Case {
         name: "another message",
-        bytes: &[2, 0, 0, 0, 1, 0xFF],
+        bytes: &[2, 0, 0, 0, VERSION, 0xFF],
         expected: |error| matches!(error, Error::Form(_)),
     },
     Case {
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -183,8 +183,8 @@
     let same = cursor.session == state.session;
     let (announcements, at) = {
         let table = state.announcements.lock();
-        let changed = !same || cursor.announcements != table.revision();
-        (changed.then(|| table.all()), table.revision())
+        let from = if same { cursor.announcements } else { 0 };
+        (table.since(from), table.revision())
     };
     let registries = state.registries();
     let agreement = state.agreement.lock();
@@ -366,7 +366,7 @@
 
 /// Updates the gauges.
 fn observe(state: &State) {
-    let routers = state.announcements.lock().all().len();
+    let routers = state.announcements.lock().len();
     let now = state.now();
     let agreement = state.agreement.lock();
     state.metrics.routers.set(count(routers));
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -12,6 +12,7 @@
 use crate::state::State;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
+use shallotrill_feed::message::Announcements;
 use shallotrill_feed::message::Cursor;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
@@ -44,6 +45,7 @@
 struct View {
     registry: SocketAddr,
     heard: Option<Instant>,
+    /// Sorted by the address of the router.
     announcements: Vec<Announcement>,
 }
 
@@ -90,18 +92,11 @@
         self.views.retain(|view| view.registry != registry);
     }
 
-    fn heard(
-        &mut self,
-        registry: SocketAddr,
-        announcements: Option<Vec<Announcement>>,
-        now: Instant,
-    ) {
+    fn heard(&mut self, registry: SocketAddr, announcements: Announcements, now: Instant) {
         if let Ok(at) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
             let view = &mut self.views[at];
             view.heard = Some(now);
-            if let Some(announcements) = announcements {
-                view.announcements = announcements;
-            }
+            announcements.apply(&mut view.announcements);
         }
     }
 
@@ -187,7 +182,7 @@
                 heard = state.now();
                 cursor = read;
                 apply_items(&state, &items);
-                merge_crashes(&state, announcements.as_deref().unwrap_or_default());
+                merge_crashes(&state, &announcements.changed);
                 state.views.lock().heard(address, announcements, heard);
                 apply_targets(&state);
                 meet(&state, &registries, &stop);
