routing: another zone considered less where the own one has many targets

Cause: routers considered a target of another zone in every choice. That helps where the own zone has one or two targets (both small sites), and on the grown ones, with 13 and 9 targets of a service in a zone, it mostly moves bytes between zones, the highest price after the machines.

Change: from three targets in the own zone on, other zones are considered in proportion (a setting of the routing table, off by default); a busy zone is always compared with another.

Test: shares of crossing for few, many and no targets in the own zone.

--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -165,6 +165,10 @@
     })
 }
 
+/// Targets in the own availability zone up to which every choice considers another zone too. One
+/// or two of three are often slow at the same moment on shared machines.
+const OWN_ZONE: usize = 3;
+
 fn state(settings: Settings) -> Result<State, metrics::Error> {
     let clock = settings.clock;
     let session = clock.wall().0;
@@ -184,6 +188,7 @@
         .latency_band(1.0)
         .latency_half_life(LATENCY_HALF_LIFE)
         .cross_zone(1.0)
+        .own_zone(OWN_ZONE)
         .failure_half_life(FAILURE_HALF_LIFE)
         .last_resort(true);
     let (published, _) = watch::channel(0);
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -24,6 +24,7 @@
     pub(crate) last_resort: bool,
     pub(crate) failure_half_life: Option<Duration>,
     pub(crate) cross_zone: f64,
+    pub(crate) own_zone: usize,
     pub(crate) same_zone: Duration,
     pub(crate) same_region: Duration,
     pub(crate) other_region: Duration,
@@ -48,6 +49,7 @@
             last_resort: false,
             failure_half_life: None,
             cross_zone: 0.25,
+            own_zone: usize::MAX,
             same_zone: Duration::from_micros(100),
             same_region: Duration::from_millis(1),
             other_region: Duration::from_millis(60),
@@ -144,6 +146,16 @@
         self
     }
 
+    /// Targets in the own availability zone above which others are considered less; never by default.
+    ///
+    /// With `n` times as many, every `n`th of those choices considers another zone. A choice among
+    /// many gains little from one more, while bytes between zones are billed.
+    #[must_use]
+    pub const fn own_zone(mut self, targets: usize) -> Self {
+        self.own_zone = targets;
+        self
+    }
+
     /// Round trips assumed until they are measured.
     #[must_use]
     pub fn distances(
--- a/crates/routing/src/draw.rs
+++ b/crates/routing/src/draw.rs
@@ -54,7 +54,9 @@
             }
         }
         let local = self.picks.len();
-        if local == 0 || self.local_busy() || unit(random) < config.cross_zone {
+        let own_len = own.map_or(0, |own| service.groups[own].members.len());
+        let less = (config.own_zone as f64 / own_len.max(1) as f64).min(1.0);
+        if local == 0 || self.local_busy() || unit(random) < config.cross_zone * less {
             let wanted = if local == 0 { CANDIDATES } else { local + 1 };
             self.draw_others(own, wanted, random);
         }
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -417,3 +417,79 @@
         assert_eq!(in_turn, case.in_turn, "{}", case.name);
     }
 }
+
+struct Crossing {
+    name: &'static str,
+    own_zone: usize,
+    /// Targets in the own availability zone, and in another.
+    targets: (usize, usize),
+    /// Share of choices that consider the other zone.
+    expected: std::ops::RangeInclusive<f64>,
+}
+
+/// Guards against choices that leave a zone with many targets as often as one with few, and against a zone that is never left.
+const CROSSINGS: &[Crossing] = &[
+    Crossing {
+        name: "without the setting",
+        own_zone: usize::MAX,
+        targets: (12, 12),
+        expected: 1.0..=1.0,
+    },
+    Crossing {
+        name: "few in the own zone",
+        own_zone: 3,
+        targets: (3, 12),
+        expected: 1.0..=1.0,
+    },
+    Crossing {
+        name: "four times as many",
+        own_zone: 3,
+        targets: (12, 12),
+        expected: 0.2..=0.3,
+    },
+    Crossing {
+        name: "none in the own zone",
+        own_zone: 3,
+        targets: (0, 12),
+        expected: 1.0..=1.0,
+    },
+];
+
+#[test]
+fn a_zone_with_many_targets_is_left_less() {
+    const CHOICES: u64 = 2_000;
+    for case in CROSSINGS {
+        let region = region::Name::new("nordland").unwrap();
+        let config = Config::new(region, zone::Name::new("bodo").unwrap())
+            .cross_zone(1.0)
+            .own_zone(case.own_zone);
+        let mut table = Table::new(config);
+        let far = zone::Name::new("narvik").unwrap();
+        let own = (0..case.targets.0).map(|n| target(&format!("own-{n}"), State::Ready));
+        let others = (0..case.targets.1).map(|n| Target {
+            zone: far.clone(),
+            ..target(&format!("far-{n}"), State::Ready)
+        });
+        let targets: Vec<Target> = own.chain(others).collect();
+        table.apply(&targets, Instant(0));
+        // With known latencies no target counts as busy, which always considers another zone.
+        for target in &targets {
+            let report = Report {
+                incarnation: Incarnation(5),
+                sequence: 1,
+                limit: 6,
+                latency_us: 6_000,
+                ..Report::default()
+            };
+            table.observe(&target.instance, report, Instant(1));
+        }
+        let considers = |seed: &u64| {
+            let choice = choose(&mut table, &[], Instant(1), *seed).unwrap();
+            let mut candidates = choice.candidates.iter();
+            candidates.any(|c| c.instance.as_str().starts_with("far"))
+        };
+        let count = (1..=CHOICES).filter(considers).count();
+        let share = count as f64 / CHOICES as f64;
+        assert!(case.expected.contains(&share), "{}: {share}", case.name);
+    }
+}
