shallotctl: what registry processes hold

Cause: an operator of the registry role could ask only for the items in force, through the platform; which process holds which version, which ones vote, and which routers each one hears were visible in logs alone.

Ruled out: statements of the control process (its language and log know nothing of items); writing items with shallotctl (the platform's operator does). Tests: the command line against stand-ins, with a dead address and wrong words.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// What a registry process holds, for an operator.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Shown {
+    /// The process itself.
+    pub member: Member,
+    /// Replicas that must accept an item.
+    pub quorum: u32,
+    /// Other registry processes, and the time since each was heard in milliseconds.
+    pub others: Vec<(Member, u64)>,
+    /// All registers.
+    pub entries: Vec<Entry>,
+    /// Routers that are listed, and the time since each renewed its announcement in milliseconds.
+    pub announcements: Vec<(Announcement, u64)>,
+}
+
 /// How far a watcher has read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cursor {
@@ -100,6 +115,8 @@
         /// Longest wait for a change.
         wait_ms: u32,
     },
+    /// An operator asks for everything that a registry process holds.
+    Show,
     /// First step of a proposal.
     Prepare {
         /// Its number.
@@ -148,6 +165,8 @@
         /// Other registry processes that it knows.
         registries: Vec<SocketAddr>,
     },
+    /// Everything that a registry process holds.
+    Shown(Shown),
     /// The promise of a voter, and what it has accepted, in the order of the keys.
     Promised(Vec<Option<Accepted>>),
     /// The request was carried out and is durable.
--- a/crates/items/src/roster.rs
+++ b/crates/items/src/roster.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// The other processes, and the time since each was heard.
+    pub fn others(&self, now: Instant) -> impl Iterator<Item = (Member, Duration)> {
+        let others = self.others.iter();
+        others.map(move |known| (known.member, now.since(known.heard)))
+    }
+
     /// Notes that all registers of the process at `address` were copied.
     pub fn copied(&mut self, address: SocketAddr) {
         if let Ok(at) = self.find(address) {
--- a/crates/registry/src/announcements.rs
+++ b/crates/registry/src/announcements.rs
@@ -53,6 +53,12 @@
         self.known.is_empty()
     }
 
+    /// All announcements, and the time since each was renewed.
+    pub fn renewals(&self, now: Instant) -> impl Iterator<Item = (&Announcement, Duration)> {
+        let known = self.known.iter();
+        known.map(move |k| (&k.announcement, now.since(k.renewed)))
+    }
+
     /// What has changed after a revision; everything when the watcher has read nothing yet.
     pub fn since(&self, revision: u64) -> Announcements {
         let complete = revision == 0 || revision < self.forgotten;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -17,6 +17,7 @@
 use shallotrill_feed::message::Cursor;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
+use shallotrill_feed::message::Shown;
 use shallotrill_feed::note;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::digest::Digest;
@@ -70,6 +71,7 @@
             wait_for_change(state, wait, &|| registers_are_new(state, *cursor)).await;
             registers(state, *cursor)
         }
+        Request::Show => Reply::Shown(show(state)),
         Request::Prepare { ballot, keys } => {
             let promised = vote(state, *ballot, |agreement| {
                 agreement
@@ -209,6 +211,27 @@
     }
 }
 
+fn show(state: &State) -> Shown {
+    let now = state.now();
+    let millis = |time: Duration| time.as_millis() as u64;
+    let announcements = {
+        let table = state.announcements.lock();
+        let renewals = table.renewals(now);
+        renewals
+            .map(|(a, silent)| (a.clone(), millis(silent)))
+            .collect()
+    };
+    let agreement = state.agreement.lock();
+    let others = agreement.roster.others(now);
+    Shown {
+        member: agreement.roster.own(),
+        quorum: agreement.roster.quorum(now) as u32,
+        others: others.map(|(m, silent)| (m, millis(silent))).collect(),
+        entries: agreement.replica.entries().to_vec(),
+        announcements,
+    }
+}
+
 /// Items that a watcher lacks. One that has read nothing here may hold all from another process.
 fn unread(agreement: &Agreement, from: u64, held: Digest) -> Vec<Arc<Item>> {
     let replica = &agreement.replica;
--- a/crates/shallotctl/src/main.rs
+++ b/crates/shallotctl/src/main.rs
@@ -3,6 +3,7 @@
 mod explain;
 mod options;
 mod output;
+mod registry;
 mod send;
 
 use std::env;
@@ -50,6 +51,7 @@
         Action::Version => print(concat!("shallotctl ", env!("CARGO_PKG_VERSION"), "\n")),
         Action::Explain(words) => explain(words),
         Action::Statement(text) => Sender::new(&options, output)?.send(text),
+        Action::Registry(view) => registry::run(&options, *view, output),
         Action::Lines => lines(&Sender::new(&options, output)?),
     }
 }
--- a/crates/shallotctl/src/options.rs
+++ b/crates/shallotctl/src/options.rs
@@ -8,6 +8,7 @@
 use lexopt::Arg;
 use lexopt::ValueExt;
 
+use crate::registry::View;
 use shallotrill_model::command;
 
 /// Text of `--help`.
@@ -17,10 +18,12 @@
 usage: shallotctl [OPTION]... STATEMENT...
        shallotctl [OPTION]... -
        shallotctl help [STATEMENT]
+       shallotctl --registry ADDR [OPTION]... show items|registries|routers
 
   -                  reads statements from standard input, one a line; stops at the first that fails
   --control ADDR     IP address and port of a control process; may be repeated; tried in turn
   --node ADDR        announce address of a node, which `explain` asks; may be repeated
+  --registry ADDR    message address of a registry process; may be repeated; all of them are asked
   --json             prints JSON lines
   --operator NAME    name for the history (default: USER)
   --command ID       id of the command, to send a change again without making it twice
@@ -48,6 +51,8 @@
     /// Prints help on the statements that start with these words.
     Explain(Vec<String>),
     Statement(String),
+    /// Asks registry processes.
+    Registry(View),
     /// Reads statements from standard input.
     Lines,
 }
@@ -57,6 +62,7 @@
 pub(crate) struct Options {
     pub(crate) control: Vec<SocketAddr>,
     pub(crate) nodes: Vec<SocketAddr>,
+    pub(crate) registries: Vec<SocketAddr>,
     pub(crate) json: bool,
     pub(crate) operator: String,
     pub(crate) command: Option<command::Id>,
@@ -75,6 +81,8 @@
     CommandForLines,
     /// There is no statement.
     Statement,
+    /// A registry process is asked for something that it does not show.
+    View(String),
 }
 
 impl fmt::Display for Error {
@@ -92,6 +100,10 @@
             Self::Command(invalid) => write!(f, "the value of --command is wrong: {invalid}"),
             Self::CommandForLines => write!(f, "--command cannot be used with several statements"),
             Self::Statement => write!(f, "a statement is needed"),
+            Self::View(found) => write!(
+                f,
+                "registry processes cannot {found:?}: expected show items, show registries or show routers"
+            ),
         }
     }
 }
@@ -123,6 +135,10 @@
                     let text = arguments.value()?.string()?;
                     options.nodes.push(address(&text)?);
                 }
+                Arg::Long("registry") => {
+                    let text = arguments.value()?.string()?;
+                    options.registries.push(address(&text)?);
+                }
                 Arg::Long("json") => options.json = true,
                 Arg::Long("operator") => options.operator = arguments.value()?.string()?,
                 Arg::Long("command") => {
@@ -144,7 +160,13 @@
             let texts = texts.filter(|text| !text.is_empty());
             options.control = texts.map(address).collect::<Result<_, _>>()?;
         }
-        options.action = action(words)?;
+        options.action = if options.registries.is_empty() {
+            action(words)?
+        } else {
+            let text = words.join(" ");
+            let view = View::of(&text).ok_or(Error::View(text))?;
+            Action::Registry(view)
+        };
         if options.command.is_some() && matches!(options.action, Action::Lines) {
             return Err(Error::CommandForLines);
         }
@@ -156,6 +178,7 @@
         Self {
             control: Vec::new(),
             nodes: Vec::new(),
+            registries: Vec::new(),
             json: false,
             operator: operator.to_owned(),
             command: None,
--- /dev/null
+++ b/crates/shallotctl/tests/registry.rs
@@ -0,0 +1,169 @@
+//! The command line against stand-ins for registry processes.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use shallotrill_feed::message::Announcement;
+use shallotrill_feed::message::Reply;
+use shallotrill_feed::message::Request;
+use shallotrill_feed::message::Shown;
+use shallotrill_feed::server;
+use shallotrill_items::ballot::Identity;
+use shallotrill_items::item::Content;
+use shallotrill_items::item::Item;
+use shallotrill_items::item::Key;
+use shallotrill_items::item::Kind;
+use shallotrill_items::replica::Replica;
+use shallotrill_items::roster::Member;
+use shallotrill_wire::listen::Listener;
+
+fn member(port: u16, votes: bool) -> Member {
+    Member {
+        identity: Identity(port.into()),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        votes,
+    }
+}
+
+fn shown() -> Shown {
+    let removal = Item {
+        key: Key {
+            kind: Kind::Route,
+            name: "r-old".into(),
+        },
+        version: 9,
+        content: Content::Removed,
+        document: "".into(),
+    };
+    let mut replica = Replica::default();
+    replica.commit(
+        shallotrill_items::ballot::Ballot::default(),
+        &[Arc::new(removal)],
+    );
+    Shown {
+        member: member(1, true),
+        quorum: 3,
+        others: vec![(member(2, false), 1_500)],
+        entries: replica.entries().to_vec(),
+        announcements: vec![(
+            Announcement {
+                router: SocketAddr::from(([10, 0, 0, 7], 80)),
+                session: 1,
+                sequence: 0,
+                target: None,
+                crashes: Vec::new(),
+            },
+            250,
+        )],
+    }
+}
+
+/// Starts a stand-in and returns its address.
+async fn start() -> SocketAddr {
+    let listener = Listener::bind("127.0.0.1:0".parse().expect("an address"));
+    let listener = listener.await.expect("a listener");
+    let address = listener.address();
+    let (stop, stopped) = watch::channel(false);
+    let handler: server::Handler = Arc::new(|request| {
+        Box::pin(async move {
+            match request {
+                Request::Show => Reply::Shown(shown()),
+                _ => Reply::Unable,
+            }
+        })
+    });
+    tokio::spawn(async move {
+        // The stand-in runs until the test ends.
+        let _stop = stop;
+        server::run(listener, 10, stopped, handler).await;
+    });
+    address
+}
+
+struct Case {
+    name: &'static str,
+    /// `{UP}` stands for a process that answers, `{DOWN}` for an address where nothing listens.
+    arguments: &'static str,
+    code: i32,
+    /// Parts of standard output, and of standard error.
+    output: &'static [&'static str],
+    error: &'static str,
+}
+
+/// Guards against a view that leaves out a process or its reason, and against an exit code that hides that none answered.
+const CASES: &[Case] = &[
+    Case {
+        name: "items",
+        arguments: "--registry {UP} show items",
+        code: 0,
+        output: &["version", "route 'r-old'", "9"],
+        error: "",
+    },
+    Case {
+        name: "registry processes",
+        arguments: "--registry {UP} show registries",
+        code: 0,
+        output: &["quorum", "10.0.0.1:1", "10.0.0.1:2"],
+        error: "",
+    },
+    Case {
+        name: "routers as JSON",
+        arguments: "--json --registry {UP} show routers",
+        code: 0,
+        output: &["10.0.0.7:80"],
+        error: "",
+    },
+    Case {
+        name: "one of two does not answer",
+        arguments: "--registry {UP} --registry {DOWN} show items",
+        code: 0,
+        output: &["r-old"],
+        error: "{DOWN}: no connection",
+    },
+    Case {
+        name: "none answers",
+        arguments: "--registry {DOWN} show items",
+        code: 3,
+        output: &[],
+        error: "{DOWN}: no connection",
+    },
+    Case {
+        name: "something that registry processes do not show",
+        arguments: "--registry {UP} show services",
+        code: 2,
+        output: &[],
+        error: "expected show items, show registries or show routers",
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn registry_processes_are_shown() {
+    let up = start().await.to_string();
+    // Nothing listens on a port that was given back.
+    let down = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = down.local_addr().expect("an address").to_string();
+    drop(down);
+    for case in CASES {
+        let fill = |text: &str| text.replace("{UP}", &up).replace("{DOWN}", &address);
+        let arguments = fill(case.arguments);
+        let output = Command::new(env!("CARGO_BIN_EXE_shallotctl"))
+            .args(arguments.split(' '))
+            .output()
+            .expect(case.name);
+        let out = String::from_utf8_lossy(&output.stdout);
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{}: {error}",
+            case.name
+        );
+        for part in case.output {
+            assert!(out.contains(part), "{}: {out}", case.name);
+        }
+        assert!(error.contains(&fill(case.error)), "{}: {error}", case.name);
+    }
+}
