router: targets without a connection are passed over, up to eight

Ruled out: the registries (the removals were known within a second); lost requests (they may have run, and are not sent again).

Change: unreachable targets have a bound of their own, eight, named in 'request-given-up'.

Test: five of six targets are gone; with the bound of three the request is refused, with eight it is answered.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -37,6 +37,10 @@
 /// Refusals by gates that a request goes through before it is refused itself.
 const GATE_TRIES: u32 = 3;
 
+/// Targets without a connection that a request goes through. They cost no time, and tell nothing
+/// of the load of others: when half of the routers are killed at once, three in a row are common.
+const UNREACHABLE_TRIES: u32 = 8;
+
 /// When a refused caller is asked to come again: about the service time, after which slots are free.
 const RETRY_AFTER: &str = "0.05";
 
@@ -177,6 +181,7 @@
 struct Progress {
     tried: Vec<instance::Name>,
     gates: u32,
+    unreachable: u32,
     /// Every target that was asked is slow or full, so the best of them is to take the request.
     insist: bool,
     arrivals: u32,
@@ -222,8 +227,11 @@
             Err(denial) => {
                 state.metrics.denied(denial);
                 note_denial(state, work, &choice, denial, left);
-                progress.arrivals += u32::from(denial.has_arrived());
-                progress.gates += u32::from(!denial.has_arrived());
+                match denial {
+                    Denial::Unreachable => progress.unreachable += 1,
+                    _ if denial.has_arrived() => progress.arrivals += 1,
+                    _ => progress.gates += 1,
+                }
                 progress.may_have_run |= !denial.is_not_run();
                 progress.last = Some(denial);
                 if !goes_on(work, &progress) {
@@ -304,7 +312,10 @@
 /// Whether a denied request may be sent to another target.
 fn goes_on(work: &Work, progress: &Progress) -> bool {
     let allowed = work.route.class == Class::Idempotent || !progress.may_have_run;
-    allowed && progress.arrivals < work.route.attempts && progress.gates < GATE_TRIES
+    allowed
+        && progress.arrivals < work.route.attempts
+        && progress.gates < GATE_TRIES
+        && progress.unreachable < UNREACHABLE_TRIES
 }
 
 /// The estimate that decided a choice, for the log.
@@ -397,6 +408,7 @@
         route_version = work.route_version,
         last = reason,
         refused_by_gates = progress.gates,
+        unreachable = progress.unreachable,
         arrivals = progress.arrivals,
         may_have_run = progress.may_have_run,
         targets = state.routing.lock().targets(&work.service),
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use shallotrill_feed::message::Request;
 use shallotrill_items::item::Content;
 use shallotrill_items::item::Item;
 use shallotrill_items::item::Key;
@@ -27,6 +28,7 @@
 use shallotrill_model::service;
 use shallotrill_model::zone;
 use shallotrill_process::clock::Clock;
+use shallotrill_registry::members;
 use shallotrill_registry::propose;
 use shallotrill_registry::run as registry;
 use shallotrill_router::backend;
@@ -442,6 +444,35 @@
     assert_eq!(other.arrived.load(Ordering::SeqCst), 20);
 }
 
+/// Guards against a request that is refused because several targets are gone at once, although another one is free.
+#[tokio::test]
+async fn unreachable_targets_are_passed_over() {
+    const GONE: usize = 5;
+    // The first choices differ from scene to scene.
+    for _ in 0..6 {
+        let count = Arc::new(Count::default());
+        let one = backend_server(WHOLE, Arc::clone(&count)).await;
+        let scene = scene(Class::NonIdempotent, &[one]).await;
+        let known = scene.routers[0].state().announcement();
+        for number in 0..GONE {
+            // Nothing listens on a port that was given back.
+            let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let router = port.local_addr().expect("an address");
+            drop(port);
+            let mut gone = known.clone();
+            gone.router = router;
+            let target = gone.target.as_mut().expect("a target");
+            target.address = router;
+            target.instance = instance::Name::new(&format!("gone-{number}")).expect("a name");
+            let request = Request::Announce(gone);
+            members::answer(&scene.registry.state(), &request).await;
+        }
+        scene.wait_for_targets(GONE + 1).await;
+        assert_eq!(scene.ask("/a/b").await.0, 200);
+        assert_eq!(count.arrived.load(Ordering::SeqCst), 1);
+    }
+}
+
 /// Guards against a stop that cuts a request, and against new callers at a router that stops.
 #[tokio::test]
 async fn a_stop_is_graceful() {
