peer: a stop does not wait for a node that says nothing more

Connections of killed or powerless machines stay open without a word; a graceful end of HTTP/2 waits for the other node's confirmation, which pings give up only after 25 s.

Ruled out: requests in flight (their time limits are 3 s at most); connections of callers, which close when idle.

Change: 0.5 s after a stop a connection without a request in flight is closed. Answers hold a count until their bodies have ended.

Test: a node that sends its settings and nothing more holds up the stop for more than 10 s without the change; with it the listener ends at once.

--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -16,7 +16,9 @@
 use log::debug;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time;
 
+use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
 use shallotrill_wire::listen;
 use shallotrill_wire::listen::Listener;
@@ -30,6 +32,10 @@
 /// An unanswered ping closes the connection after this time.
 const PING_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// A connection without a request in flight ends this long after a stop, also when the other node
+/// does not confirm its end: one that is suspended or without power never does.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Most requests of one other node in flight on one connection.
 const STREAMS_MAX: u32 = 1_000;
 
@@ -55,10 +61,19 @@
     if let Err(error) = listen::tune(&stream, USER_TIMEOUT) {
         debug!(event = "socket-option-failed"; "{error}");
     }
+    // Each answer holds a copy until its body has ended.
+    let flights = Arc::new(());
+    let watched = Arc::downgrade(&flights);
     let service = service_fn(move |request| {
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let flight = Arc::clone(&flights);
+        async move {
+            let answer = answer.await;
+            Ok::<_, Infallible>(answer.map(|whole| body::holding(whole, flight)))
+        }
     });
+    // The service itself holds one.
+    let is_idle = || watched.strong_count() <= 1;
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
@@ -70,7 +85,12 @@
         ended = connection.as_mut() => ended,
         () = listen::stopped(&mut stop) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            loop {
+                tokio::select! {
+                    ended = connection.as_mut() => break ended,
+                    () = time::sleep(CLOSE_LIMIT) => if is_idle() { return },
+                }
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/peer/tests/contract.rs
+++ b/crates/peer/tests/contract.rs
@@ -17,9 +17,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time;
 
@@ -35,6 +38,9 @@
 /// Waits of the tests end on a condition; this only ends a hung run.
 const LIMIT: Duration = Duration::from_secs(20);
 
+/// Longest stop of a listener without requests. Pings find a silent node only after 25 s.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
 /// What the handler of another node holds and sees.
 struct Seen {
     hold: Semaphore,
@@ -91,6 +97,7 @@
     address: SocketAddr,
     seen: Arc<Seen>,
     stop: watch::Sender<bool>,
+    stopped: JoinHandle<()>,
 }
 
 async fn start() -> Other {
@@ -106,11 +113,12 @@
     let answering = Arc::clone(&seen);
     let handler: listener::Handler =
         Arc::new(move |request| Box::pin(answer(Arc::clone(&answering), request)));
-    tokio::spawn(listener::run(listener, 100, stopped, handler));
+    let stopped = tokio::spawn(listener::run(listener, 100, stopped, handler));
     Other {
         address,
         seen,
         stop,
+        stopped,
     }
 }
 
@@ -290,3 +298,20 @@
     other.seen.hold.add_permits(1);
     assert_eq!(held.await.expect("no panic"), "held");
 }
+
+/// Guards against a stop that waits for a node that says nothing more, such as one without power.
+#[tokio::test]
+async fn a_silent_node_does_not_hold_up_a_stop() {
+    let other = start().await;
+    let mut silent = TcpStream::connect(other.address).await.expect("connected");
+    // The beginning of a connection with empty settings; nothing is answered afterwards.
+    silent
+        .write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+        .await
+        .expect("sent");
+    let mut first = [0];
+    silent.read_exact(&mut first).await.expect("settings");
+    other.stop.send_replace(true);
+    let stopped = time::timeout(STOP_LIMIT, other.stopped).await;
+    stopped.expect("it ends in time").expect("no panic");
+}
