router: a test that no request outlasts its route's timeout or its caller's time

Test: a backend server that does not answer, by class and by which time is the smaller. It fails when the route's timeout is left out of the limit.

--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -55,7 +55,7 @@
     pub items: Mutex<Arc<Table>>,
     /// The turns of routes with several services, sorted by name.
     pub splits: Mutex<Vec<Turns>>,
-    /// Since when the first items are being read from a registry process.
+    /// Since when the first items are being read from a registry process; held alone.
     pub reading: Mutex<Option<Instant>>,
     /// What each registry process says of the targets.
     pub views: Mutex<Views>,
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -210,6 +210,9 @@
         if head.starts_with("GET /a/slow") {
             time::sleep(WORK).await;
         }
+        if head.starts_with("GET /a/never") {
+            time::sleep(LIMIT).await;
+        }
         let id = header(&head, "shallotrill-request").unwrap_or_default();
         let text = reply.replace("{id}", id);
         let sent = stream.write_all(text.as_bytes()).await;
@@ -366,10 +369,14 @@
 }
 
 async fn ask(address: SocketAddr, path: &str) -> (u16, String) {
+    ask_within(address, path, 1_500).await
+}
+
+async fn ask_within(address: SocketAddr, path: &str, deadline_ms: u64) -> (u16, String) {
     let mut stream = TcpStream::connect(address).await.expect("connected");
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: host\r\nshallotrill-request: one\r\n\
-             shallotrill-deadline-ms: 1500\r\nshallotrill-caller: forged\r\nConnection: close\r\n\r\n"
+             shallotrill-deadline-ms: {deadline_ms}\r\nshallotrill-caller: forged\r\nConnection: close\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.expect("sent");
     let mut answer = Vec::new();
@@ -527,3 +534,46 @@
     let left = header(&head, "shallotrill-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
     assert!(left.is_some_and(|ms| (1..=1_500).contains(&ms)), "{head}");
 }
+
+struct Bound {
+    name: &'static str,
+    class: Class,
+    /// Time that the caller gives; the route has [`TIMEOUT`].
+    deadline_ms: u64,
+}
+
+/// Guards against a request that outlasts its route's timeout or its caller's patience.
+const BOUNDS: &[Bound] = &[
+    Bound {
+        name: "the route's timeout is the smaller",
+        class: Class::NonIdempotent,
+        deadline_ms: 60_000,
+    },
+    Bound {
+        name: "the route's timeout is the smaller, idempotent",
+        class: Class::Idempotent,
+        deadline_ms: 60_000,
+    },
+    Bound {
+        name: "the caller's time is the smaller",
+        class: Class::NonIdempotent,
+        deadline_ms: 300,
+    },
+];
+
+#[tokio::test]
+async fn no_request_outlasts_its_time() {
+    for case in BOUNDS {
+        let count = Arc::new(Count::default());
+        let one = backend_server(WHOLE, Arc::clone(&count)).await;
+        let scene = scene(case.class, &[one]).await;
+        let address = scene.routers[0].state().settings.caller_listen;
+        let begin = time::Instant::now();
+        let (status, _) = ask_within(address, "/a/never", case.deadline_ms).await;
+        assert_eq!(status, 504, "{}", case.name);
+        let allowed = TIMEOUT.min(Duration::from_millis(case.deadline_ms));
+        // A busy machine may be late; a missing bound lasts until the backend server ends.
+        assert!(begin.elapsed() < allowed + LIMIT / 4, "{}", case.name);
+        assert_eq!(count.arrived.load(Ordering::SeqCst), 1, "{}", case.name);
+    }
+}
