--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,6 +11,7 @@
 use lexopt::ValueExt;
 use tokio::runtime::Builder;
 
+use shallotrill_soak::check::PROMISES;
 use shallotrill_soak::plan;
 use shallotrill_soak::plan::Size;
 use shallotrill_soak::run;
@@ -147,6 +148,11 @@
         for (promise, what) in &report.broken {
             println!("  {promise}: {what}");
         }
+        for promise in PROMISES {
+            if report.broken.iter().any(|(name, _)| *name == promise.name) {
+                println!("  {} promises that {}", promise.name, promise.text);
+            }
+        }
         let routers = options.routers.map(|n| format!(" --routers {n}"));
         let seconds = options
             .length_ms
