retry, router: share the retry limit by the number of routers

Cause: each router saved up to a twentieth of the slack, whatever the number of routers. The slack itself was never granted: tokens were earned by first attempts alone.

Change: a router takes its part by the number of routers that the registry processes report: half of the slack as burst, half earned back over the window. budgetWindowS is read from the settings.

--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -18,20 +18,49 @@
 pub struct Config {
     permille: u32,
     floor_per_second: u32,
+    slack_permille_per_second: u32,
     burst: u32,
 }
 
+/// Retries that the members of a fleet may make together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetLimit {
+    /// Extra attempts allowed for each thousand first attempts.
+    pub permille: u32,
+    /// Extra attempts allowed beyond that share in each window.
+    pub slack: u32,
+    /// Length of the window.
+    pub window: Duration,
+}
+
 impl Default for Config {
     fn default() -> Self {
         Self {
             permille: 100,
             floor_per_second: 1,
+            slack_permille_per_second: 0,
             burst: 100,
         }
     }
 }
 
 impl Config {
+    /// The part of a fleet's limit that one of its `members` may use.
+    ///
+    /// Half of the slack is kept as burst and half is earned back over a window, so that all members
+    /// together stay within the slack in any window, as long as it is at least two for each member.
+    pub fn share(limit: FleetLimit, members: usize) -> Self {
+        let members = members.max(1) as f64;
+        let half_slack = f64::from(limit.slack) / members / 2.0;
+        let per_second = half_slack / limit.window.as_secs_f64().max(1.0);
+        Self {
+            permille: limit.permille,
+            floor_per_second: 0,
+            slack_permille_per_second: (per_second * UNITS_PER_TOKEN as f64) as u32,
+            burst: (half_slack as u32).max(1),
+        }
+    }
+
     /// Sets the number of extra attempts that a thousand first attempts earn.
     #[must_use]
     pub const fn permille(mut self, permille: u32) -> Self {
@@ -78,8 +107,9 @@
 
 /// Tokens of one service at one node. A token pays for one extra attempt of a request.
 ///
-/// Over any period, the number of extra attempts is at most
-/// `burst + permille / 1000 × first attempts + floor_per_second × (1 + seconds)`.
+/// Over any period, the number of extra attempts is at most the sum of `burst`,
+/// `permille / 1000 × first attempts`, `floor_per_second × (1 + seconds)` and
+/// `slack_permille_per_second / 1000 × seconds`.
 #[derive(Clone, Debug)]
 pub struct Budget {
     config: Config,
@@ -87,6 +117,8 @@
     earned_units: u64,
     /// Tokens available from the per-second floor, in thousandths.
     floor_units: u64,
+    /// Slack that does not make up a thousandth of a token yet, in millionths of a token.
+    slack_rest: u64,
     refilled_at: Instant,
     spent: u64,
     refused: u64,
@@ -99,6 +131,7 @@
             config,
             earned_units: 0,
             floor_units: u64::from(config.floor_per_second) * UNITS_PER_TOKEN,
+            slack_rest: 0,
             refilled_at: now,
             spent: 0,
             refused: 0,
@@ -186,6 +219,13 @@
             .floor_units
             .saturating_add(elapsed_ms.saturating_mul(rate)))
         .min(rate * UNITS_PER_TOKEN);
+        let slack_rate = u64::from(self.config.slack_permille_per_second);
+        // Refills are more frequent than one unit per refill, so the rest is kept for the next one.
+        let slack = elapsed_ms.saturating_mul(slack_rate) + self.slack_rest;
+        self.slack_rest = slack % 1_000;
+        let slack_units = slack / 1_000;
+        let max = u64::from(self.config.burst) * UNITS_PER_TOKEN;
+        self.earned_units = self.earned_units.saturating_add(slack_units).min(max);
         self.refilled_at = self.refilled_at + Duration::from_millis(elapsed_ms);
     }
 
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::info;
@@ -71,6 +72,8 @@
     views: Vec<View>,
     /// Targets at the last call of `difference`, sorted by instance.
     targets: Vec<Target>,
+    /// Number of routers at the last call of `difference`.
+    routers: usize,
 }
 
 /// Changes of the targets for the routing table.
@@ -117,18 +120,20 @@
     /// The targets of the newest announcement of each router, over the registries with recent contact.
     ///
     /// Without any such registry the last views stay in use: a router keeps working without registries.
-    fn merge(&self, now: Instant) -> Vec<Target> {
+    fn merge(&mut self, now: Instant) -> Vec<Target> {
         let any_fresh = self.reachable_registries(now) > 0;
         let views = self.views.iter().filter(|v| !any_fresh || v.is_fresh(now));
         let mut newest: Vec<&Announcement> = views.flat_map(|v| &v.announcements).collect();
         newest.sort_by_key(|a| (a.router, std::cmp::Reverse((a.session, a.sequence))));
         newest.dedup_by_key(|a| a.router);
+        let routers = newest.len();
         let mut targets: Vec<Target> = newest.iter().filter_map(|a| a.target.clone()).collect();
         targets.sort_by(|a, b| {
             (&a.instance, std::cmp::Reverse(a.incarnation.0))
                 .cmp(&(&b.instance, std::cmp::Reverse(b.incarnation.0)))
         });
         targets.dedup_by(|later, first| later.instance == first.instance);
+        self.routers = routers;
         targets
     }
 
@@ -307,6 +312,7 @@
     let now = state.now();
     let mut views = state.views.lock();
     let difference = views.difference(now);
+    state.router_count.store(views.routers, Ordering::Relaxed);
     if difference.changed.is_empty() && difference.removed.is_empty() {
         return;
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -207,6 +208,7 @@
         views: Mutex::new(Rank::Membership, RegistryViews::default()),
         routing: Mutex::new(Rank::Routing, routing::Table::new(choice)),
         backend: Mutex::new(Rank::Gate, Backend::default()),
+        router_count: AtomicUsize::new(1),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
         crashes: Mutex::new(Rank::Report, Crashes::default()),
         crash_check_running: AtomicBool::new(false),
@@ -234,6 +236,7 @@
         // Counting the connections also closes those that have been idle for long.
         let _ = state.pool.counts();
         follow::apply_targets(&state);
+        state.configure_budgets();
         let suppressed = state.routine_log_quota.suppressed();
         state.metrics.log_suppressed.set(metrics::count(suppressed));
         let reachable = state.views.lock().reachable_registries(state.now());
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -30,8 +30,10 @@
     pub registries: Vec<SocketAddr>,
     /// Retries allowed for each thousand first attempts, over all routers.
     pub retry_permille: u32,
-    /// Retries allowed beyond that share, over all routers.
+    /// Retries allowed beyond that share in each window, over all routers.
     pub retry_slack: u32,
+    /// Length of the window of `retry_slack`.
+    pub retry_window: Duration,
     /// Time from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Names of the headers.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
@@ -33,9 +34,6 @@
 /// parent was retried.
 const RETRY_SHARE: f64 = 0.5;
 
-/// Number of routers assumed to share the slack, since no router knows how many there are.
-const SLACK_ROUTERS: u32 = 20;
-
 /// Weighted round robin over the services of one version of a route.
 #[derive(Clone, Debug)]
 pub struct RouteSplit {
@@ -64,6 +62,8 @@
     pub routing: Mutex<table::Table>,
     /// State of the local backend server.
     pub backend: Mutex<Backend>,
+    /// Number of routers that the registry processes report.
+    pub router_count: AtomicUsize,
     /// Retry budget of each service, sorted by name.
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
     /// Crash records and quarantine.
@@ -188,6 +188,25 @@
         spent
     }
 
+    /// Adjusts the retry budgets to the number of routers that share the limit.
+    pub fn configure_budgets(&self) {
+        let config = self.retry_config();
+        for (_, budget) in self.budgets.lock().iter_mut() {
+            budget.configure(config);
+        }
+    }
+
+    /// The part of the limit of all routers that this one may use.
+    fn retry_config(&self) -> budget::Config {
+        let settings = &self.settings;
+        let limit = budget::FleetLimit {
+            permille: (f64::from(settings.retry_permille) * RETRY_SHARE) as u32,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
+        };
+        budget::Config::share(limit, self.router_count.load(Ordering::Relaxed))
+    }
+
     fn with_budget<T>(
         &self,
         service: &service::Name,
@@ -197,11 +216,8 @@
         let index = match budgets.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let config = budget::Config::default()
-                    .permille((f64::from(self.settings.retry_permille) * RETRY_SHARE) as u32)
-                    .floor_per_second(0)
-                    .burst((self.settings.retry_slack / SLACK_ROUTERS).max(1));
-                budgets.insert(index, (service.clone(), Budget::new(config, self.now())));
+                let budget = Budget::new(self.retry_config(), self.now());
+                budgets.insert(index, (service.clone(), budget));
                 index
             }
         };
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -277,6 +277,7 @@
             registries: vec![state.settings.listen],
             retry_permille: 1_000,
             retry_slack: 1_000,
+            retry_window: Duration::from_secs(10),
             grace_period: Duration::from_secs(2),
             names: Names::default(),
             clock: Clock::start(),
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -25,9 +25,6 @@
 /// Number of late arrivals that are tolerated in a run: a request may already be in transit when its caller disconnects.
 const LATE_ARRIVALS_MAX: usize = 3;
 
-/// Window of the retry budget.
-const BUDGET_WINDOW_MS: u64 = 10_000;
-
 /// An invariant that the system guarantees.
 #[derive(Clone, Copy, Debug)]
 pub struct Invariant {
@@ -354,12 +351,12 @@
             }
         }
         for (index, &window_start) in further_attempts.iter().enumerate() {
-            let window_end = window_start + BUDGET_WINDOW_MS;
+            let window_end = window_start + layout::RETRY_BUDGET_WINDOW_MS;
             let count = further_attempts[index..]
                 .iter()
                 .filter(|&&at_ms| at_ms < window_end)
                 .count();
-            let from_ms = window_start.saturating_sub(BUDGET_WINDOW_MS);
+            let from_ms = window_start.saturating_sub(layout::RETRY_BUDGET_WINDOW_MS);
             let first = first_attempts
                 .iter()
                 .filter(|&&at_ms| at_ms >= from_ms && at_ms < window_end)
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -44,6 +44,9 @@
 /// Further attempts allowed in addition to that share, in each window.
 pub const RETRY_BUDGET_SLACK: usize = 60;
 
+/// Length of the window of the retry budget, in milliseconds.
+pub const RETRY_BUDGET_WINDOW_MS: u64 = 10_000;
+
 /// The loopback networks of one run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Layout {
@@ -99,6 +102,7 @@
                 format!("drainS={}", DRAIN_TIMEOUT_MS / 1_000),
                 format!("retryBudgetRatio={RETRY_BUDGET_RATIO}"),
                 format!("budgetSlack={RETRY_BUDGET_SLACK}"),
+                format!("budgetWindowS={}", RETRY_BUDGET_WINDOW_MS / 1_000),
             ],
         });
         if is_registry(process) {
