backend: end an endless response body at its deadline for a slow reader too

Cause: the deadline of a response body was checked only while no bytes were ready. A backend server that sends faster than the reader reads keeps bytes ready, so the body never ended and kept its slot and connection.

Change: the deadline is checked with each frame. New table of bytes without end (status line, header, headers, informational responses, bytes that are no response, chunk extension, chunks, trailers, a byte at a time in head and body, no length, one response after the other): each ends at hyper's bounds of the head or at the timeout of the request, and its connection is closed.

Seen to fail: an_endless_body_ends_at_the_deadline_for_a_slow_reader on the code before (no end within 20 s). The table passes on it; it shows that the other kinds cannot happen.

--- a/crates/backend/src/response.rs
+++ b/crates/backend/src/response.rs
@@ -77,6 +77,11 @@
         body
     }
 
+    fn time_out(&mut self) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        self.end(End::Truncated);
+        Poll::Ready(Some(Err(body::Error::Timeout(self.timeout))))
+    }
+
     fn end(&mut self, end: End) {
         if let Some(connection) = self.connection.take() {
             match end {
@@ -99,12 +104,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
         match Pin::new(&mut self.inner).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                if self.inner.is_end_stream() {
-                    self.end(End::Complete);
-                }
+            Poll::Ready(Some(Ok(frame))) if self.inner.is_end_stream() => {
+                self.end(End::Complete);
                 Poll::Ready(Some(Ok(frame)))
             }
+            // An endless body whose reader is slower than its sender is never pending, so the deadline
+            // is checked here too.
+            Poll::Ready(Some(Ok(frame))) if self.deadline.as_mut().poll(cx).is_pending() => {
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Ok(_))) => self.time_out(),
             Poll::Ready(Some(Err(error))) => {
                 self.end(End::Truncated);
                 Poll::Ready(Some(Err(body::Error::Truncated(Box::new(error)))))
@@ -113,10 +122,7 @@
                 self.end(End::Complete);
                 Poll::Ready(None)
             }
-            Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
-                self.end(End::Truncated);
-                Poll::Ready(Some(Err(body::Error::Timeout(self.timeout))))
-            }
+            Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => self.time_out(),
             Poll::Pending => Poll::Pending,
         }
     }
--- a/crates/backend/tests/contract/common.rs
+++ b/crates/backend/tests/contract/common.rs
@@ -25,6 +25,9 @@
 /// Timeout of a hung test; waits otherwise end when their condition holds.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Size of one write of [`FollowUp::Flood`].
+const FLOOD_BLOCK_BYTES: usize = 64 * 1024;
+
 pub const ID: &str = "0000000000000000000000000000000a";
 
 /// Action of the server on its first connection after it has sent the scripted response.
@@ -38,6 +41,10 @@
     Hold,
     /// Sends these bytes after a pause, with no request outstanding.
     SendUnsolicited(&'static str),
+    /// Sends these bytes again and again until the client closes, then counts that.
+    Flood(&'static str),
+    /// Sends one byte at a time with this pause until the client closes, then counts that.
+    Trickle(Duration),
 }
 
 /// Counters of the server.
@@ -106,6 +113,19 @@
                 observed.lock().expect("no panic").closed += 1;
                 return;
             }
+            FollowUp::Flood(bytes) => {
+                let block = bytes.repeat(FLOOD_BLOCK_BYTES / bytes.len());
+                while stream.write_all(block.as_bytes()).await.is_ok() {}
+                observed.lock().expect("no panic").closed += 1;
+                return;
+            }
+            FollowUp::Trickle(pause) => {
+                while stream.write_all(b"a").await.is_ok() {
+                    time::sleep(pause).await;
+                }
+                observed.lock().expect("no panic").closed += 1;
+                return;
+            }
             FollowUp::SendUnsolicited(bytes) => {
                 time::sleep(Duration::from_millis(20)).await;
                 let _ = stream.write_all(bytes.as_bytes()).await;
--- a/crates/backend/tests/contract/main.rs
+++ b/crates/backend/tests/contract/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod connections;
+mod endless;
 mod responses;
