registry, router: gather changes of announcements, merge views only on a change

Change: a reply to a watcher waits 0.25 ms for each announced router (at most 100 ms) for further changes; a first reply is sent at once. A router merges when an announcement has changed or other registry processes are in use.

Seen to fail: registry/tests/watch.rs changes_that_come_together_are_sent_in_one_reply with the wait taken out (1 of 300 changes in the reply).

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -48,6 +48,11 @@
 }
 
 impl Announcements {
+    /// Whether applying the changes has no effect.
+    pub const fn is_empty(&self) -> bool {
+        !self.complete && self.changed.is_empty() && self.removed.is_empty()
+    }
+
     /// Applies the changes to `held`, which is sorted by the address of the router.
     pub fn apply(self, held: &mut Vec<Announcement>) {
         if self.complete {
--- a/crates/registry/src/announcements.rs
+++ b/crates/registry/src/announcements.rs
@@ -18,6 +18,14 @@
 /// complete table.
 const REMOVALS_MAX: usize = 1_024;
 
+/// Time for each announced router that a reply to a watcher waits for further changes. When many routers
+/// change at once, each watcher is then sent the changes in a few replies instead of one by one: at 300
+/// routers that start together, up to 300 replies to each of 300 watchers.
+const GATHER_TIME_PER_ROUTER: Duration = Duration::from_micros(250);
+
+/// Longest time that a reply waits for further changes.
+const GATHER_TIME_MAX: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Debug)]
 struct Lease {
     announcement: Announcement,
@@ -40,6 +48,15 @@
 }
 
 impl Table {
+    /// Time that a reply to a watcher waits for further changes; in proportion to the number of routers,
+    /// as the number of replies is.
+    pub fn gather_time(&self) -> Duration {
+        let routers = u32::try_from(self.leases.len()).unwrap_or(u32::MAX);
+        GATHER_TIME_PER_ROUTER
+            .saturating_mul(routers)
+            .min(GATHER_TIME_MAX)
+    }
+
     /// Revision of the table; increases with each change.
     pub const fn revision(&self) -> u64 {
         self.revision
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -52,10 +52,15 @@
             announce(state, announcement.clone());
             let wait = Duration::from_millis(u64::from(*wait_ms));
             let wants_items = held.is_some();
-            wait_for_change(state, wait, &|| {
+            let changed = wait_for_change(state, wait, &|| {
                 view_has_changed(state, *cursor, wants_items)
             })
             .await;
+            // A watcher that has received nothing yet is answered at once.
+            if changed && cursor.session == state.session {
+                let gather_time = state.announcements.lock().gather_time();
+                time::sleep(gather_time).await;
+            }
             view(state, *cursor, held.map(ItemSetHash))
         }
         Request::Announce(announcement) => {
@@ -164,11 +169,12 @@
     }
 }
 
+/// Waits for a change. Returns whether there is one.
 async fn wait_for_change(
     state: &State,
     wait: Duration,
     has_changed: &(dyn Fn() -> bool + Send + Sync),
-) {
+) -> bool {
     let mut changed = state.changed.subscribe();
     let waiting = async {
         while !has_changed() {
@@ -178,8 +184,7 @@
             }
         }
     };
-    // When the wait times out, the reply contains no change.
-    drop(time::timeout(wait, waiting).await);
+    time::timeout(wait, waiting).await.is_ok()
 }
 
 fn view_has_changed(state: &State, cursor: Cursor, wants_items: bool) -> bool {
--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -1,5 +1,6 @@
 //! Items that a registry process sends to a watching router.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tempfile::TempDir;
@@ -36,16 +37,20 @@
     }
 }
 
+fn announcement(router: usize, sequence: u64) -> Announcement {
+    Announcement {
+        router: SocketAddr::from(([127, 0, 0, 1], router as u16)),
+        session: 1,
+        sequence,
+        target: None,
+        crashes: Vec::new(),
+    }
+}
+
 async fn watch(state: &Arc<State>, cursor: Cursor, held: Option<u64>) -> (Cursor, Vec<Arc<Item>>) {
     let request = Request::Watch {
         cursor,
-        announcement: Announcement {
-            router: "127.0.0.1:1".parse().expect("an address"),
-            session: 1,
-            sequence: 0,
-            target: None,
-            crashes: Vec::new(),
-        },
+        announcement: announcement(1, 0),
         wait_ms: 0,
         held,
     };
@@ -169,3 +174,39 @@
     let names: Vec<&str> = items.iter().map(|item| &*item.key.name).collect();
     assert_eq!(names, ["c"]);
 }
+
+/// Guards against a reply for each of many changes: with 295 routers that start together, each of 295 watchers would
+/// be sent up to 295 replies by each registry process.
+#[tokio::test]
+async fn changes_that_come_together_are_sent_in_one_reply() {
+    const ROUTERS: usize = 300;
+    let fixture = fixture().await;
+    let announce = async |router, sequence| {
+        let request = Request::Announce(announcement(router, sequence));
+        members::handle(&fixture.state, &request).await;
+    };
+    for router in 1..=ROUTERS {
+        announce(router, 1).await;
+    }
+    let (cursor, _) = watch(&fixture.state, Cursor::default(), None).await;
+    // The gathering time then passes only when no task can make progress.
+    tokio::time::pause();
+    let state = Arc::clone(&fixture.state);
+    let watcher = tokio::spawn(async move {
+        let request = Request::Watch {
+            cursor,
+            announcement: announcement(1, 1),
+            wait_ms: 60_000,
+            held: None,
+        };
+        members::handle(&state, &request).await
+    });
+    for router in 1..=ROUTERS {
+        announce(router, 2).await;
+        tokio::task::yield_now().await;
+    }
+    let Reply::View { announcements, .. } = watcher.await.expect("the watcher ends") else {
+        panic!("the registry process replies with a view");
+    };
+    assert_eq!(announcements.changed.len(), ROUTERS);
+}
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -74,6 +74,10 @@
     targets: Vec<Target>,
     /// Number of routers at the last call of `difference`.
     routers: usize,
+    /// Whether an announcement has changed since the last call of `difference`.
+    changed: bool,
+    /// The registry processes whose views counted at the last call of `difference`.
+    merged: Vec<SocketAddr>,
 }
 
 /// Changes of the targets for the routing table.
@@ -101,6 +105,7 @@
     }
 
     fn remove(&mut self, registry: SocketAddr) {
+        self.changed = true;
         self.views.retain(|view| view.registry != registry);
     }
 
@@ -108,6 +113,7 @@
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
             let view = &mut self.views[index];
             view.last_contact = Some(now);
+            self.changed |= !announcements.is_empty();
             announcements.apply(&mut view.announcements);
         }
     }
@@ -117,12 +123,19 @@
         self.views.iter().filter(|view| view.is_fresh(now)).count()
     }
 
-    /// The targets of the newest announcement of each router, over the registries with recent contact.
+    /// The registry processes with recent contact.
     ///
     /// Without any such registry the last views stay in use: a router keeps working without registries.
-    fn merge(&mut self, now: Instant) -> Vec<Target> {
+    fn used_registries(&self, now: Instant) -> Vec<SocketAddr> {
         let any_fresh = self.reachable_registries(now) > 0;
-        let views = self.views.iter().filter(|v| !any_fresh || v.is_fresh(now));
+        let used = self.views.iter().filter(|v| !any_fresh || v.is_fresh(now));
+        used.map(|view| view.registry).collect()
+    }
+
+    /// The targets of the newest announcement of each router, over the views that are in use.
+    fn merge(&mut self) -> Vec<Target> {
+        let used = |view: &&View| self.merged.binary_search(&view.registry).is_ok();
+        let views = self.views.iter().filter(used);
         let mut newest: Vec<&Announcement> = views.flat_map(|v| &v.announcements).collect();
         newest.sort_by_key(|a| (a.router, std::cmp::Reverse((a.session, a.sequence))));
         newest.dedup_by_key(|a| a.router);
@@ -138,8 +151,17 @@
     }
 
     /// Determines which targets have changed since the last call.
+    ///
+    /// Most replies contain no announcement; the views are merged again only when one has changed or
+    /// when other registry processes are in use.
     pub fn difference(&mut self, now: Instant) -> Difference {
-        let targets = self.merge(now);
+        let used = self.used_registries(now);
+        if !self.changed && used == self.merged {
+            return Difference::default();
+        }
+        self.changed = false;
+        self.merged = used;
+        let targets = self.merge();
         let find = |list: &[Target], name: &instance::Name| {
             list.binary_search_by(|t| t.instance.cmp(name)).ok()
         };
