--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -519,3 +519,73 @@
         );
     }
 }
+
+struct LatePauseCase {
+    name: &'static str,
+    /// Priority of the ticket that is offered after a late one of priority 1 has waited in vain.
+    priority: u8,
+    timely_ms: u64,
+    /// Milliseconds from the refusal to the offer.
+    after_ms: u64,
+    queued: bool,
+}
+
+/// Guards against late requests that wait for most of their time and are then refused, one after the other, while
+/// timely ones take all slots (grown Gardırop, `scale-1`: 8,700 look-ups were held for 1.2 s and refused).
+const LATE_PAUSE_CASES: &[LatePauseCase] = &[
+    LatePauseCase {
+        name: "a late ticket is refused at once",
+        priority: 1,
+        timely_ms: 1,
+        after_ms: 10,
+        queued: false,
+    },
+    LatePauseCase {
+        name: "a late ticket of a lower priority too",
+        priority: 0,
+        timely_ms: 1,
+        after_ms: 10,
+        queued: false,
+    },
+    LatePauseCase {
+        name: "a late ticket of a higher priority waits",
+        priority: 2,
+        timely_ms: 1,
+        after_ms: 10,
+        queued: true,
+    },
+    LatePauseCase {
+        name: "a timely ticket waits",
+        priority: 1,
+        timely_ms: 500,
+        after_ms: 10,
+        queued: true,
+    },
+    LatePauseCase {
+        name: "a late ticket waits again after a pause",
+        priority: 1,
+        timely_ms: 1,
+        after_ms: 600,
+        queued: true,
+    },
+];
+
+#[test]
+fn late_tickets_are_refused_after_one_has_waited_in_vain() {
+    for case in LATE_PAUSE_CASES {
+        let mut gate = gate(1, 4);
+        let start = Instant(1_000);
+        assert_eq!(
+            gate.offer(late_ticket(0, 1, 900, start), start),
+            Verdict::Run
+        );
+        let verdict = gate.offer(late_ticket(1, 1, 1, start), start);
+        assert_eq!(verdict, Verdict::Queue { displaced: None }, "{}", case.name);
+        let expired = start + Duration::from_secs(1);
+        assert_eq!(gate.expire(expired).refused.len(), 1, "{}", case.name);
+        let now = expired + Duration::from_millis(case.after_ms);
+        let verdict = gate.offer(late_ticket(2, case.priority, case.timely_ms, now), now);
+        let queued = matches!(verdict, Verdict::Queue { .. });
+        assert_eq!(queued, case.queued, "{}: {verdict:?}", case.name);
+    }
+}
