--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -18,9 +18,6 @@
 use shallotrill_model::partner;
 use shallotrill_model::time::Instant;
 
-/// Time for which late tickets are refused after one has waited in vain.
-const LATE_PAUSE: Duration = Duration::from_millis(500);
-
 /// A ticket that has a slot.
 #[derive(Clone, Debug)]
 struct Running {
@@ -28,13 +25,6 @@
     partner: partner::Name,
 }
 
-/// Late tickets of a priority and below are refused until a time, because one of them has waited in vain.
-#[derive(Clone, Copy, Debug)]
-struct LateClosed {
-    priority: u8,
-    until: Instant,
-}
-
 /// The gate of one backend server.
 ///
 /// A ticket starts only while fewer tickets than the limit are running. A
@@ -50,7 +40,6 @@
     accounts: Accounts,
     /// Sorted by id.
     running: Vec<Running>,
-    late_closed: Option<LateClosed>,
     draining: bool,
     dispatches: u32,
     sequence: u64,
@@ -65,7 +54,6 @@
             queue: Queue::default(),
             accounts: Accounts::default(),
             running: Vec::new(),
-            late_closed: None,
             draining: false,
             dispatches: 0,
             sequence: 0,
@@ -81,12 +69,7 @@
             return Verdict::Refuse(Refusal::Duplicate);
         }
         let wait = self.expected_wait(&ticket, now);
-        let latest_start = if self.admits_late(ticket.priority, now) {
-            ticket.deadline
-        } else {
-            ticket.deadline.min(ticket.timely_until)
-        };
-        if now >= latest_start || wait > latest_start.since(now) {
+        if now >= ticket.deadline || wait > ticket.deadline.since(now) {
             return Verdict::Refuse(Refusal::TooLate { wait });
         }
         self.accounts.activate(&ticket.partner, &self.config, now);
@@ -196,28 +179,6 @@
         }
     }
 
-    /// Whether a ticket that starts too late for its objective may wait. Timely tickets that arrive later overtake
-    /// it, so the expected wait says little about it; a late ticket that has just waited in vain says more.
-    fn admits_late(&self, priority: u8, now: Instant) -> bool {
-        self.late_closed
-            .is_none_or(|closed| priority > closed.priority || now >= closed.until)
-    }
-
-    /// Refuses further late tickets for a while after one of them has waited in vain.
-    fn close_for_late(&mut self, waiting: &Waiting, now: Instant) {
-        if waiting.ticket.timely_until >= waiting.ticket.deadline {
-            return;
-        }
-        let closed = LateClosed {
-            priority: waiting.ticket.priority,
-            until: now + LATE_PAUSE,
-        };
-        self.late_closed = Some(match self.late_closed {
-            Some(earlier) if earlier.until > now && earlier.priority > closed.priority => earlier,
-            _ => closed,
-        });
-    }
-
     /// Expected time until the ticket starts.
     fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
         if self.queue.waiting.is_empty() && self.has_slot() {
@@ -268,8 +229,6 @@
                 continue;
             }
             let wait = now.since(waiting.arrived);
-            let waiting = waiting.clone();
-            self.close_for_late(&waiting, now);
             let refused = self.refuse(index, Refusal::TooLate { wait });
             effect.refused.push(refused);
         }
