retry, router: spread the return of refused requests over what they have left

Cause: each refusal for want of room said Retry-After 0.05 s.

Change: retry::after draws the time of return: 5 to 25% of what remains of the objective while at least half of it remains, 15 to 33% of the remaining time of the caller after that (callers wait for a third at most).

Ruled out: what remains of the objective alone (after half of it a return is late in any case, and the burst has then not passed yet).

--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each module decides from its arguments alone. The node keeps the tables,
 //! sends the requests and reports their outcomes.
 
+pub mod after;
 pub mod budget;
 pub mod call;
 pub mod coalescing;
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -25,6 +25,7 @@
 use shallotrill_model::instance;
 use shallotrill_model::service;
 use shallotrill_model::time::Instant;
+use shallotrill_retry::after;
 use shallotrill_routing::choice::Choice;
 use shallotrill_routing::choice::Query;
 use shallotrill_wire::body;
@@ -42,9 +43,6 @@
 /// the routers are killed at once, three unreachable targets in a row are common.
 const UNREACHABLE_TARGETS_MAX: u32 = 8;
 
-/// `Retry-After` of a refused request, in seconds: about the service time, after which slots are free.
-const RETRY_AFTER_OVERLOAD: &str = "0.05";
-
 /// `Retry-After` while no items are configured or the route has no service, in seconds.
 const RETRY_AFTER_NOT_CONFIGURED: &str = "0.2";
 
@@ -67,6 +65,8 @@
     service: service::Name,
     received_at: Instant,
     timeout: Duration,
+    /// Time for which the caller waits; longer than the timeout when the route's timeout is shorter.
+    caller_timeout: Duration,
 }
 
 /// Handles one request of a caller.
@@ -172,6 +172,7 @@
         service,
         received_at,
         timeout,
+        caller_timeout: deadline,
     })
 }
 
@@ -441,7 +442,13 @@
         "request failed after its last attempt: {reason}"
     );
     if !progress.may_have_run {
-        return unavailable(&pending.id, RETRY_AFTER_OVERLOAD, reason);
+        let refused = after::Refused {
+            elapsed: state.now().since(pending.received_at),
+            objective: pending.route.objective,
+            limit: pending.caller_timeout,
+        };
+        let wait = after::retry_after(refused, rand::random());
+        return unavailable(&pending.id, &format!("{:.3}", wait.as_secs_f64()), reason);
     }
     let status = if remaining < REMAINING_MIN || progress.last_denial == Some(Denial::Timeout) {
         StatusCode::GATEWAY_TIMEOUT
@@ -451,10 +458,11 @@
     refuse(&pending.id, status, reason)
 }
 
-fn unavailable(id: &str, retry_after: &'static str, reason: &str) -> Response<Body> {
+fn unavailable(id: &str, retry_after: &str, reason: &str) -> Response<Body> {
     let mut response = refuse(id, StatusCode::SERVICE_UNAVAILABLE, reason);
-    let value = HeaderValue::from_static(retry_after);
-    response.headers_mut().insert(header::RETRY_AFTER, value);
+    if let Ok(value) = HeaderValue::from_str(retry_after) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
     response
 }
 
