--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -11,9 +11,11 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time;
 
+use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Request;
 use shallotrill_items::item::Content;
 use shallotrill_items::item::Item;
@@ -31,6 +33,7 @@
 use shallotrill_registry::members;
 use shallotrill_registry::propose;
 use shallotrill_registry::run as registry;
+use shallotrill_registry::state::State as RegistryState;
 use shallotrill_router::backend;
 use shallotrill_router::backend::ServerAnnouncement;
 use shallotrill_router::names::Names;
@@ -43,6 +46,9 @@
 /// Interval at which a state without notifications is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which announcements are renewed; their leases end after 3.5 s.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -469,22 +475,40 @@
         let one = backend_server(COMPLETE, Arc::clone(&log)).await;
         let fixture = fixture(Class::NonIdempotent, &[one]).await;
         let known = fixture.routers[0].state().announcement();
-        for number in 0..UNREACHABLE {
-            // Nothing listens on a port whose listener was dropped.
-            let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        // A socket that is bound and does not listen refuses connections and keeps its port from others.
+        let ports: Vec<TcpSocket> = (0..UNREACHABLE).map(|_| bound_socket()).collect();
+        let announcements = ports.iter().enumerate().map(|(number, port)| {
             let router = port.local_addr().expect("an address");
-            drop(port);
             let mut unreachable = known.clone();
             unreachable.router = router;
             let target = unreachable.target.as_mut().expect("a target");
             target.address = router;
             target.instance = instance::Name::new(&format!("gone-{number}")).expect("a valid name");
-            let request = Request::Announce(unreachable);
-            members::handle(&fixture.registry.state(), &request).await;
-        }
+            unreachable
+        });
+        let renewal = tokio::spawn(renew(fixture.registry.state(), announcements.collect()));
         fixture.wait_for_targets(UNREACHABLE + 1).await;
         assert_eq!(fixture.get("/a/b").await.0, 200);
         assert_eq!(log.received.load(Ordering::SeqCst), 1);
+        renewal.abort();
+    }
+}
+
+fn bound_socket() -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(any_port).expect("a free port");
+    socket
+}
+
+/// Announces routers and renews their leases, as they do themselves while they run.
+async fn renew(registry: Arc<RegistryState>, announcements: Vec<Announcement>) {
+    loop {
+        for announcement in &announcements {
+            let request = Request::Announce(announcement.clone());
+            members::handle(&registry, &request).await;
+        }
+        time::sleep(RENEWAL_INTERVAL).await;
     }
 }
 
