--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -1,10 +1,13 @@
 //! The path of a request from end to end: a registry process, routers, and backend servers that misbehave.
 
+use std::future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::task::Poll;
 use std::time::Duration;
 
 use tempfile::TempDir;
@@ -25,6 +28,7 @@
 use shallotrill_items::route::Service;
 use shallotrill_items::route::Share;
 use shallotrill_model::class::Class;
+use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
 use shallotrill_model::region;
 use shallotrill_model::service;
@@ -36,9 +40,14 @@
 use shallotrill_registry::state::State as RegistryState;
 use shallotrill_router::backend;
 use shallotrill_router::backend::ServerAnnouncement;
+use shallotrill_router::forwarded::Denial;
+use shallotrill_router::forwarded::Forwarded;
 use shallotrill_router::names::Names;
 use shallotrill_router::run::Router;
+use shallotrill_router::serve;
+use shallotrill_router::serve::BufferedRequest;
 use shallotrill_router::settings::Settings;
+use shallotrill_router::slot;
 
 /// Longest wait for a condition that must come true.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -254,18 +263,17 @@
 }
 
 async fn fixture(class: Class, backends: &[SocketAddr]) -> Fixture {
+    fixture_with_retries(class, backends, 1_000).await
+}
+
+/// Starts a fixture whose routers may retry `retry_permille` of a thousand requests and as many in each window.
+async fn fixture_with_retries(
+    class: Class,
+    backends: &[SocketAddr],
+    retry_permille: u32,
+) -> Fixture {
     let folder = TempDir::new().expect("a temporary folder");
-    let registry = registry::start(shallotrill_registry::settings::Settings {
-        listen: "127.0.0.1:0".parse().expect("an address"),
-        advertised: None,
-        seeds: Vec::new(),
-        tolerated_disks: 0,
-        first_start: true,
-        folder: folder.path().to_owned(),
-        clock: Clock::start(),
-    })
-    .await
-    .expect("a registry process");
+    let registry = start_registry(&folder, Vec::new()).await;
     let state = registry.state();
     propose::change(&state, &items(class))
         .await
@@ -281,8 +289,8 @@
             zone: zone::Name::new("bodo").expect("a valid name"),
             region: region::Name::new("nordland").expect("a valid name"),
             registries: vec![state.settings.listen],
-            retry_permille: 1_000,
-            retry_slack: 1_000,
+            retry_permille,
+            retry_slack: retry_permille,
             retry_window: Duration::from_secs(10),
             grace_period: Duration::from_secs(2),
             names: Names::default(),
@@ -302,6 +310,20 @@
     fixture
 }
 
+async fn start_registry(folder: &TempDir, seeds: Vec<SocketAddr>) -> registry::Registry {
+    registry::start(shallotrill_registry::settings::Settings {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        advertised: None,
+        first_start: seeds.is_empty(),
+        seeds,
+        tolerated_disks: 0,
+        folder: folder.path().to_owned(),
+        clock: Clock::start(),
+    })
+    .await
+    .expect("a registry process")
+}
+
 fn announce(router: &Router, number: usize, sequence: u64, draining: bool) {
     let announcement = ServerAnnouncement {
         instance: instance::Name::new(&format!("i-{number}")).expect("a valid name"),
@@ -398,7 +420,8 @@
     let (head, body) = response.split_once("\r\n\r\n").expect("a response head");
     let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
     if status == Some(503) {
-        assert!(header(head, "retry-after").is_some(), "{head}");
+        let retry_after = header(head, "retry-after").and_then(|s| s.parse::<f64>().ok());
+        assert!(retry_after.is_some_and(|s| s > 0.0), "{head}");
     }
     assert!(!head.contains("shallotrill-forwarded"), "{head}");
     assert!(!head.contains("shallotrill-denial"), "{head}");
@@ -619,3 +642,157 @@
         assert_eq!(log.received.load(Ordering::SeqCst), 1, "{}", case.name);
     }
 }
+
+/// Guards against retries beyond the budget: with none allowed, a request that one backend server sheds is not
+/// sent to the other one.
+#[tokio::test]
+async fn no_request_is_retried_without_budget() {
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(SHED, Arc::clone(&log)).await;
+    let two = backend_server(SHED, Arc::clone(&log)).await;
+    let fixture = fixture_with_retries(Class::Idempotent, &[one, two], 0).await;
+    assert_eq!(fixture.get("/a/b").await.0, 503);
+    assert_eq!(log.received.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against routers that each take the retry limit of all of them.
+#[tokio::test]
+async fn routers_know_how_many_share_the_retry_limit() {
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let fixture = fixture(Class::Idempotent, &[one, one, one]).await;
+    for router in &fixture.routers {
+        let state = router.state();
+        let counted = async {
+            while state.router_count.load(Ordering::SeqCst) != 3 {
+                time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let counted = time::timeout(WAIT_TIMEOUT, counted).await;
+        assert!(counted.is_ok(), "{:?}", state.router_count);
+    }
+}
+
+struct WithdrawalCase {
+    name: &'static str,
+    /// What happens to the backend server after the request has been admitted and before its connection is ready.
+    withdraw: fn(&Router),
+}
+
+/// Guards against a request that is sent to a backend server that has been withdrawn since the request was admitted.
+const WITHDRAWAL_CASES: &[WithdrawalCase] = &[
+    WithdrawalCase {
+        name: "it drains",
+        withdraw: |router| announce(router, 0, 2, true),
+    },
+    WithdrawalCase {
+        name: "it has left",
+        withdraw: |router| {
+            let name = instance::Name::new("i-0").expect("a valid name");
+            backend::deregister(&router.state(), &name);
+        },
+    },
+    WithdrawalCase {
+        name: "another one has taken its place",
+        withdraw: |router| announce(router, 1, 1, false),
+    },
+];
+
+#[tokio::test]
+async fn an_admitted_request_is_not_sent_to_a_withdrawn_backend_server() {
+    for case in WITHDRAWAL_CASES {
+        let log = Arc::new(RequestLog::default());
+        let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+        let fixture = fixture(Class::NonIdempotent, &[one]).await;
+        let router = &fixture.routers[0];
+        let state = router.state();
+        let message = BufferedRequest {
+            method: http::Method::GET,
+            path: http::uri::PathAndQuery::from_static("/a/b"),
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+        };
+        let forwarded = forwarded(false);
+        let mut running = Box::pin(serve::run(&state, message, &forwarded));
+        // The first poll admits the request and starts to connect to the backend server.
+        assert!(is_pending(&mut running).await, "{}", case.name);
+        (case.withdraw)(router);
+        let denial = time::timeout(WAIT_TIMEOUT, running).await.expect("an end");
+        assert_eq!(denial.err(), Some(Denial::Gone), "{}", case.name);
+        assert_eq!(log.received.load(Ordering::SeqCst), 0, "{}", case.name);
+    }
+}
+
+/// Polls a future once and returns whether it has not ended.
+async fn is_pending<F: Future + Unpin>(future: &mut F) -> bool {
+    future::poll_fn(|cx| Poll::Ready(Pin::new(&mut *future).poll(cx).is_pending())).await
+}
+
+/// Context of a request for the backend server `i-0`, which may start within a millisecond for its objective.
+fn forwarded(last_gate: bool) -> Forwarded {
+    Forwarded {
+        instance: instance::Name::new("i-0").expect("a valid name"),
+        incarnation: Incarnation(100),
+        service: service_name(),
+        caller: service_name(),
+        remaining: Duration::from_mins(1),
+        start_within: Duration::from_millis(1),
+        objective: Duration::from_millis(2),
+        priority: 0,
+        class: Class::NonIdempotent,
+        last_gate,
+        host: "host".into(),
+    }
+}
+
+/// Guards against a request that its last gate refuses although a slot becomes free within its time.
+#[tokio::test]
+async fn the_last_gate_lets_a_request_start_late() {
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one]).await;
+    let state = fixture.routers[0].state();
+    let mut slots = Vec::new();
+    while let Ok(slot) = slot::admit(&state, &forwarded(false)).await {
+        slots.push(slot);
+    }
+    assert!(!slots.is_empty());
+    let last_gate = forwarded(true);
+    let mut waiting = Box::pin(slot::admit(&state, &last_gate));
+    assert!(is_pending(&mut waiting).await);
+    drop(slots);
+    let admitted = time::timeout(WAIT_TIMEOUT, waiting).await.expect("an end");
+    assert!(admitted.is_ok());
+}
+
+/// Guards against targets that only a silent registry process reports and that stay in use, for example those that
+/// have left since it was cut off.
+#[tokio::test]
+async fn targets_that_only_a_silent_registry_process_reports_are_dropped() {
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one]).await;
+    let state = fixture.routers[0].state();
+    let folder = TempDir::new().expect("a temporary folder");
+    let second = start_registry(&folder, vec![fixture.registry.state().settings.listen]).await;
+    let followed = async {
+        while state.views.lock().reachable_registries(state.now()) < 2 {
+            time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let followed = time::timeout(WAIT_TIMEOUT, followed).await;
+    assert!(
+        followed.is_ok(),
+        "the second registry process is not followed"
+    );
+    let mut other = state.announcement();
+    other.router = "127.0.0.1:9".parse().expect("an address");
+    let target = other.target.as_mut().expect("a target");
+    target.instance = instance::Name::new("i-9").expect("a valid name");
+    let renewal = tokio::spawn(renew(fixture.registry.state(), vec![other]));
+    fixture.wait_for_targets(2).await;
+    renewal.abort();
+    fixture.registry.stop();
+    fixture.wait_for_targets(1).await;
+    second.stop();
+}
