--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -460,6 +460,7 @@
 
 fn unavailable(id: &str, retry_after: &str, reason: &str) -> Response<Body> {
     let mut response = refuse(id, StatusCode::SERVICE_UNAVAILABLE, reason);
+    // A number is a valid header value.
     if let Ok(value) = HeaderValue::from_str(retry_after) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
     }
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -796,3 +796,20 @@
     fixture.wait_for_targets(1).await;
     second.stop();
 }
+
+/// Guards against a request that is refused by every gate because none of them knows that it is the last one.
+#[tokio::test]
+async fn the_only_target_accepts_a_request_although_its_machine_is_slow() {
+    const SLOWNESS_PERCENT: u32 = 400;
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one]).await;
+    let state = fixture.routers[0].state();
+    // A report from the future does not become too old during the test.
+    let reported_at = state.now() + WAIT_TIMEOUT;
+    if let Some(server) = &mut state.backend.lock().current {
+        server.record_slowness(SLOWNESS_PERCENT, reported_at);
+    }
+    assert_eq!(fixture.get("/a/b").await.0, 200);
+    assert_eq!(log.received.load(Ordering::SeqCst), 1);
+}
