--- a/crates/retry/tests/after.rs
+++ b/crates/retry/tests/after.rs
@@ -84,7 +84,7 @@
     let refused = Refused {
         elapsed: Duration::from_millis(900),
         objective: Duration::from_millis(600),
-        limit: Duration::from_millis(4_000),
+        limit: Duration::from_secs(4),
     };
     let steps = 20;
     let mut returning = vec![0; steps];
--- a/crates/routing/examples/simulation/scenario.rs
+++ b/crates/routing/examples/simulation/scenario.rs
@@ -89,7 +89,6 @@
             }
         }
     },
-    ..STEADY
 };
 
 /// One target responds at once with an error and reports no failures, from the first second on.
