--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -24,7 +24,7 @@
 
 /// Retries that the members of a fleet may make together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FleetLimit {
+pub struct Limit {
     /// Extra attempts allowed for each thousand first attempts.
     pub permille: u32,
     /// Extra attempts allowed beyond that share in each window.
@@ -49,7 +49,7 @@
     ///
     /// Half of the slack is kept as burst and half is earned back over a window, so that all members
     /// together stay within the slack in any window, as long as it is at least two for each member.
-    pub fn share(limit: FleetLimit, members: usize) -> Self {
+    pub fn share(limit: Limit, members: usize) -> Self {
         let members = members.max(1) as f64;
         let half_slack = f64::from(limit.slack) / members / 2.0;
         let per_second = half_slack / limit.window.as_secs_f64().max(1.0);
--- a/crates/retry/tests/budget.rs
+++ b/crates/retry/tests/budget.rs
@@ -5,7 +5,7 @@
 use shallotrill_model::time::Instant;
 use shallotrill_retry::budget::Budget;
 use shallotrill_retry::budget::Config;
-use shallotrill_retry::budget::FleetLimit;
+use shallotrill_retry::budget::Limit;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -66,7 +66,7 @@
 #[test]
 fn a_fleet_stays_within_its_limit() {
     for case in FLEET_CASES {
-        let limit = FleetLimit {
+        let limit = Limit {
             permille: 100,
             slack: case.slack,
             window: WINDOW,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -199,7 +199,7 @@
     /// The part of the limit of all routers that this one may use.
     fn retry_config(&self) -> budget::Config {
         let settings = &self.settings;
-        let limit = budget::FleetLimit {
+        let limit = budget::Limit {
             permille: (f64::from(settings.retry_permille) * RETRY_SHARE) as u32,
             slack: settings.retry_slack,
             window: settings.retry_window,
