router: log and count the limit that a backend server states

Cause: the logs of the incident could not tell whether the routers ignore the stated limit, apply it each for themselves, or send requests past the gate.

Change: notice::Notice reads the statements of each response and health check (slowness, limit) for the incarnation that they were sent to; a change of the limit is logged with the requests sent meanwhile, and both are metrics. No decision uses the limit yet.

--- a/crates/backend/src/head.rs
+++ b/crates/backend/src/head.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
@@ -40,6 +41,11 @@
         self.parts.status
     }
 
+    /// The end-to-end headers of the response.
+    pub const fn headers(&self) -> &HeaderMap {
+        &self.parts.headers
+    }
+
     /// Whether the backend server states that it did not run the request.
     ///
     /// A backend server that sheds load may state it with `shallotrill-run: not-run`.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,6 +16,7 @@
 mod name;
 pub mod outcome;
 pub mod partner;
+pub mod rate;
 pub mod region;
 pub mod request;
 pub mod revision;
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -18,6 +18,7 @@
 use shallotrill_limits::ticket::Verdict;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
+use shallotrill_model::rate::Rate;
 use shallotrill_model::service;
 use shallotrill_model::target;
 use shallotrill_model::target::Target;
@@ -91,6 +92,28 @@
     /// Queued tickets and the channels on which their result is sent.
     waiting: Vec<(ticket::Id, oneshot::Sender<Result<(), Denial>>)>,
     slowness_report: SlownessReport,
+    stated_limit: StatedLimit,
+}
+
+/// The limit that the backend server states, and what was sent to it since.
+#[derive(Clone, Copy, Debug, Default)]
+struct StatedLimit {
+    rate: Option<Rate>,
+    since: Instant,
+    requests: u64,
+}
+
+/// Change of the limit that the backend server states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RateChange {
+    /// The limit before; `None` without one.
+    pub from: Option<Rate>,
+    /// The limit now; `None` without one.
+    pub to: Option<Rate>,
+    /// How long the earlier limit was stated.
+    pub held: Duration,
+    /// Requests sent in that time.
+    pub requests: u64,
 }
 
 /// Latest report of how long requests take on the machine of a backend server, compared with the usual.
@@ -239,9 +262,39 @@
                 slowness: NORMAL_SLOWNESS_PERCENT,
                 reported_at: now,
             },
+            stated_limit: StatedLimit {
+                rate: None,
+                since: now,
+                requests: 0,
+            },
         }
     }
 
+    /// Sets the limit that the backend server states. Returns the change, if there is one.
+    pub fn set_rate_limit(&mut self, rate: Option<Rate>, now: Instant) -> Option<RateChange> {
+        let known = self.stated_limit;
+        if known.rate == rate {
+            return None;
+        }
+        self.stated_limit = StatedLimit {
+            rate,
+            since: now,
+            requests: 0,
+        };
+        Some(RateChange {
+            from: known.rate,
+            to: rate,
+            held: now.since(known.since),
+            requests: known.requests,
+        })
+    }
+
+    /// Counts a request that is sent. Returns whether the backend server states a limit.
+    pub const fn record_request(&mut self) -> bool {
+        self.stated_limit.requests += 1;
+        self.stated_limit.rate.is_some()
+    }
+
     /// Records the reported slowness of the machine, in percent of the usual request duration.
     pub const fn record_slowness(&mut self, slowness: u32, now: Instant) {
         self.slowness_report = SlownessReport {
@@ -345,6 +398,7 @@
             let limit = slots.saturating_mul(2).max(1) as usize;
             state.pool.connect_to(state.settings.backend, true, limit);
             state.probes.connect_to(state.settings.backend, true, 1);
+            state.metrics.set_backend_limit(None);
         }
         change
     };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod forwarded;
 pub mod metrics;
 pub mod names;
+pub mod notice;
 pub mod probe;
 pub mod run;
 pub mod serve;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::IntGauge;
 
 use crate::forwarded::Denial;
+use shallotrill_model::rate::Rate;
 use shallotrill_process::metrics::Counters;
 use shallotrill_process::metrics::Error;
 use shallotrill_process::metrics::LabelSet;
@@ -18,6 +19,9 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
 ];
 
+/// Value of the limit of the backend server while it states none.
+const NO_LIMIT: i64 = -1;
+
 /// The metrics of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -33,6 +37,8 @@
     pub retries_refused: IntCounter,
     /// Probes of the backend server.
     pub probes: IntCounter,
+    backend_requests: Counters,
+    backend_limit: IntGauge,
     /// Requests refused because they crash backend servers.
     pub quarantined: IntCounter,
     /// Log lines of answered requests that the rate limit suppressed.
@@ -49,7 +55,7 @@
     /// Returns an error when a name is not valid.
     pub fn new() -> Result<Self, Error> {
         let registry = Registry::new();
-        Ok(Self {
+        let metrics = Self {
             requests: registry.counters(
                 "shallotrill_router_requests_total",
                 "Requests of callers by status of the answer.",
@@ -82,6 +88,15 @@
                 "shallotrill_router_probes_total",
                 "Probes of the backend server.",
             )?,
+            backend_requests: registry.counters(
+                "shallotrill_router_backend_requests_total",
+                "Requests sent to the backend server, by whether it states a limit.",
+                LabelSet::new("limit", 2),
+            )?,
+            backend_limit: registry.gauge(
+                "shallotrill_router_backend_limit_millihertz",
+                "Requests per thousand seconds that the backend server accepts; -1 without a limit.",
+            )?,
             quarantined: registry.counter(
                 "shallotrill_router_quarantined_total",
                 "Requests refused because they crash backend servers.",
@@ -95,7 +110,15 @@
                 "Registry processes that answer.",
             )?,
             registry,
-        })
+        };
+        metrics.set_backend_limit(None);
+        Ok(metrics)
+    }
+
+    /// Sets the limit that the backend server states.
+    pub fn set_backend_limit(&self, rate: Option<Rate>) {
+        let millihertz = rate.map_or(NO_LIMIT, |rate| i64::from(rate.millihertz()));
+        self.backend_limit.set(millihertz);
     }
 
     /// Counts a response to a caller and records how long the request took.
@@ -109,6 +132,12 @@
         self.denials.of(denial.as_str()).inc();
     }
 
+    /// Counts a request that is sent to the backend server.
+    pub fn record_backend_request(&self, limited: bool) {
+        let label = if limited { "stated" } else { "none" };
+        self.backend_requests.of(label).inc();
+    }
+
     /// Records the time that a request waited for a slot.
     pub fn record_slot_wait(&self, wait: Duration) {
         self.slot_wait.observe(wait.as_secs_f64());
--- a/crates/router/src/names.rs
+++ b/crates/router/src/names.rs
@@ -16,6 +16,8 @@
     /// Load of the backend server: running and waiting requests, slots, and the slowness of its
     /// machine in percent.
     pub load: HeaderName,
+    /// Requests per second that the backend server accepts from all routers together, a decimal number.
+    pub limit: HeaderName,
     /// Present when the backend server did not run the request.
     pub not_run: HeaderName,
     /// Service on whose instance a request was received.
@@ -30,6 +32,7 @@
             seal: HeaderName::from_static("shallotrill-seal"),
             expected: HeaderName::from_static("shallotrill-expected"),
             load: HeaderName::from_static("shallotrill-backend-load"),
+            limit: HeaderName::from_static("shallotrill-backend-limit"),
             not_run: HeaderName::from_static("shallotrill-backend-not-run"),
             caller: HeaderName::from_static("shallotrill-caller"),
         }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::forwarded;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
+use crate::notice;
 use crate::slot;
 use crate::slot::Slot;
 use crate::state::State;
@@ -129,6 +130,7 @@
     let waited = state.now().since(received_at);
     state.metrics.record_slot_wait(waited);
     let remaining = forwarded.remaining.saturating_sub(waited);
+    state.record_backend_request(&forwarded.instance, forwarded.incarnation);
     let in_flight = InFlightGuard::start(state, crashes::digest(&forwarded.service, &message));
     let request = request(state, message, forwarded, remaining);
     let on_silence = match forwarded.class {
@@ -148,7 +150,13 @@
         .pool
         .dispatch_if(request, remaining, on_silence, &may_send);
     match sent.await {
-        Ok(head) => finish(state, head, slot),
+        Ok(head) => {
+            if head.status() != StatusCode::MISDIRECTED_REQUEST {
+                let instance = &forwarded.instance;
+                notice::record(state, instance, forwarded.incarnation, head.headers());
+            }
+            finish(state, head, slot)
+        }
         Err(failure) => {
             let denial = denial(&failure);
             if denial == Denial::Lost {
@@ -256,7 +264,6 @@
         drop(slot);
     };
     let mut response = head.into_response(Box::new(finish));
-    record_slowness(state, &response);
     let headers = response.headers();
     let sealed = headers.contains_key(&names.seal);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
@@ -267,15 +274,3 @@
     add_load(state, &mut response);
     Ok(response)
 }
-
-/// Records the slowness of the machine that the backend server reports: the fourth field of its
-/// load header.
-pub(crate) fn record_slowness(state: &State, response: &Response<Body>) {
-    let load = response.headers().get(&state.settings.names.load);
-    let fields = load.and_then(|value| value.to_str().ok());
-    let slowness = fields.and_then(|text| text.split(',').nth(3)?.trim().parse().ok());
-    let now = state.now();
-    if let (Some(slowness), Some(server)) = (slowness, &mut state.backend.lock().current) {
-        server.record_slowness(slowness, now);
-    }
-}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,6 +10,7 @@
 
 use crate::backend;
 use crate::backend::Backend;
+use crate::backend::ServerState;
 use crate::crashes::Crashes;
 use crate::follow::RegistryViews;
 use crate::metrics::Metrics;
@@ -20,6 +21,8 @@
 use shallotrill_items::table::ActiveRoute;
 use shallotrill_items::table::Table;
 use shallotrill_locks::Mutex;
+use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::instance;
 use shallotrill_model::service;
 use shallotrill_model::time::Instant;
 use shallotrill_peer::pool as peer_pool;
@@ -170,6 +173,16 @@
         }
     }
 
+    /// Counts a request that is sent to the local backend server.
+    pub fn record_backend_request(&self, instance: &instance::Name, incarnation: Incarnation) {
+        let limited = {
+            let mut backend = self.backend.lock();
+            let server = backend.matching(instance, incarnation);
+            server.is_some_and(ServerState::record_request)
+        };
+        self.metrics.record_backend_request(limited);
+    }
+
     /// Counts a first attempt towards the retry budget of a service.
     pub fn record_first_attempt(&self, service: &service::Name) {
         self.with_budget(service, Budget::earn);
