--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! The path of a request from end to end: a registry process, routers, and backend servers that misbehave.
 
 mod gates;
+mod limits;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -57,6 +58,9 @@
 /// Duration of a request for `/a/slow`: longer than a stopping router listens, shorter than its grace period.
 const SLOW_REQUEST_DURATION: Duration = Duration::from_millis(1_100);
 
+/// Limit that [`LIMITED`] states, in requests per second.
+const LIMIT_PER_SECOND: f64 = 5.0;
+
 /// Bytes with which the backend server responds; `{id}` is replaced by the id of the request.
 type Reply = &'static str;
 
@@ -72,8 +76,12 @@
 const SHED: Reply = "HTTP/1.1 503 x\r\nshallotrill-request: {id}\r\nshallotrill-backend-not-run: full\r\nContent-Length: 0\r\n\r\n";
 const FAILED: Reply = "HTTP/1.1 500 x\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Length: 0\r\n\r\n";
 const BARE_503: Reply = "HTTP/1.1 503 x\r\nshallotrill-request: {id}\r\nContent-Length: 0\r\n\r\n";
+const LIMITED: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-limit: 5\r\nContent-Length: 4\r\n\r\nbody";
 const NO_LENGTH: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nConnection: close\r\n\r\nbody";
 
+/// Replies after which the backend server keeps the connection open.
+const KEPT_OPEN: &[Reply] = &[COMPLETE, SHED, FAILED, LIMITED];
+
 struct Case {
     name: &'static str,
     class: Class,
@@ -224,7 +232,7 @@
         let id = header(&head, "shallotrill-request").unwrap_or_default();
         let text = reply.replace("{id}", id);
         let sent = stream.write_all(text.as_bytes()).await;
-        if sent.is_err() || reply != COMPLETE && reply != SHED && reply != FAILED {
+        if sent.is_err() || !KEPT_OPEN.contains(&reply) {
             return;
         }
     }
