limits, router: pace requests at the rate that a backend server states

Cause: the gate admitted by slots alone. Concurrency bounds a rate only through latency, and a target in need is not slower at first. The class of the fault is a statement of the peer that is passed through and not used.

Change: limits::pace::Pace (generic cell rate algorithm, integer time) holds starts at the gate, which sends the requests of all routers. The expected wait counts the pace, so what cannot start in time is refused at once. A timer (router::pacer) starts what waits for the pace alone. A rate that changes with each response gives no additional starts; a withdrawn one lifts the pace.

--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::fairness::Accounts;
 use crate::limit::Limit;
+use crate::pace::Pace;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::ticket::Effect;
@@ -16,6 +17,7 @@
 use crate::ticket::Verdict;
 use shallotrill_model::load::Report;
 use shallotrill_model::partner;
+use shallotrill_model::rate::Rate;
 use shallotrill_model::time::Instant;
 
 /// A ticket that has a slot.
@@ -27,7 +29,8 @@
 
 /// The gate of one backend server.
 ///
-/// A ticket starts only while fewer tickets than the limit are running. A
+/// A ticket starts only while fewer tickets than the limit are running, and
+/// not before the pace allows it if the backend server states a rate. A
 /// ticket whose objective can no longer be met gives way to the timely ones of
 /// its priority, and still runs when none of them waits. Every ticket gets
 /// exactly one final verdict, run or refused, either from
@@ -36,6 +39,8 @@
 pub struct Gate {
     config: Config,
     limit: Limit,
+    /// Set while the backend server states a rate of requests that it accepts.
+    pace: Option<Pace>,
     queue: Queue,
     accounts: Accounts,
     /// Sorted by id.
@@ -51,6 +56,7 @@
         Self {
             limit: Limit::new(&config),
             config,
+            pace: None,
             queue: Queue::default(),
             accounts: Accounts::default(),
             running: Vec::new(),
@@ -73,8 +79,8 @@
             return Verdict::Refuse(Refusal::TooLate { wait });
         }
         self.accounts.activate(&ticket.partner, &self.config, now);
-        if self.queue.waiting.is_empty() && self.has_slot() {
-            self.start(&ticket);
+        if self.queue.waiting.is_empty() && self.may_start(now) {
+            self.start(&ticket, now);
             return Verdict::Run;
         }
         let mut displaced = None;
@@ -163,6 +169,24 @@
         effect
     }
 
+    /// Sets the rate of requests that the backend server accepts; `None` when it states none.
+    pub fn set_rate(&mut self, rate: Option<Rate>, now: Instant) -> Effect {
+        match (rate, &mut self.pace) {
+            (None, pace) => *pace = None,
+            (Some(rate), Some(pace)) => pace.set_rate(rate, now),
+            (Some(rate), pace) => *pace = Some(Pace::new(rate, now)),
+        }
+        self.dispatch(now)
+    }
+
+    /// Time at which [`Gate::expire`] starts a ticket that waits only for the pace; `None` when there is none.
+    pub fn next_start(&self, now: Instant) -> Option<Instant> {
+        if self.queue.waiting.is_empty() || !self.has_slot() {
+            return None;
+        }
+        Some(now + self.pace?.wait(0, now)?)
+    }
+
     /// Returns the current load with the next sequence number.
     pub fn report(&mut self, now: Instant) -> Report {
         self.sequence += 1;
@@ -181,7 +205,7 @@
 
     /// Expected time until the ticket starts.
     fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
-        if self.queue.waiting.is_empty() && self.has_slot() {
+        if self.queue.waiting.is_empty() && self.may_start(now) {
             return Duration::ZERO;
         }
         let service_us = self.limit.service_us();
@@ -192,7 +216,15 @@
             now,
         );
         let slots = f64::from(self.limit.current());
-        Duration::from_micros(((requests_ahead as f64 + 1.0) * service_us / slots) as u64)
+        let slot_wait = if self.queue.waiting.is_empty() && self.has_slot() {
+            Duration::ZERO
+        } else {
+            Duration::from_micros(((requests_ahead as f64 + 1.0) * service_us / slots) as u64)
+        };
+        let pace_wait = self.pace.map_or(Duration::ZERO, |pace| {
+            pace.wait(requests_ahead, now).unwrap_or(Duration::MAX)
+        });
+        slot_wait.max(pace_wait)
     }
 
     fn contains(&self, id: Id) -> bool {
@@ -204,7 +236,14 @@
         self.running.len() < self.limit.current() as usize
     }
 
-    fn start(&mut self, ticket: &Ticket) {
+    fn may_start(&self, now: Instant) -> bool {
+        self.has_slot() && self.pace.is_none_or(|pace| pace.allows(now))
+    }
+
+    fn start(&mut self, ticket: &Ticket, now: Instant) {
+        if let Some(pace) = &mut self.pace {
+            pace.record_start(now);
+        }
         let (Ok(index) | Err(index)) = self.running.binary_search_by_key(&ticket.id, |r| r.id);
         let id = ticket.id;
         let partner = ticket.partner.clone();
@@ -219,7 +258,7 @@
         Refused { id, refusal }
     }
 
-    /// Refuses tickets whose deadline has passed and fills free slots from the queue.
+    /// Refuses tickets whose deadline has passed and fills free slots from the queue, as far as the pace allows.
     fn dispatch(&mut self, now: Instant) -> Effect {
         let mut effect = Effect::default();
         let mut index = 0;
@@ -232,7 +271,7 @@
             let refused = self.refuse(index, Refusal::TooLate { wait });
             effect.refused.push(refused);
         }
-        while self.has_slot() {
+        while self.may_start(now) {
             let lowest_first =
                 (self.dispatches + 1).is_multiple_of(self.config.low_priority_interval);
             let service_us = self.limit.service_us();
@@ -245,7 +284,7 @@
             self.dispatches = self.dispatches.wrapping_add(1);
             let waiting = self.queue.waiting.remove(index);
             self.accounts.adjust_queued(&waiting.ticket.partner, -1);
-            self.start(&waiting.ticket);
+            self.start(&waiting.ticket, now);
             effect.run.push(waiting.ticket.id);
         }
         effect
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,6 +7,7 @@
 mod fairness;
 pub mod gate;
 mod limit;
+pub mod pace;
 pub mod probe;
 mod queue;
 pub mod ticket;
--- /dev/null
+++ b/crates/limits/src/pace.rs
@@ -0,0 +1,88 @@
+//! Pace of a backend server that accepts a limited rate of requests.
+//!
+//! The generic cell rate algorithm: each start moves the time of the next one
+//! by the interval of the rate, and time that was not used is kept for a short
+//! burst. It needs no timer to refill, and its bound holds for any time window.
+
+use std::time::Duration;
+
+use shallotrill_model::rate::Rate;
+use shallotrill_model::time::Instant;
+
+/// Unused time that is kept. A window of one second then has at most one and a half times the rate.
+const BURST_PERIOD: Duration = Duration::from_millis(500);
+
+/// Interval between the requests of a rate of one millihertz, in microseconds.
+const MILLIHERTZ_INTERVAL_US: u64 = 1_000_000_000;
+
+/// Times at which requests may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    rate: Rate,
+    /// Time at which the next request would start if all started evenly.
+    even_start: Instant,
+}
+
+impl Pace {
+    /// Creates a pace at which one request may start now.
+    ///
+    /// The backend server states its rate because it is overloaded, so no burst is allowed at first.
+    pub fn new(rate: Rate, now: Instant) -> Self {
+        let mut pace = Self {
+            rate,
+            even_start: now,
+        };
+        pace.even_start = now + pace.burst_tolerance();
+        pace
+    }
+
+    /// The rate that is kept.
+    pub const fn rate(&self) -> Rate {
+        self.rate
+    }
+
+    /// Sets another rate. What started before counts at the new rate, so that a rate that changes
+    /// with each response allows no additional requests.
+    pub fn set_rate(&mut self, rate: Rate, now: Instant) {
+        let known = *self;
+        self.rate = rate;
+        let (Some(before), Some(after)) = (known.interval(), self.interval()) else {
+            *self = Self::new(rate, now);
+            return;
+        };
+        let ahead = known.even_start.since(now).as_secs_f64() / before.as_secs_f64();
+        self.even_start = now + after.mul_f64(ahead);
+    }
+
+    /// Time until the request after `ahead` others may start; `None` when none ever may.
+    pub fn wait(&self, ahead: usize, now: Instant) -> Option<Duration> {
+        let interval = self.interval()?;
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let start = self.even_start.max(now) + interval.saturating_mul(ahead);
+        Some(start.since(now).saturating_sub(self.burst_tolerance()))
+    }
+
+    /// Whether a request may start now.
+    pub fn allows(&self, now: Instant) -> bool {
+        self.wait(0, now).is_some_and(|wait| wait.is_zero())
+    }
+
+    /// Records that a request starts.
+    pub fn record_start(&mut self, now: Instant) {
+        if let Some(interval) = self.interval() {
+            self.even_start = self.even_start.max(now) + interval;
+        }
+    }
+
+    /// Time between two starts; `None` when no request is accepted.
+    fn interval(&self) -> Option<Duration> {
+        let millihertz = u64::from(self.rate.millihertz());
+        (millihertz > 0).then(|| Duration::from_micros(MILLIHERTZ_INTERVAL_US.div_ceil(millihertz)))
+    }
+
+    /// How much earlier than evenly a request may start.
+    fn burst_tolerance(&self) -> Duration {
+        let interval = self.interval().unwrap_or(BURST_PERIOD);
+        BURST_PERIOD.saturating_sub(interval)
+    }
+}
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -276,6 +276,8 @@
         if known.rate == rate {
             return None;
         }
+        let effect = self.gate.set_rate(rate, now);
+        self.notify_waiting(effect);
         self.stated_limit = StatedLimit {
             rate,
             since: now,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod names;
 pub mod notice;
+pub mod pacer;
 pub mod probe;
 pub mod run;
 pub mod serve;
--- a/crates/router/src/notice.rs
+++ b/crates/router/src/notice.rs
@@ -75,11 +75,15 @@
         if let Some(slowness) = notice.slowness {
             server.record_slowness(slowness, now);
         }
-        match &notice.limit {
+        let change = match &notice.limit {
             Limit::Absent => server.set_rate_limit(None, now),
             Limit::Stated(rate) => server.set_rate_limit(Some(*rate), now),
             Limit::Unreadable(_) => None,
+        };
+        if change.is_some() {
+            state.pace_changed.notify_one();
         }
+        change
     };
     if let Limit::Unreadable(text) = &notice.limit {
         warn!(event = "backend-limit-unreadable", instance = instance.as_str(); "the limit that the backend server states is not a number of requests per second: {text:?}");
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -15,6 +15,7 @@
 
 use log::info;
 use log::warn;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -25,6 +26,7 @@
 use crate::follow;
 use crate::follow::RegistryViews;
 use crate::metrics::Metrics;
+use crate::pacer;
 use crate::probe;
 use crate::serve;
 use crate::settings::Settings;
@@ -162,6 +164,7 @@
     ];
     follow::follow(&state, &registries, &loops_stopped);
     tokio::spawn(probe::run(Arc::clone(&state), loops_stopped.clone()));
+    tokio::spawn(pacer::run(Arc::clone(&state), loops_stopped.clone()));
     tokio::spawn(maintain(Arc::clone(&state), loops_stopped));
     info!(
         event = "router-started",
@@ -228,6 +231,7 @@
         views: Mutex::new(Rank::Membership, RegistryViews::default()),
         routing: Mutex::new(Rank::Routing, routing::Table::new(choice)),
         backend: Mutex::new(Rank::Gate, Backend::default()),
+        pace_changed: Notify::new(),
         router_count: AtomicUsize::new(1),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
         crashes: Mutex::new(Rank::Report, Crashes::default()),
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -54,6 +54,9 @@
         server.notify_waiting(effect);
         let effect = server.gate.release(release, now);
         server.notify_waiting(effect);
+        if server.gate.next_start(now).is_some() {
+            self.state.pace_changed.notify_one();
+        }
     }
 }
 
@@ -106,7 +109,11 @@
         if !forwarded.last_gate && server.is_slow(now) {
             return Err(Denial::Slow);
         }
-        server.offer(ticket, now)?
+        let queued = server.offer(ticket, now)?;
+        if server.gate.next_start(now).is_some() {
+            state.pace_changed.notify_one();
+        }
+        queued
     };
     let mut slot = Slot {
         state: Arc::clone(state),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::backend;
@@ -65,6 +66,8 @@
     pub routing: Mutex<table::Table>,
     /// State of the local backend server.
     pub backend: Mutex<Backend>,
+    /// Notified when a request waits at the gate only for the pace of the backend server.
+    pub pace_changed: Notify,
     /// Number of routers that the registry processes report.
     pub router_count: AtomicUsize,
     /// Retry budget of each service, sorted by name.
