router, routing: a target that states that it is leaving gets no further requests

Callers would see: requests at a target that leaves, cut off when it ends, if its announcement is lost or late, or if the router beside it has restarted.

Cause: the header was passed on and not read; a drain was known only from announcements. The class is that of the limit: a statement passed through.

Change: the last gate drains at the first response or health check of the incarnation that states it and publishes the target as draining. Each router that passes such a response on does not choose the incarnation again, also after an older announcement or a removal, for ten minutes. The gate alone covers all routers; the second layer holds while the gate's router restarts.

Evidence: without the gate's part a_leaving_backend_server_receives_requests fails (2 requests instead of 1); without the router's part a_leaving_target_is_not_chosen_again fails.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::forwarded;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
+use crate::notice;
 use crate::serve;
 use crate::serve::BufferedRequest;
 use crate::state::State;
@@ -169,6 +170,11 @@
     if let Some(denial) = Denial::read(headers) {
         return Err(denial);
     }
+    if notice::is_leaving(&state.settings.names, headers) {
+        let now = state.now();
+        let mut routing = state.routing.lock();
+        routing.mark_leaving(&choice.instance, choice.incarnation, now);
+    }
     let (parts, incoming) = response.into_parts();
     let body = match body::prefix(incoming, BUFFERED_BYTES_MAX).await {
         Ok(body::Prefix::Complete(bytes)) => body::full(bytes),
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -93,6 +93,8 @@
     waiting: Vec<(ticket::Id, oneshot::Sender<Result<(), Denial>>)>,
     slowness_report: SlownessReport,
     stated_limit: StatedLimit,
+    /// Set when a response states that it is leaving; an incarnation does not come back.
+    leaving: bool,
 }
 
 /// The limit that the backend server states, and what was sent to it since.
@@ -267,9 +269,26 @@
                 since: now,
                 requests: 0,
             },
+            leaving: false,
         }
     }
 
+    /// Whether it takes no further requests, as announced or as stated in a response.
+    pub const fn is_draining(&self) -> bool {
+        self.announcement.draining || self.leaving
+    }
+
+    /// Refuses all waiting and later requests. Returns false if it is draining already.
+    pub fn leave(&mut self) -> bool {
+        if self.is_draining() {
+            return false;
+        }
+        self.leaving = true;
+        let effect = self.gate.drain();
+        self.notify_waiting(effect);
+        true
+    }
+
     /// Sets the limit that the backend server states. Returns the change, if there is one.
     pub fn set_rate_limit(&mut self, rate: Option<Rate>, now: Instant) -> Option<RateChange> {
         let known = self.stated_limit;
@@ -438,7 +457,7 @@
     let backend = state.backend.lock();
     let current = backend.current.as_ref()?;
     let known = &current.announcement;
-    let offer = if known.draining {
+    let offer = if current.is_draining() {
         target::State::Draining
     } else if known.warm_up_remaining.is_zero() {
         target::State::Ready
--- a/crates/router/src/names.rs
+++ b/crates/router/src/names.rs
@@ -18,6 +18,8 @@
     pub load: HeaderName,
     /// Requests per second that the backend server accepts from all routers together, a decimal number.
     pub limit: HeaderName,
+    /// `1` when the backend server is leaving and takes no further requests.
+    pub leaving: HeaderName,
     /// Present when the backend server did not run the request.
     pub not_run: HeaderName,
     /// Service on whose instance a request was received.
@@ -33,6 +35,7 @@
             expected: HeaderName::from_static("shallotrill-expected"),
             load: HeaderName::from_static("shallotrill-backend-load"),
             limit: HeaderName::from_static("shallotrill-backend-limit"),
+            leaving: HeaderName::from_static("shallotrill-backend-leaving"),
             not_run: HeaderName::from_static("shallotrill-backend-not-run"),
             caller: HeaderName::from_static("shallotrill-caller"),
         }
--- a/crates/router/src/notice.rs
+++ b/crates/router/src/notice.rs
@@ -20,6 +20,8 @@
     pub slowness: Option<u32>,
     /// Requests that it accepts from all routers together.
     pub limit: Limit,
+    /// Whether it is leaving and takes no further requests.
+    pub leaving: bool,
 }
 
 /// The limit that a response states.
@@ -41,10 +43,16 @@
         Self {
             slowness,
             limit: headers.get(&names.limit).map_or(Limit::Absent, limit),
+            leaving: is_leaving(names, headers),
         }
     }
 }
 
+/// Whether the response states that its backend server is leaving.
+pub fn is_leaving(names: &Names, headers: &HeaderMap) -> bool {
+    text(headers, &names.leaving).is_some_and(|text| text.trim() == "1")
+}
+
 fn text<'headers>(headers: &'headers HeaderMap, name: &HeaderName) -> Option<&'headers str> {
     headers.get(name)?.to_str().ok()
 }
@@ -67,7 +75,7 @@
 ) {
     let notice = Notice::read(&state.settings.names, headers);
     let now = state.now();
-    let change = {
+    let (change, left) = {
         let mut backend = state.backend.lock();
         let Some(server) = backend.matching(instance, incarnation) else {
             return;
@@ -83,8 +91,12 @@
         if change.is_some() {
             state.pace_changed.notify_one();
         }
-        change
+        (change, notice.leaving && server.leave())
     };
+    if left {
+        info!(event = "backend-leaving", instance = instance.as_str(); "the backend server states that it is leaving");
+        state.publish();
+    }
     if let Limit::Unreadable(text) = &notice.limit {
         warn!(event = "backend-limit-unreadable", instance = instance.as_str(); "the limit that the backend server states is not a number of requests per second: {text:?}");
     }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -65,7 +65,7 @@
     let (instance, incarnation) = {
         let backend = state.backend.lock();
         let server = backend.current.as_ref()?;
-        if server.announcement.draining || server.slowness_age(now) < REPORT_AGE_MIN {
+        if server.is_draining() || server.slowness_age(now) < REPORT_AGE_MIN {
             return None;
         }
         (server.announcement.instance.clone(), server.incarnation)
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -144,7 +144,7 @@
     let may_send = || {
         let mut backend = state.backend.lock();
         let server = backend.matching(&forwarded.instance, forwarded.incarnation);
-        server.is_some_and(|server| !server.announcement.draining)
+        server.is_some_and(|server| !server.is_draining())
     };
     let sent = state
         .pool
--- a/crates/router/tests/notice.rs
+++ b/crates/router/tests/notice.rs
@@ -76,3 +76,46 @@
         assert_eq!(notice.limit, (case.expected)(), "{}", case.name);
     }
 }
+
+struct LeavingCase {
+    name: &'static str,
+    value: Option<&'static str>,
+    expected: bool,
+}
+
+/// Guards against a target that is given up for a header that does not state that it is leaving.
+const LEAVING_CASES: &[LeavingCase] = &[
+    LeavingCase {
+        name: "no statement",
+        value: None,
+        expected: false,
+    },
+    LeavingCase {
+        name: "it is leaving",
+        value: Some("1"),
+        expected: true,
+    },
+    LeavingCase {
+        name: "it is not leaving",
+        value: Some("0"),
+        expected: false,
+    },
+    LeavingCase {
+        name: "another text",
+        value: Some("no"),
+        expected: false,
+    },
+];
+
+#[test]
+fn leaving_is_read_from_headers() {
+    let names = Names::default();
+    for case in LEAVING_CASES {
+        let mut headers = HeaderMap::new();
+        if let Some(value) = case.value {
+            headers.insert(names.leaving.clone(), HeaderValue::from_static(value));
+        }
+        let notice = Notice::read(&names, &headers);
+        assert_eq!(notice.leaving, case.expected, "{}", case.name);
+    }
+}
--- a/crates/router/tests/path/limits.rs
+++ b/crates/router/tests/path/limits.rs
@@ -6,9 +6,12 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::COMPLETE;
+use crate::LEAVING;
 use crate::LIMIT_PER_SECOND;
 use crate::LIMITED;
 use crate::RequestLog;
+use crate::announce;
 use crate::backend_server;
 use crate::fixture;
 use crate::get;
@@ -45,3 +48,25 @@
     }
     assert!(statuses.iter().all(|status| [200, 503].contains(status)));
 }
+
+/// Guards against requests to a backend server that has stated in a response that it is leaving, although it
+/// still announces itself as ready.
+#[tokio::test]
+async fn a_leaving_backend_server_receives_requests() {
+    let (left, other) = (
+        Arc::new(RequestLog::default()),
+        Arc::new(RequestLog::default()),
+    );
+    let one = backend_server(COMPLETE, Arc::clone(&other)).await;
+    let two = backend_server(LEAVING, Arc::clone(&left)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one, two]).await;
+    while left.received.load(Ordering::SeqCst) == 0 {
+        assert_eq!(fixture.get("/a/b").await.0, 200);
+    }
+    announce(&fixture.routers[1], 1, 2, false);
+    for router in fixture.routers.iter().cycle().take(20) {
+        let address = router.state().settings.caller_listen;
+        assert_eq!(get(address, "/a/b").await.0, 200);
+    }
+    assert_eq!(left.received.load(Ordering::SeqCst), 1);
+}
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -77,10 +77,11 @@
 const FAILED: Reply = "HTTP/1.1 500 x\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Length: 0\r\n\r\n";
 const BARE_503: Reply = "HTTP/1.1 503 x\r\nshallotrill-request: {id}\r\nContent-Length: 0\r\n\r\n";
 const LIMITED: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-limit: 5\r\nContent-Length: 4\r\n\r\nbody";
+const LEAVING: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-leaving: 1\r\nContent-Length: 4\r\n\r\nbody";
 const NO_LENGTH: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nConnection: close\r\n\r\nbody";
 
 /// Replies after which the backend server keeps the connection open.
-const KEPT_OPEN: &[Reply] = &[COMPLETE, SHED, FAILED, LIMITED];
+const KEPT_OPEN: &[Reply] = &[COMPLETE, SHED, FAILED, LIMITED, LEAVING];
 
 struct Case {
     name: &'static str,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -11,6 +11,7 @@
 use crate::member::Member;
 use crate::member::Service;
 use crate::sample::Sample;
+use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
 use shallotrill_model::load::Report;
 use shallotrill_model::service;
@@ -25,6 +26,9 @@
 /// Minimum value that the step of the median load is computed from, in requests for each slot.
 const LOAD_STEP_FLOOR: f64 = 0.1;
 
+/// Time for which an incarnation that is leaving is remembered; it ends within some seconds.
+const LEAVING_RETENTION_PERIOD: Duration = Duration::from_mins(10);
+
 /// The targets of all services with the data for their load estimates.
 #[derive(Debug)]
 pub struct Table {
@@ -35,6 +39,16 @@
     free_indices: Vec<EntryIndex>,
     instances: Vec<(instance::Name, EntryIndex)>,
     zone_round_trips_us: Vec<(zone::Name, f64)>,
+    /// Incarnations that stated in a response that they are leaving, sorted by instance.
+    leaving: Vec<Leaving>,
+}
+
+/// An incarnation that is leaving.
+#[derive(Clone, Debug)]
+struct Leaving {
+    instance: instance::Name,
+    incarnation: Incarnation,
+    stated_at: Instant,
 }
 
 impl Table {
@@ -47,16 +61,23 @@
             free_indices: Vec::new(),
             instances: Vec::new(),
             zone_round_trips_us: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
     /// Adds or updates targets. A target of a lower incarnation than the known one is ignored.
     pub fn apply(&mut self, targets: &[Target], now: Instant) {
+        self.leaving
+            .retain(|known| now.since(known.stated_at) < LEAVING_RETENTION_PERIOD);
         let mut changed: Vec<&service::Name> = Vec::new();
         for target in targets {
+            let drained = self.is_leaving(target).then(|| Target {
+                state: State::Draining,
+                ..target.clone()
+            });
             match self.find_index(&target.instance) {
-                Some(index) => self.update(index, target, now),
-                None => self.add(target, now),
+                Some(index) => self.update(index, drained.as_ref().unwrap_or(target), now),
+                None => self.add(drained.as_ref().unwrap_or(target), now),
             }
             if let Err(position) = changed.binary_search(&&target.service) {
                 changed.insert(position, &target.service);
@@ -67,6 +88,42 @@
         }
     }
 
+    /// Records that an incarnation has stated that it is leaving: it is not chosen again, also when
+    /// an older announcement of it arrives later or it is removed and added.
+    pub fn mark_leaving(
+        &mut self,
+        instance: &instance::Name,
+        incarnation: Incarnation,
+        now: Instant,
+    ) {
+        let leaving = Leaving {
+            instance: instance.clone(),
+            incarnation,
+            stated_at: now,
+        };
+        match self.leaving.binary_search_by(|l| l.instance.cmp(instance)) {
+            Ok(position) if self.leaving[position].incarnation >= incarnation => return,
+            Ok(position) => self.leaving[position] = leaving,
+            Err(position) => self.leaving.insert(position, leaving),
+        }
+        let Some(index) = self.find_index(instance) else {
+            return;
+        };
+        let Some(entry) = self.entry(index) else {
+            return;
+        };
+        if entry.target.incarnation == incarnation {
+            let known = entry.target.clone();
+            self.apply(&[known], now);
+        }
+    }
+
+    fn is_leaving(&self, target: &Target) -> bool {
+        self.leaving
+            .binary_search_by(|known| known.instance.cmp(&target.instance))
+            .is_ok_and(|position| self.leaving[position].incarnation == target.incarnation)
+    }
+
     /// Removes the target of `instance`. Its service stays known, also without targets.
     pub fn remove(&mut self, instance: &instance::Name) {
         let Ok(position) = self
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -509,3 +509,59 @@
         );
     }
 }
+
+struct LeavingCase {
+    name: &'static str,
+    /// What happens after incarnation 5 of the target has stated that it is leaving.
+    then: fn(&mut Table),
+    is_chosen: bool,
+}
+
+/// Guards against a target that is chosen again after it has stated that it is leaving.
+const LEAVING_CASES: &[LeavingCase] = &[
+    LeavingCase {
+        name: "nothing",
+        then: |_| {},
+        is_chosen: false,
+    },
+    LeavingCase {
+        name: "an announcement that it is ready",
+        then: |table| table.apply(&[target("a", State::Ready)], Instant(2)),
+        is_chosen: false,
+    },
+    LeavingCase {
+        name: "it is removed and added",
+        then: |table| {
+            table.remove(&instance::Name::new("a").unwrap());
+            table.apply(&[target("a", State::Ready)], Instant(2));
+        },
+        is_chosen: false,
+    },
+    LeavingCase {
+        name: "a later incarnation of the same name",
+        then: |table| {
+            let later = Target {
+                incarnation: Incarnation(6),
+                ..target("a", State::Ready)
+            };
+            table.apply(&[later], Instant(2));
+        },
+        is_chosen: true,
+    },
+];
+
+#[test]
+fn a_leaving_target_is_not_chosen_again() {
+    for case in LEAVING_CASES {
+        let mut table = table(&[target("a", State::Ready)]);
+        assert!(choose(&mut table, &[], Instant(1), 1).is_ok());
+        table.mark_leaving(
+            &instance::Name::new("a").unwrap(),
+            Incarnation(5),
+            Instant(1),
+        );
+        (case.then)(&mut table);
+        let choice = choose(&mut table, &[], Instant(3), 1);
+        assert_eq!(choice.is_ok(), case.is_chosen, "{}", case.name);
+    }
+}
