routing, router: routers know when a target with a stated limit has room

Cause: a router chose a target by slots and latency and learned of the pace only by a refusal, one hop and one of three gates later.

Change: a response or denial of a target with a stated limit carries its rate and the time until one more request may start (header shallotrill-pace, absent without a limit, unknown to older routers and ignored by them). The time is added to the score until it has passed; requests that this router sends move it by one interval of the rate.

--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -15,6 +15,7 @@
 use crate::ticket::Release;
 use crate::ticket::Ticket;
 use crate::ticket::Verdict;
+use shallotrill_model::load;
 use shallotrill_model::load::Report;
 use shallotrill_model::partner;
 use shallotrill_model::rate::Rate;
@@ -203,6 +204,17 @@
         }
     }
 
+    /// The pace with the wait of a ticket behind all that wait now; `None` while no rate is set.
+    pub fn pace(&self, now: Instant) -> Option<load::Pace> {
+        let pace = self.pace?;
+        let wait = pace.wait(self.queue.waiting.len(), now);
+        let wait_us = wait.and_then(|wait| u32::try_from(wait.as_micros()).ok());
+        Some(load::Pace {
+            rate: pace.rate(),
+            wait_us: wait_us.unwrap_or(u32::MAX),
+        })
+    }
+
     /// Expected time until the ticket starts.
     fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
         if self.queue.waiting.is_empty() && self.may_start(now) {
--- a/crates/limits/src/pace.rs
+++ b/crates/limits/src/pace.rs
@@ -12,9 +12,6 @@
 /// Unused time that is kept. A window of one second then has at most one and a half times the rate.
 const BURST_PERIOD: Duration = Duration::from_millis(500);
 
-/// Interval between the requests of a rate of one millihertz, in microseconds.
-const MILLIHERTZ_INTERVAL_US: u64 = 1_000_000_000;
-
 /// Times at which requests may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
@@ -46,7 +43,7 @@
     pub fn set_rate(&mut self, rate: Rate, now: Instant) {
         let known = *self;
         self.rate = rate;
-        let (Some(before), Some(after)) = (known.interval(), self.interval()) else {
+        let (Some(before), Some(after)) = (known.rate.interval(), rate.interval()) else {
             *self = Self::new(rate, now);
             return;
         };
@@ -56,7 +53,7 @@
 
     /// Time until the request after `ahead` others may start; `None` when none ever may.
     pub fn wait(&self, ahead: usize, now: Instant) -> Option<Duration> {
-        let interval = self.interval()?;
+        let interval = self.rate.interval()?;
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let start = self.even_start.max(now) + interval.saturating_mul(ahead);
         Some(start.since(now).saturating_sub(self.burst_tolerance()))
@@ -69,20 +66,14 @@
 
     /// Records that a request starts.
     pub fn record_start(&mut self, now: Instant) {
-        if let Some(interval) = self.interval() {
+        if let Some(interval) = self.rate.interval() {
             self.even_start = self.even_start.max(now) + interval;
         }
     }
 
-    /// Time between two starts; `None` when no request is accepted.
-    fn interval(&self) -> Option<Duration> {
-        let millihertz = u64::from(self.rate.millihertz());
-        (millihertz > 0).then(|| Duration::from_micros(MILLIHERTZ_INTERVAL_US.div_ceil(millihertz)))
-    }
-
     /// How much earlier than evenly a request may start.
     fn burst_tolerance(&self) -> Duration {
-        let interval = self.interval().unwrap_or(BURST_PERIOD);
+        let interval = self.rate.interval().unwrap_or(BURST_PERIOD);
         BURST_PERIOD.saturating_sub(interval)
     }
 }
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::incarnation::Incarnation;
+use crate::rate::Rate;
 
 /// The load of a target at the time its node created the report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,3 +29,12 @@
     /// Time between the creation and the sending of the report, in microseconds.
     pub age_us: u32,
 }
+
+/// The pace of a target whose backend server accepts a limited rate of requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pace {
+    /// Requests that it accepts from all nodes together.
+    pub rate: Rate,
+    /// Time from the creation of the report until a request that arrives then may start, in microseconds.
+    pub wait_us: u32,
+}
--- a/crates/model/src/rate.rs
+++ b/crates/model/src/rate.rs
@@ -1,6 +1,7 @@
 //! Rates of requests.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -8,6 +9,9 @@
 /// Thousandths of a request per second in one request per second.
 const MILLIHERTZ_PER_HERTZ: f64 = 1_000.0;
 
+/// Interval between the requests of a rate of one millihertz, in microseconds.
+const MILLIHERTZ_INTERVAL_US: u64 = 1_000_000_000;
+
 /// Requests per second, in steps of a thousandth.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -36,6 +40,12 @@
         self.millihertz
     }
 
+    /// Time between two requests, rounded up to a microsecond; `None` when the rate is zero.
+    pub fn interval(self) -> Option<Duration> {
+        let millihertz = u64::from(self.millihertz);
+        (millihertz > 0).then(|| Duration::from_micros(MILLIHERTZ_INTERVAL_US.div_ceil(millihertz)))
+    }
+
     /// Requests per second.
     pub fn per_second(self) -> f64 {
         f64::from(self.millihertz) / MILLIHERTZ_PER_HERTZ
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -154,19 +155,7 @@
     choice: &Choice,
 ) -> Result<Response<Body>, Denial> {
     let headers = response.headers_mut();
-    if let Some(value) = headers.remove(load::LOAD) {
-        match load::decode(&value) {
-            Ok(report) => {
-                let now = state.now();
-                let mut routing = state.routing.lock();
-                routing.apply_report(&choice.instance, report, now);
-            }
-            Err(error) => warn!(
-                event = "load-unreadable";
-                "cannot decode the load header of a response: {error}"
-            ),
-        }
-    }
+    apply_load(state, headers, choice);
     if let Some(denial) = Denial::read(headers) {
         return Err(denial);
     }
@@ -186,3 +175,25 @@
     };
     Ok(Response::from_parts(parts, body))
 }
+
+/// Removes the load headers of a response and applies them to the routing table.
+fn apply_load(state: &State, headers: &mut HeaderMap, choice: &Choice) {
+    let pace = headers.remove(load::PACE);
+    let Some(value) = headers.remove(load::LOAD) else {
+        return;
+    };
+    let pace = pace.map(|value| load::decode_pace(&value)).transpose();
+    match (load::decode(&value), pace) {
+        (Ok(report), Ok(pace)) => {
+            let now = state.now();
+            let mut routing = state.routing.lock();
+            if routing.apply_report(&choice.instance, report, now) {
+                routing.apply_pace(&choice.instance, pace, now);
+            }
+        }
+        (Err(error), _) | (_, Err(error)) => warn!(
+            event = "load-unreadable";
+            "cannot decode the load headers of a response: {error}"
+        ),
+    }
+}
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -342,11 +342,12 @@
     let age = chosen.age.map_or(-1, |age| age.as_millis() as i64);
     let estimate = &chosen.estimate;
     format!(
-        "score {:.0}, {:.1} requests ahead with a limit of {}, latency {:.0} us, failure rate {:.2}, load report {age} ms old, {} candidates",
+        "score {:.0}, {:.1} requests ahead with a limit of {}, latency {:.0} us, wait {:.0} us, failure rate {:.2}, load report {age} ms old, {} candidates",
         chosen.score,
         estimate.requests_ahead,
         estimate.limit,
         estimate.latency_us,
+        estimate.wait_us,
         estimate.failure_rate,
         choice.candidates.len()
     )
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -107,11 +107,17 @@
     let mut backend = state.backend.lock();
     if let Some(server) = &mut backend.current {
         let mut report = server.gate.report(now);
+        let pace = server.gate.pace(now);
         let scaled = u64::from(report.latency_us) * u64::from(server.slowness(now)) / 100;
         report.latency_us = u32::try_from(scaled).unwrap_or(u32::MAX);
         response
             .headers_mut()
             .insert(load::LOAD, load::encode(&report));
+        if let Some(pace) = pace {
+            response
+                .headers_mut()
+                .insert(load::PACE, load::encode_pace(&pace));
+        }
     }
 }
 
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -34,6 +34,8 @@
     pub limit: u32,
     /// Expected latency of a request without queueing, in microseconds.
     pub latency_us: f64,
+    /// Time that a request waits because the backend server accepts a limited rate, in microseconds.
+    pub wait_us: f64,
     /// Failure rate, from 0 to 1.
     #[serde(rename = "failures")]
     pub failure_rate: f64,
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::sample::Outcome;
 use crate::sample::Sample;
+use shallotrill_model::load::Pace;
 use shallotrill_model::load::Report;
 use shallotrill_model::target::State;
 use shallotrill_model::target::Target;
@@ -40,6 +41,16 @@
     pub(crate) last_recovery: Option<Instant>,
     /// When the target's gate last refused a local request.
     pub(crate) last_refused: Option<Instant>,
+    /// Set while the backend server states a limit.
+    next_start: Option<NextStart>,
+}
+
+/// When a target whose backend server states a limit is expected to start one more request.
+#[derive(Clone, Copy, Debug)]
+struct NextStart {
+    at: Instant,
+    /// How much later it is with each request that is sent; `None` when none ever starts.
+    interval: Option<Duration>,
 }
 
 impl Entry {
@@ -57,9 +68,28 @@
             ready_since,
             last_recovery: None,
             last_refused: None,
+            next_start: None,
         }
     }
 
+    /// Applies the pace that came with the last report.
+    pub(crate) fn apply_pace(&mut self, pace: Option<Pace>, now: Instant) {
+        self.next_start = pace.map(|pace| {
+            let reported_ago = now.since(self.reported_at);
+            let wait = Duration::from_micros(u64::from(pace.wait_us));
+            NextStart {
+                at: now + wait.saturating_sub(reported_ago),
+                interval: pace.rate.interval(),
+            }
+        });
+    }
+
+    /// Time that a request waits for the pace of the target.
+    pub(crate) fn pace_wait(&self, now: Instant) -> Duration {
+        self.next_start
+            .map_or(Duration::ZERO, |next| next.at.since(now))
+    }
+
     /// Applies a newer description of the target. A new incarnation resets all observations.
     pub(crate) fn update(&mut self, target: &Target, now: Instant) {
         if target.incarnation < self.target.incarnation {
@@ -113,6 +143,13 @@
 
     pub(crate) fn request_started(&mut self, now: Instant) {
         self.in_flight.push(now);
+        if let Some(NextStart {
+            at,
+            interval: Some(interval),
+        }) = &mut self.next_start
+        {
+            *at = (*at).max(now) + *interval;
+        }
     }
 
     /// Number of local requests in flight that the report cannot include.
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -66,6 +66,7 @@
         requests_ahead: requests_ahead.max(entry.in_flight.len() as f64),
         limit,
         latency_us: latency_us.max(oldest_us),
+        wait_us: entry.pace_wait(now).as_micros() as f64,
         failure_rate: entry.failure_rate(config, now),
     }
 }
@@ -110,5 +111,5 @@
     if entry.report.is_some_and(|report| report.shedding) {
         penalty *= SHEDDING_PENALTY;
     }
-    response_time_us * penalty / warm_up_share.sqrt() + round_trip_us
+    response_time_us * penalty / warm_up_share.sqrt() + estimate.wait_us + round_trip_us
 }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -13,6 +13,7 @@
 use crate::sample::Sample;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
+use shallotrill_model::load::Pace;
 use shallotrill_model::load::Report;
 use shallotrill_model::service;
 use shallotrill_model::target::State;
@@ -143,20 +144,25 @@
     }
 
     /// Applies a load report. A report with a sequence number that is not higher than the last one,
-    /// or of an earlier incarnation, is ignored.
-    pub fn apply_report(&mut self, instance: &instance::Name, report: Report, now: Instant) {
+    /// or of an earlier incarnation, is ignored. Returns whether the report was applied.
+    pub fn apply_report(
+        &mut self,
+        instance: &instance::Name,
+        report: Report,
+        now: Instant,
+    ) -> bool {
         let Some(index) = self.find_index(instance) else {
-            return;
+            return false;
         };
         let round_trip_us = self
             .entry(index)
             .map_or(0.0, |entry| self.round_trip_us(entry));
         let round_trip = Duration::from_micros(round_trip_us as u64);
         let Some(entry) = self.entries[index.0].as_mut() else {
-            return;
+            return false;
         };
         if !entry.apply_report(report, now, round_trip) {
-            return;
+            return false;
         }
         let limit = f64::from(report.limit.max(1));
         let load = (f64::from(report.in_flight) + f64::from(report.queued)) / limit;
@@ -169,6 +175,14 @@
                     .add(f64::from(report.latency_us), 1.0);
             }
         }
+        true
+    }
+
+    /// Applies the pace that came with a load report which was applied; `None` when there was none.
+    pub fn apply_pace(&mut self, instance: &instance::Name, pace: Option<Pace>, now: Instant) {
+        if let Some(entry) = self.entry_mut(instance) {
+            entry.apply_pace(pace, now);
+        }
     }
 
     /// Records a round trip that was measured on a connection to an availability zone.
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -6,7 +6,9 @@
 
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
+use shallotrill_model::load::Pace;
 use shallotrill_model::load::Report;
+use shallotrill_model::rate::Rate;
 use shallotrill_model::region;
 use shallotrill_model::service;
 use shallotrill_model::target::State;
@@ -565,3 +567,105 @@
         assert_eq!(choice.is_ok(), case.is_chosen, "{}", case.name);
     }
 }
+
+struct PaceCase {
+    name: &'static str,
+    /// Pace of the first of two equal targets.
+    pace: Option<Pace>,
+    /// Requests sent to it since the report.
+    sent: usize,
+    /// Time from the report to the choice, in milliseconds.
+    after_ms: u64,
+    expected: &'static str,
+}
+
+/// Guards against requests that are sent to a target whose stated limit makes them wait, while another one is free,
+/// and against a target that stays avoided after its next start.
+const PACE_CASES: &[PaceCase] = &[
+    PaceCase {
+        name: "no limit is stated, and the other target is further away",
+        pace: None,
+        sent: 0,
+        after_ms: 0,
+        expected: "a",
+    },
+    PaceCase {
+        name: "a request may start now",
+        pace: Some(pace(2_000, 0)),
+        sent: 0,
+        after_ms: 0,
+        expected: "a",
+    },
+    PaceCase {
+        name: "a request waits for the pace",
+        pace: Some(pace(2_000, 400)),
+        sent: 0,
+        after_ms: 0,
+        expected: "b",
+    },
+    PaceCase {
+        name: "the wait has passed",
+        pace: Some(pace(2_000, 400)),
+        sent: 0,
+        after_ms: 401,
+        expected: "a",
+    },
+    PaceCase {
+        name: "this process has sent one since the report",
+        pace: Some(pace(2_000, 0)),
+        sent: 1,
+        after_ms: 0,
+        expected: "b",
+    },
+    PaceCase {
+        name: "no request is accepted",
+        pace: Some(Pace {
+            rate: Rate::from_millihertz(0),
+            wait_us: u32::MAX,
+        }),
+        sent: 0,
+        after_ms: 60_000,
+        expected: "b",
+    },
+];
+
+const fn pace(millihertz: u32, wait_ms: u32) -> Pace {
+    Pace {
+        rate: Rate::from_millihertz(millihertz),
+        wait_us: wait_ms * 1_000,
+    }
+}
+
+#[test]
+fn requests_avoid_a_target_whose_limit_makes_them_wait() {
+    for case in PACE_CASES {
+        let other_zone = Target {
+            zone: zone::Name::new("z2").unwrap(),
+            ..target("b", State::Ready)
+        };
+        let mut table = table(&[target("a", State::Ready), other_zone]);
+        let instance = instance::Name::new("a").unwrap();
+        for name in ["a", "b"] {
+            let report = Report {
+                incarnation: Incarnation(5),
+                sequence: 1,
+                limit: 6,
+                latency_us: 10_000,
+                ..Report::default()
+            };
+            let instance = instance::Name::new(name).unwrap();
+            assert!(table.apply_report(&instance, report, Instant(1_000)));
+        }
+        table.apply_pace(&instance, case.pace, Instant(1_000));
+        for _ in 0..case.sent {
+            table.request_started(&instance, Instant(1_000));
+        }
+        let now = Instant(1_000 + case.after_ms * 1_000);
+        let choices = (0..20).map(|seed| choose(&mut table, &[], now, seed).unwrap());
+        let compared: Vec<_> = choices.filter(|c| c.candidates.len() == 2).collect();
+        assert!(!compared.is_empty(), "{}", case.name);
+        for choice in compared {
+            assert_eq!(choice.instance.as_str(), case.expected, "{}", case.name);
+        }
+    }
+}
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -11,18 +11,23 @@
 use http::HeaderValue;
 
 use shallotrill_model::incarnation::Incarnation;
+use shallotrill_model::load::Pace;
 use shallotrill_model::load::Report;
+use shallotrill_model::rate::Rate;
 
 /// Header with the load of the target that sent the response.
 pub const LOAD: HeaderName = HeaderName::from_static("shallotrill-load");
 
-/// Error for a header value that is not a load report.
+/// Header with the pace of the target, beside [`LOAD`]; absent while its backend server states no limit.
+pub const PACE: HeaderName = HeaderName::from_static("shallotrill-pace");
+
+/// Error for a header value that is not a load report or a pace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Invalid;
 
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a load report must be nine decimal numbers separated by commas")
+        f.write_str("a load report must be nine decimal numbers separated by commas, a pace two")
     }
 }
 
@@ -74,6 +79,34 @@
     }
 }
 
+/// Writes a pace as a header value.
+///
+/// # Panics
+///
+/// Never: digits and commas are a valid header value.
+pub fn encode_pace(pace: &Pace) -> HeaderValue {
+    let text = format!("{},{}", pace.rate.millihertz(), pace.wait_us);
+    HeaderValue::from_str(&text).expect("digits and commas are a valid header value")
+}
+
+/// Reads a pace from a header value.
+///
+/// # Errors
+///
+/// Returns [`Invalid`] when the value is not two decimal numbers separated by a comma.
+pub fn decode_pace(value: &HeaderValue) -> Result<Pace, Invalid> {
+    let text = value.to_str().or(Err(Invalid))?;
+    let mut fields = text.split(',');
+    let pace = Pace {
+        rate: Rate::from_millihertz(next(&mut fields)?),
+        wait_us: next(&mut fields)?,
+    };
+    match fields.next() {
+        None => Ok(pace),
+        Some(_) => Err(Invalid),
+    }
+}
+
 fn next<T: std::str::FromStr>(fields: &mut std::str::Split<'_, char>) -> Result<T, Invalid> {
     fields
         .next()
