--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -247,9 +247,13 @@
         } else {
             now.0
         });
-        let config = Config::new(incarnation, slots, slots * QUEUED_PER_SLOT_MAX)
-            .service_time(INITIAL_SERVICE_TIME)
-            .tolerance(LATENCY_TOLERANCE_RATIO);
+        let config = Config::new(
+            incarnation,
+            slots,
+            slots.saturating_mul(QUEUED_PER_SLOT_MAX),
+        )
+        .service_time(INITIAL_SERVICE_TIME)
+        .tolerance(LATENCY_TOLERANCE_RATIO);
         let mut gate = Gate::new(config);
         if announcement.draining {
             // A new gate has no queued ticket whose refusal would have to be delivered.
