router: a request is not sent twice to a backend server that has refused it

Report of another operator: a target wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for a request that ran.

Callers would see: a 503 for a request that is not idempotent and that runs. When all targets are tried and a gate had refused, the targets are tried again; a target that had received and refused the request was sent it a second time, with the same id, on the same connection. A repeated refusal carries that id and arrives first. Refusals of other requests carry other ids and are found.

Change: the second round leaves out the targets that the request has reached.

Test: a_refused_request_is_sent_to_the_same_backend_server_again (before: 2 requests at the target that refuses; now 1).

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -184,6 +184,9 @@
 #[derive(Default)]
 struct Progress {
     tried: Vec<instance::Name>,
+    /// Those of them that received the request. None receives it again: a response that a backend
+    /// server repeats late would be taken for the response to the second sending.
+    reached: Vec<instance::Name>,
     gate_refusals: u32,
     unreachable: u32,
     /// Set when no untried target is left and at least one gate refused the request: the targets are
@@ -209,7 +212,7 @@
         let Some(choice) = choose(state, pending, &progress) else {
             if progress.gate_refusals > 0 && !progress.second_round {
                 progress.second_round = true;
-                progress.tried.clear();
+                progress.tried.clone_from(&progress.reached);
                 continue;
             }
             return give_up(state, pending, progress, remaining);
@@ -228,6 +231,7 @@
             Ok(response) => {
                 log_retry(pending, &choice, response.status());
                 progress.arrivals += 1;
+                progress.reached.push(choice.instance.clone());
                 progress.may_have_run = true;
                 progress.error_response = Some(response);
             }
@@ -236,7 +240,10 @@
                 log_denial(state, pending, &choice, denial, remaining);
                 match denial {
                     Denial::Unreachable => progress.unreachable += 1,
-                    _ if denial.has_arrived() => progress.arrivals += 1,
+                    _ if denial.has_arrived() => {
+                        progress.arrivals += 1;
+                        progress.reached.push(choice.instance.clone());
+                    }
                     _ => progress.gate_refusals += 1,
                 }
                 progress.may_have_run |= !denial.is_not_run();
--- a/crates/router/tests/path/gates.rs
+++ b/crates/router/tests/path/gates.rs
@@ -117,8 +117,12 @@
 
 /// Context of a request for the backend server `i-0`, which may start within a millisecond for its objective.
 fn forwarded(last_gate: bool) -> Forwarded {
+    forwarded_to("i-0", last_gate)
+}
+
+fn forwarded_to(name: &str, last_gate: bool) -> Forwarded {
     Forwarded {
-        instance: instance::Name::new("i-0").expect("a valid name"),
+        instance: instance::Name::new(name).expect("a valid name"),
         incarnation: Incarnation(100),
         service: service_name(),
         caller: service_name(),
@@ -168,3 +172,24 @@
     assert_eq!(fixture.get("/a/b").await.0, 200);
     assert_eq!(log.received.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against a request that is sent again to a backend server that has refused it: a refusal that the
+/// backend server repeats later would be taken for the response to the second sending, which may be running.
+#[tokio::test]
+async fn a_refused_request_is_sent_to_the_same_backend_server_again() {
+    let (refusing, full) = (
+        Arc::new(RequestLog::default()),
+        Arc::new(RequestLog::default()),
+    );
+    let one = backend_server(SHED, Arc::clone(&refusing)).await;
+    let two = backend_server(COMPLETE, Arc::clone(&full)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one, two]).await;
+    let state = fixture.routers[1].state();
+    let mut slots = Vec::new();
+    while let Ok(slot) = slot::admit(&state, &forwarded_to("i-1", false)).await {
+        slots.push(slot);
+    }
+    assert_eq!(fixture.get("/a/b").await.0, 503);
+    assert_eq!(refusing.received.load(Ordering::SeqCst), 1);
+    assert_eq!(full.received.load(Ordering::SeqCst), 0);
+}
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -72,6 +72,11 @@
 const TRUNCATED: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Length: 9\r\n\r\nbody";
 const ENCODED: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody";
 const NOT_HTTP: Reply = "\u{1}\u{2}nonsense\r\n\r\n";
+const TRUNCATED_HEAD: Reply =
+    "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nConte";
+const HEAD_WITHOUT_END: Reply =
+    "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\n";
+const TRUNCATED_STATUS: Reply = "HTTP/1.1 200";
 const EMPTY: Reply = "";
 const SHED: Reply = "HTTP/1.1 503 x\r\nshallotrill-request: {id}\r\nshallotrill-backend-not-run: full\r\nContent-Length: 0\r\n\r\n";
 const FAILED: Reply = "HTTP/1.1 500 x\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Length: 0\r\n\r\n";
@@ -160,6 +165,38 @@
         body: "",
         runs: &[1],
     },
+    Case {
+        name: "closed in the middle of a header",
+        class: Class::NonIdempotent,
+        reply: TRUNCATED_HEAD,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
+    Case {
+        name: "closed in the middle of a header, idempotent",
+        class: Class::Idempotent,
+        reply: TRUNCATED_HEAD,
+        status: 502,
+        body: "",
+        runs: &[1, 2],
+    },
+    Case {
+        name: "closed between two headers",
+        class: Class::NonIdempotent,
+        reply: HEAD_WITHOUT_END,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
+    Case {
+        name: "closed in the status line",
+        class: Class::NonIdempotent,
+        reply: TRUNCATED_STATUS,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
     Case {
         name: "closed without a response",
         class: Class::NonIdempotent,
