backend: a connection is not reused after a refusal without a request id

Change: such a connection is closed when the response has ended. Refusals with an id keep it, since one with another id is found; the router requires the id.

Test: a_repeated_refusal_is_taken_for_the_response_to_another_request failed before (1 connection instead of 2).

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -22,6 +22,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) generation: u64,
     pub(crate) is_new: bool,
+    /// False when bytes that arrive later could be taken for the response to another request.
+    pub(crate) reusable: bool,
     pub(crate) idle_since: time::Instant,
     /// Latest request on the connection and the time of its dispatch.
     pub(crate) sequence: Sequence,
@@ -60,6 +62,7 @@
         sender,
         generation,
         is_new: true,
+        reusable: true,
         idle_since: now,
         sequence: Sequence::default(),
         dispatched_at: now,
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -218,6 +218,9 @@
             Some(header) => parts.headers.contains_key(header),
             None => states_not_run(&parts),
         };
+        let mut connection = lease.release();
+        // A backend server may repeat a refusal, and only the id shows which request it belongs to.
+        connection.reusable = !not_run || echoed.is_some();
         self.update_idle_timeout(&parts);
         hop::strip_hop_by_hop(&mut parts.headers);
         if self.config.not_run_header.is_none() {
@@ -228,7 +231,7 @@
             not_run,
             incoming,
             remaining: timeout.saturating_sub(started.elapsed()),
-            connection: lease.release(),
+            connection,
             pool: Arc::clone(self),
         })
     }
@@ -429,7 +432,8 @@
                 .silence
                 .record_response(connection.sequence, latency, now);
         }
-        if connection.generation == state.generation && !connection.sender.is_closed() {
+        let usable = connection.reusable && !connection.sender.is_closed();
+        if connection.generation == state.generation && usable {
             state.idle.push(connection);
         } else {
             state.open -= 1;
--- a/crates/backend/tests/contract/responses.rs
+++ b/crates/backend/tests/contract/responses.rs
@@ -271,3 +271,45 @@
         .await;
     assert_eq!((counts.open, counts.idle, counts.closed_in_use), (0, 0, 1));
 }
+
+struct RefusalCase {
+    name: &'static str,
+    response: &'static str,
+    /// Whether the connection serves the next request.
+    reused: bool,
+}
+
+/// Guards against a refusal that the backend server repeats on a kept connection and that is taken for the refusal
+/// of the next request, which runs. Only the id tells them apart.
+const REFUSALS: &[RefusalCase] = &[
+    RefusalCase {
+        name: "a refusal without a request id",
+        response: "HTTP/1.1 503 x\r\nshallotrill-run: not-run\r\ncontent-length: 0\r\n\r\n",
+        reused: false,
+    },
+    RefusalCase {
+        name: "a refusal with the request id",
+        response: "HTTP/1.1 503 x\r\nshallotrill-run: not-run\r\nshallotrill-request: 0000000000000000000000000000000a\r\ncontent-length: 0\r\n\r\n",
+        reused: true,
+    },
+    RefusalCase {
+        name: "an error that is no refusal",
+        response: "HTTP/1.1 500 x\r\ncontent-length: 0\r\n\r\n",
+        reused: true,
+    },
+];
+
+#[tokio::test]
+async fn a_repeated_refusal_is_taken_for_the_response_to_another_request() {
+    for case in REFUSALS {
+        let config = Config::default().spare_connections(0);
+        let server = common::start(config, 4, case.response, FollowUp::Serve).await;
+        for _ in 0..2 {
+            server
+                .send(Method::GET, TEST_TIMEOUT, OnSilence::Wait)
+                .await;
+        }
+        let opened = if case.reused { 1 } else { 2 };
+        assert_eq!(server.pool.counts().opened, opened, "{}", case.name);
+    }
+}
