router: the gate follows the announced slots, and a drain is final

An announcement with another number of slots was published, while the gate and the connections kept the first number. One that said ready after draining was published as ready, while the gate went on refusing, so that other routers chose a target that refuses everything.

Change: a changed number of slots resizes the gate and the pool; an incarnation that has announced a drain stays draining for all, like one that states it in a response.

Test: the_gate_follows_what_its_backend_server_states (before: 8 running instead of 4 with fewer slots).

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -93,7 +93,7 @@
     waiting: Vec<(ticket::Id, oneshot::Sender<Result<(), Denial>>)>,
     slowness_report: SlownessReport,
     stated_limit: StatedLimit,
-    /// Set when a response states that it is leaving; an incarnation does not come back.
+    /// Set when it has announced or stated in a response that it is leaving. An incarnation does not come back.
     leaving: bool,
 }
 
@@ -172,10 +172,14 @@
                     || known.slots != announcement.slots
                     || known.warm_up_remaining.is_zero()
                         != announcement.warm_up_remaining.is_zero();
-                if announcement.draining && !known.draining {
-                    let effect = current.gate.drain();
+                if announcement.slots != known.slots {
+                    let slots = usable_slots(announcement.slots);
+                    let effect = current.gate.resize(slots, queue_length(slots), now);
                     current.notify_waiting(effect);
                 }
+                if announcement.draining {
+                    current.leave();
+                }
                 current.announcement = announcement;
                 return if changed {
                     Change::Target
@@ -238,31 +242,21 @@
 
 impl ServerState {
     fn new(announcement: ServerAnnouncement, now: Instant) -> Self {
-        let slots = (f64::from(announcement.slots) * SLOT_SHARE)
-            .floor()
-            .max(1.0) as u32;
+        let slots = usable_slots(announcement.slots);
         // Without a reported start, the time of the first announcement identifies the incarnation.
         let incarnation = Incarnation(if announcement.start_time_ms > 0 {
             announcement.start_time_ms
         } else {
             now.0
         });
-        let config = Config::new(
-            incarnation,
-            slots,
-            slots.saturating_mul(QUEUED_PER_SLOT_MAX),
-        )
-        .service_time(INITIAL_SERVICE_TIME)
-        .tolerance(LATENCY_TOLERANCE_RATIO);
-        let mut gate = Gate::new(config);
-        if announcement.draining {
-            // A new gate has no queued ticket whose refusal would have to be delivered.
-            drop(gate.drain());
-        }
-        Self {
+        let config = Config::new(incarnation, slots, queue_length(slots))
+            .service_time(INITIAL_SERVICE_TIME)
+            .tolerance(LATENCY_TOLERANCE_RATIO);
+        let draining = announcement.draining;
+        let mut server = Self {
             announcement,
             incarnation,
-            gate,
+            gate: Gate::new(config),
             waiting: Vec::new(),
             slowness_report: SlownessReport {
                 slowness: NORMAL_SLOWNESS_PERCENT,
@@ -274,17 +268,21 @@
                 requests: 0,
             },
             leaving: false,
+        };
+        if draining {
+            server.leave();
         }
+        server
     }
 
     /// Whether it takes no further requests, as announced or as stated in a response.
     pub const fn is_draining(&self) -> bool {
-        self.announcement.draining || self.leaving
+        self.leaving
     }
 
     /// Refuses all waiting and later requests. Returns false if it is draining already.
     pub fn leave(&mut self) -> bool {
-        if self.is_draining() {
+        if self.leaving {
             return false;
         }
         self.leaving = true;
@@ -397,6 +395,15 @@
     }
 }
 
+/// Slots that the gate uses of those that are announced.
+fn usable_slots(announced: u32) -> u32 {
+    (f64::from(announced) * SLOT_SHARE).floor().max(1.0) as u32
+}
+
+const fn queue_length(slots: u32) -> u32 {
+    slots.saturating_mul(QUEUED_PER_SLOT_MAX)
+}
+
 const fn denial(refusal: ticket::Refusal) -> Denial {
     match refusal {
         ticket::Refusal::Draining => Denial::Gone,
@@ -418,9 +425,12 @@
     let change = {
         let mut backend = state.backend.lock();
         let change = backend.announce(announcement, now);
+        let slots = backend.current.as_ref().map_or(1, |l| l.announcement.slots);
+        let limit = slots.saturating_mul(2).max(1) as usize;
+        if change == Change::Target {
+            state.pool.connect_to(state.settings.backend, false, limit);
+        }
         if change == Change::Incarnation {
-            let slots = backend.current.as_ref().map_or(1, |l| l.announcement.slots);
-            let limit = slots.saturating_mul(2).max(1) as usize;
             state.pool.connect_to(state.settings.backend, true, limit);
             state.probes.connect_to(state.settings.backend, true, 1);
             state.metrics.set_backend_limit(None);
--- a/crates/router/tests/backend.rs
+++ b/crates/router/tests/backend.rs
@@ -222,3 +222,59 @@
         assert_eq!(current.is_slow(now), case.slow, "{}", case.name);
     }
 }
+
+struct StatementCase {
+    name: &'static str,
+    /// Slots and whether it drains, in two announcements of one incarnation.
+    announced: [(u32, bool); 2],
+    /// Tickets that run after both, of twenty that are offered.
+    running: usize,
+    draining: bool,
+}
+
+/// Guards against a statement of a backend server that is passed on to the other routers and not followed by its gate.
+const STATEMENT_CASES: &[StatementCase] = &[
+    StatementCase {
+        name: "nothing changes",
+        announced: [(10, false), (10, false)],
+        running: 8,
+        draining: false,
+    },
+    StatementCase {
+        name: "fewer slots",
+        announced: [(10, false), (5, false)],
+        running: 4,
+        draining: false,
+    },
+    StatementCase {
+        name: "it drains",
+        announced: [(10, false), (10, true)],
+        running: 0,
+        draining: true,
+    },
+    StatementCase {
+        name: "it drains and announces itself as ready again",
+        announced: [(10, true), (10, false)],
+        running: 0,
+        draining: true,
+    },
+];
+
+#[test]
+fn the_gate_follows_what_its_backend_server_states() {
+    for case in STATEMENT_CASES {
+        let mut backend = Backend::default();
+        for (sequence, (slots, draining)) in (1..).zip(case.announced) {
+            let announced = ServerAnnouncement {
+                slots,
+                ..announcement(("a", 100, sequence, draining))
+            };
+            backend.announce(announced, Instant(sequence));
+        }
+        let current = backend.current.as_mut().expect(case.name);
+        assert_eq!(current.is_draining(), case.draining, "{}", case.name);
+        let offers = (0..20).map(|id| current.offer(ticket(id), Instant(3)));
+        let running = offers.filter(|offer| matches!(offer, Ok(None))).count();
+        assert_eq!(running, case.running, "{}", case.name);
+    }
+}
