router: probes of a target with a stated limit are a tenth of it

Cause: a target that accepts 4 to 7 requests a second got up to 10 health checks a second beside them, most when few responses come, which is just when the gate paces requests.

Change: while a limit is stated, the interval of probes is that of ten requests, between 100 ms and 5 s; a withdrawn limit is noticed by the next response or probe.

Test: probes_take_a_small_part_of_a_stated_limit.

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -312,6 +312,11 @@
         })
     }
 
+    /// The limit that the backend server states.
+    pub const fn stated_limit(&self) -> Option<Rate> {
+        self.stated_limit.rate
+    }
+
     /// Counts a request that is sent. Returns whether the backend server states a limit.
     pub const fn record_request(&mut self) -> bool {
         self.stated_limit.requests += 1;
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -20,6 +20,8 @@
 use shallotrill_backend::pool::OnSilence;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
+use shallotrill_model::rate::Rate;
+use shallotrill_model::time::Instant;
 use shallotrill_wire::body;
 use shallotrill_wire::listen;
 
@@ -29,6 +31,12 @@
 /// No probe is sent while the last slowness report is younger than this.
 const REPORT_AGE_MIN: Duration = Duration::from_millis(60);
 
+/// Requests for each probe of a backend server that accepts a limited rate of them: probes are load too.
+const REQUESTS_PER_PROBE: u32 = 10;
+
+/// Longest interval between probes, so that a withdrawn limit is noticed without any request.
+const LIMITED_INTERVAL_MAX: Duration = Duration::from_secs(5);
+
 /// Longest wait for the response head of a probe, and again for its body.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -44,30 +52,46 @@
 
 /// Probes the backend server until `stop` becomes true.
 pub async fn run(state: Arc<State>, mut stop: watch::Receiver<bool>) {
+    let mut last_sent = None;
     loop {
         tokio::select! {
             () = time::sleep(PROBE_INTERVAL) => {}
             () = listen::stopped(&mut stop) => return,
         }
-        if let Some(probe) = due_probe(&state) {
+        let now = state.now();
+        if let Some(probe) = due_probe(&state, last_sent, now) {
+            last_sent = Some(now);
             send(&state, probe).await;
         }
     }
 }
 
-/// The probe to send now; `None` when it is not needed: no backend server accepts requests, or its
-/// last slowness report is recent.
-fn due_probe(state: &State) -> Option<Probe> {
+/// Least time between two probes of a backend server that states this limit, or none.
+pub fn interval(limit: Option<Rate>) -> Duration {
+    let Some(rate) = limit else {
+        return PROBE_INTERVAL;
+    };
+    let interval = rate.interval().unwrap_or(LIMITED_INTERVAL_MAX);
+    let interval = interval.saturating_mul(REQUESTS_PER_PROBE);
+    interval.clamp(PROBE_INTERVAL, LIMITED_INTERVAL_MAX)
+}
+
+/// The probe to send now; `None` when it is not needed: no backend server accepts requests, its last
+/// slowness report is recent, or it states a limit and was probed recently.
+fn due_probe(state: &State, last_sent: Option<Instant>, now: Instant) -> Option<Probe> {
     let items = state.items();
     let path = &items.service(&state.settings.service)?.health_path;
     let uri = path.parse().ok()?;
-    let now = state.now();
     let (instance, incarnation) = {
         let backend = state.backend.lock();
         let server = backend.current.as_ref()?;
         if server.is_draining() || server.slowness_age(now) < REPORT_AGE_MIN {
             return None;
         }
+        let limit = server.stated_limit();
+        if limit.is_some() && last_sent.is_some_and(|sent| now.since(sent) < interval(limit)) {
+            return None;
+        }
         (server.announcement.instance.clone(), server.incarnation)
     };
     let mut request = Request::new(Full::new(Bytes::new()));
