soak: backend servers state limits and departures in their responses

Change: two faults (a stated limit for 6 to 12 s; a departure that only responses state, while announcements go on) with a random source of their own, so that the other faults of a known seed stay, and two invariants.

--- a/crates/soak/src/backend_server.rs
+++ b/crates/soak/src/backend_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -29,6 +30,8 @@
 
 use crate::history;
 use crate::history::Arrival;
+use crate::history::Limit;
+use crate::history::Statement;
 use crate::layout;
 use crate::plan::ProcessIndex;
 use crate::run::RunContext;
@@ -71,6 +74,7 @@
     sequence: AtomicU64,
     slots: Semaphore,
     waiting: AtomicU32,
+    leaving: AtomicBool,
 }
 
 /// An incarnation and its tasks.
@@ -87,6 +91,8 @@
     router: ProcessIndex,
     /// Factor applied to the execution time of requests.
     slowdown_factor: AtomicU32,
+    /// Limit that it states, in requests in a thousand seconds; zero without one.
+    limit_millihertz: AtomicU32,
     starts: AtomicU64,
     /// The current incarnation; `None` while there is none.
     running: Mutex<Option<RunningServer>>,
@@ -100,6 +106,7 @@
         Self {
             router,
             slowdown_factor: AtomicU32::new(1),
+            limit_millihertz: AtomicU32::new(0),
             starts: AtomicU64::new(0),
             running: Mutex::new(None),
             replacement: Mutex::new(()),
@@ -111,6 +118,62 @@
         self.slowdown_factor.store(factor, Ordering::Relaxed);
     }
 
+    /// States a limit in all responses for a time, unless it states one already.
+    pub async fn state_limit(&self, run_context: &RunContext, millihertz: u32, duration: Duration) {
+        let running = self.running.lock().await;
+        let Some(instance) = running.as_ref().map(|r| Arc::clone(&r.server.identity)) else {
+            return;
+        };
+        drop(running);
+        let limit = &self.limit_millihertz;
+        let stated = limit.compare_exchange(0, millihertz, Ordering::Relaxed, Ordering::Relaxed);
+        if stated.is_err() {
+            return;
+        }
+        let index = {
+            let mut history = run_context.history.lock();
+            history.limits.push(Limit {
+                instance,
+                millihertz,
+                from_ms: run_context.now(),
+                until_ms: u64::MAX,
+            });
+            history.limits.len() - 1
+        };
+        time::sleep(duration).await;
+        run_context.history.lock().limits[index].until_ms = run_context.now();
+        self.limit_millihertz.store(0, Ordering::Relaxed);
+    }
+
+    /// States in all responses that it is leaving, continues to announce itself as ready for a
+    /// while, and restarts as a new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address is in use.
+    pub async fn leave_unannounced(
+        self: &Arc<Self>,
+        run_context: &Arc<RunContext>,
+    ) -> std::io::Result<()> {
+        let _replacement = self.replacement.lock().await;
+        if let Some(running) = self.running.lock().await.as_ref() {
+            running.server.leaving.store(true, Ordering::Relaxed);
+        }
+        time::sleep(DEPARTURE_PERIOD).await;
+        time::sleep(DEPARTURE_PERIOD).await;
+        self.stop().await;
+        time::sleep(DOWNTIME).await;
+        self.start(run_context).await
+    }
+
+    fn statement(&self, server: &ServerProcess) -> Statement {
+        let millihertz = self.limit_millihertz.load(Ordering::Relaxed);
+        Statement {
+            limit_millihertz: (millihertz > 0).then_some(millihertz),
+            leaving: server.leaving.load(Ordering::Relaxed),
+        }
+    }
+
     /// Starts a new incarnation.
     ///
     /// # Errors
@@ -126,6 +189,7 @@
             sequence: AtomicU64::new(0),
             slots: Semaphore::new(SLOTS),
             waiting: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
         });
         let address = run_context
             .layout
@@ -191,6 +255,7 @@
                 return Ok(());
             };
             running.heartbeat_task.abort();
+            running.server.leaving.store(true, Ordering::Relaxed);
             Arc::clone(&running.server)
         };
         let deadline = time::Instant::now() + DEPARTURE_TIMEOUT;
@@ -327,6 +392,7 @@
     if path == "/healthz" {
         let mut response = response_with_load(server, StatusCode::OK, Bytes::new());
         insert_header(&mut response, "shallotrill-instance-id", &server.identity);
+        insert_statement(&mut response, backend_server.statement(server));
         return response;
     }
     let method = request.method().clone();
@@ -351,18 +417,17 @@
             remaining_ms,
             executed,
             response: None,
+            statement: Statement::default(),
         });
         history.arrivals.len() - 1
     };
+    if wrong_target {
+        return refuse(server, StatusCode::MISDIRECTED_REQUEST);
+    }
     if !executed {
-        return refuse(
-            server,
-            if wrong_target {
-                StatusCode::MISDIRECTED_REQUEST
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            },
-        );
+        let mut response = refuse(server, StatusCode::SERVICE_UNAVAILABLE);
+        insert_statement(&mut response, backend_server.statement(server));
+        return response;
     }
     let _permit = if let Ok(permit) = permit {
         permit
@@ -386,14 +451,29 @@
     };
     let body = Bytes::from(vec![b'a' + rand::random_range(0..26); size]);
     let seal = history::seal(&identity, status.as_u16(), &body);
-    run_context.history.lock().arrivals[arrival_index].response =
-        Some((status.as_u16(), Arc::clone(&seal)));
+    let statement = backend_server.statement(server);
+    {
+        let arrival = &mut run_context.history.lock().arrivals[arrival_index];
+        arrival.response = Some((status.as_u16(), Arc::clone(&seal)));
+        arrival.statement = statement;
+    }
     let mut response = response_with_load(server, status, body);
     insert_header(&mut response, "shallotrill-attempt-id", &identity);
     insert_header(&mut response, "shallotrill-response-seal", &seal);
+    insert_statement(&mut response, statement);
     response
 }
 
+fn insert_statement(response: &mut Response<Full<Bytes>>, statement: Statement) {
+    if let Some(millihertz) = statement.limit_millihertz {
+        let limit = (f64::from(millihertz) / 1_000.0).to_string();
+        insert_header(response, "server-limit", &limit);
+    }
+    if statement.leaving {
+        insert_header(response, "server-leaving", "1");
+    }
+}
+
 fn response_with_load(
     server: &ServerProcess,
     status: StatusCode,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -12,6 +12,7 @@
 use crate::history::Outcome;
 use crate::history::SentRequest;
 use crate::layout;
+use crate::statements;
 
 /// Tolerance added to each time limit for bytes in transit and a loaded machine.
 pub const SLACK_MS: u64 = 1_000;
@@ -68,6 +69,16 @@
         text: "a backend server receives no request once its departure has had time to take effect",
         check: departures,
     },
+    Invariant {
+        name: "stated-departures",
+        text: "a backend server receives no request from a router that has passed on that it is leaving",
+        check: statements::leaving,
+    },
+    Invariant {
+        name: "stated-limits",
+        text: "a backend server receives no more requests than the limit that it states allows",
+        check: statements::limits,
+    },
     Invariant {
         name: "graceful-stops",
         text: "a router that is stopped gracefully responds to all requests that it has forwarded",
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -76,6 +76,30 @@
     pub executed: bool,
     /// Status and seal of the response; `None` until it is created.
     pub response: Option<(u16, Arc<str>)>,
+    /// What the response states about its backend server.
+    pub statement: Statement,
+}
+
+/// Statement of a backend server in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Requests that it accepts in a thousand seconds; `None` without a limit.
+    pub limit_millihertz: Option<u32>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A limit that a backend server stated.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// Instance id of the incarnation.
+    pub instance: Arc<str>,
+    /// Requests that it accepts in a thousand seconds.
+    pub millihertz: u32,
+    /// When it began to state the limit.
+    pub from_ms: u64,
+    /// When it ceased to; `u64::MAX` while it states it.
+    pub until_ms: u64,
 }
 
 /// Services of a route; `None` when the route is removed.
@@ -136,6 +160,8 @@
     pub changes: Vec<Change>,
     /// Instance ids of backend servers whose drain or deregistration was acknowledged, with the time and the router.
     pub departures: Vec<(Arc<str>, u64, ProcessIndex)>,
+    /// Limits that backend servers stated.
+    pub limits: Vec<Limit>,
     /// Disturbances of processes and backend servers.
     pub disturbances: Vec<Disturbance>,
     /// Routes in force at the end, as reported by each registry process.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod program;
 pub mod regressions;
 pub mod run;
+pub mod statements;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,15 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: Range<u64> = 200..3_500;
 
+/// Limit that a backend server states, in requests in a thousand seconds.
+const LIMIT_MILLIHERTZ: Range<u32> = 500..12_000;
+
+/// Duration for which a limit is stated, in milliseconds. It applies to the routers after some seconds.
+const LIMIT_DURATION_MS: Range<u64> = 6_000..12_000;
+
+/// Changes the seed of a run for the faults of [`add_statements`].
+const STATEMENTS_SEED: u64 = 0x5eed;
+
 /// Index of a process of a run: registry processes first, then routers.
 pub type ProcessIndex = usize;
 
@@ -63,6 +72,10 @@
     Leave(ProcessIndex, bool),
     /// The backend server is slower by this factor for this time.
     SlowBackend(ProcessIndex, u32, u64),
+    /// The backend server states for this time that it accepts this many requests in a thousand seconds.
+    StateLimit(ProcessIndex, u32, u64),
+    /// The backend server states only in its responses that it is leaving, and restarts as a new incarnation.
+    LeaveUnannounced(ProcessIndex),
     /// An operator sends this many changes, one after another.
     Changes(u32),
     /// Two operators send different content under one version to two registry processes.
@@ -132,6 +145,7 @@
             });
         }
     }
+    add_statements(seed, size, end, &mut steps);
     steps.sort_by_key(|step| step.at_ms);
     Plan {
         seed,
@@ -140,6 +154,23 @@
     }
 }
 
+/// Adds faults in which backend servers state something in their responses. They have a random source
+/// of their own, so that the other faults of a known seed stay the same.
+fn add_statements(seed: u64, size: Size, end: u64, steps: &mut Vec<Step>) {
+    let mut random = Pcg64::seed_from_u64(seed ^ STATEMENTS_SEED);
+    for _ in 0..random.random_range(0..4) {
+        let router = REGISTRIES + random.random_range(0..size.routers);
+        let fault = if random.random_bool(0.7) {
+            let millihertz = random.random_range(LIMIT_MILLIHERTZ);
+            Fault::StateLimit(router, millihertz, random.random_range(LIMIT_DURATION_MS))
+        } else {
+            Fault::LeaveUnannounced(router)
+        };
+        let at_ms = random.random_range(FAULT_FREE_START_MS..end);
+        steps.push(Step { at_ms, fault });
+    }
+}
+
 fn random_fault(random: &mut Pcg64, routers: usize, remaining_disk_losses: &mut usize) -> Fault {
     let registry = random.random_range(0..REGISTRIES);
     let router = REGISTRIES + random.random_range(0..routers);
--- a/crates/soak/src/regressions.rs
+++ b/crates/soak/src/regressions.rs
@@ -19,4 +19,20 @@
         seed: 1010,
         cause: "the check did not allow the acknowledgement of a change that a higher version had superseded",
     },
+    Regression {
+        seed: 3001,
+        cause: "a backend server received more requests than its stated limit allows",
+    },
+    Regression {
+        seed: 3002,
+        cause: "a backend server received more requests than its stated limit allows",
+    },
+    Regression {
+        seed: 3005,
+        cause: "routers sent requests to a backend server that stated in its responses that it was leaving",
+    },
+    Regression {
+        seed: 3009,
+        cause: "a backend server received more requests than its stated limit allows",
+    },
 ];
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -356,6 +356,19 @@
             time::sleep(Duration::from_millis(duration_ms)).await;
             run_context.backend_server(router).set_slowdown(1);
         }
+        Fault::StateLimit(router, millihertz, duration_ms) => {
+            let server = run_context.backend_server(router);
+            let duration = Duration::from_millis(duration_ms);
+            server.state_limit(run_context, millihertz, duration).await;
+        }
+        Fault::LeaveUnannounced(router) => {
+            let index = run_context.begin_disturbance(router, DisturbanceKind::Other);
+            run_context
+                .backend_server(router)
+                .leave_unannounced(run_context)
+                .await?;
+            run_context.end_disturbance(index);
+        }
         Fault::Changes(count) => {
             operator::send_changes(run_context, &mut Pcg64::seed_from_u64(seed), count).await;
         }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -11,8 +11,10 @@
 use shallotrill_soak::history::DisturbanceKind;
 use shallotrill_soak::history::History;
 use shallotrill_soak::history::Idempotency;
+use shallotrill_soak::history::Limit;
 use shallotrill_soak::history::Outcome;
 use shallotrill_soak::history::SentRequest;
+use shallotrill_soak::history::Statement;
 use shallotrill_soak::plan::REGISTRIES;
 
 /// Router whose backend server belongs to the first service.
@@ -39,6 +41,7 @@
         remaining_ms: Some(900),
         executed: true,
         response: Some((200, seal())),
+        statement: Statement::default(),
     }
 }
 
@@ -105,6 +108,45 @@
     });
 }
 
+/// Lets the first request state something in its response, which its router passes on, and adds requests that the
+/// router sends afterwards.
+fn state_and_send(history: &mut History, statement: Statement, count: usize, from_ms: u64) {
+    history.arrivals[0].statement = statement;
+    for number in 0..count {
+        let request = text(&format!("later-{number}"));
+        let sent = SentRequest {
+            at_ms: from_ms,
+            outcome: None,
+            ..history.requests["r1"].clone()
+        };
+        history.requests.insert(Arc::clone(&request), sent);
+        history.arrivals.push(Arrival {
+            request,
+            response: None,
+            ..arrival(from_ms + 10)
+        });
+    }
+}
+
+fn state_limit(history: &mut History, count: usize) {
+    let statement = Statement {
+        limit_millihertz: Some(1_000),
+        leaving: false,
+    };
+    history.limits.push(Limit {
+        instance: text("target-5-0"),
+        millihertz: 1_000,
+        from_ms: 5_000,
+        until_ms: 30_000,
+    });
+    state_and_send(history, statement, count, 11_000);
+}
+
+const LEAVING: Statement = Statement {
+    limit_millihertz: None,
+    leaving: true,
+};
+
 struct Case {
     name: &'static str,
     change_history: fn(&mut History),
@@ -332,6 +374,42 @@
         },
         expected: None,
     },
+    Case {
+        name: "more requests than a stated limit allows",
+        change_history: |l| state_limit(l, 12),
+        expected: Some("stated-limits"),
+    },
+    Case {
+        name: "as many requests as a stated limit allows",
+        change_history: |l| state_limit(l, 11),
+        expected: None,
+    },
+    Case {
+        name: "more requests than a limit that has just been stated allows",
+        change_history: |l| {
+            state_limit(l, 12);
+            l.limits[0].from_ms = 9_000;
+        },
+        expected: None,
+    },
+    Case {
+        name: "more requests than a stated limit allows after a restart of the router",
+        change_history: |l| {
+            state_limit(l, 12);
+            disturb(l, DisturbanceKind::Other, 10_100, 10_200);
+        },
+        expected: None,
+    },
+    Case {
+        name: "a request to a backend server that has stated that it is leaving",
+        change_history: |l| state_and_send(l, LEAVING, 1, 14_000),
+        expected: Some("stated-departures"),
+    },
+    Case {
+        name: "a request soon after the statement of a departure",
+        change_history: |l| state_and_send(l, LEAVING, 1, 11_000),
+        expected: None,
+    },
     Case {
         name: "a failure detected during the run",
         change_history: |l| l.failures.push(("stops-in-time", String::new())),
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -43,6 +43,8 @@
                 Fault::Backend(p, _, _)
                 | Fault::Crash(p)
                 | Fault::Leave(p, _)
+                | Fault::LeaveUnannounced(p)
+                | Fault::StateLimit(p, _, _)
                 | Fault::SlowBackend(p, _, _) => (p, REGISTRIES),
                 Fault::KillAll | Fault::Changes(_) | Fault::Race => continue,
             };
@@ -62,7 +64,7 @@
             kinds.insert(text.split('(').next().unwrap_or_default().to_owned());
         }
     }
-    assert_eq!(kinds.len(), 14, "{kinds:?}");
+    assert_eq!(kinds.len(), 16, "{kinds:?}");
 }
 
 /// Guards against a size on the command line that is not used.
