limits: a stated rate that falls does not stop a target for long

Found by reading: when a backend server stated a lower rate, the requests of the burst before it counted as intervals of the new rate. After a burst at 30 a second, a rate of 1 a second started nothing for 15 s.

Change: an unused burst is kept as time, and the wait for the next start as a share of one interval. Lines on rates that change with each response, and on ones that cannot be read, are limited like other frequent lines.

Test: the row 'a rate that falls far after a burst' of starts_follow_the_stated_rate (before: 60 starts, 66 are expected).

--- a/crates/limits/src/pace.rs
+++ b/crates/limits/src/pace.rs
@@ -38,8 +38,9 @@
         self.rate
     }
 
-    /// Sets another rate. What started before counts at the new rate, so that a rate that changes
-    /// with each response allows no additional requests.
+    /// Sets another rate. An unused burst is kept as time and the wait for the next start as a share
+    /// of the interval, so that a rate that changes with each response neither allows additional
+    /// requests nor delays the next one by more than an interval.
     pub fn set_rate(&mut self, rate: Rate, now: Instant) {
         let known = *self;
         self.rate = rate;
@@ -47,8 +48,12 @@
             *self = Self::new(rate, now);
             return;
         };
-        let ahead = known.even_start.since(now).as_secs_f64() / before.as_secs_f64();
-        self.even_start = now + after.mul_f64(ahead);
+        let earliest_even_start = now + known.burst_tolerance();
+        let wait = known.even_start.since(earliest_even_start);
+        let wait = after.mul_f64(wait.as_secs_f64() / before.as_secs_f64());
+        let burst = earliest_even_start.since(known.even_start.max(now));
+        let used_burst = self.burst_tolerance().saturating_sub(burst);
+        self.even_start = now + used_burst + wait;
     }
 
     /// Time until the request after `ahead` others may start; `None` when none ever may.
--- a/crates/limits/tests/pace.rs
+++ b/crates/limits/tests/pace.rs
@@ -88,6 +88,12 @@
         arrival_interval_ms: 7,
         starts_min: 55,
     },
+    LoadCase {
+        name: "a rate that falls far after a burst",
+        statements: &[(0, Some(30_000)), (2_000, Some(1_000))],
+        arrival_interval_ms: 7,
+        starts_min: 66,
+    },
     LoadCase {
         name: "no requests at all",
         statements: &[(0, Some(0))],
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -98,7 +98,7 @@
 }
 
 /// The limit that the backend server states, and what was sent to it since.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct StatedLimit {
     rate: Option<Rate>,
     since: Instant,
--- a/crates/router/src/notice.rs
+++ b/crates/router/src/notice.rs
@@ -97,16 +97,22 @@
         info!(event = "backend-leaving", instance = instance.as_str(); "the backend server states that it is leaving");
         state.publish();
     }
-    if let Limit::Unreadable(text) = &notice.limit {
+    // A backend server may state something else in each response, so repeated lines are limited.
+    if let Limit::Unreadable(text) = &notice.limit
+        && state.routine_log_quota.allows(now)
+    {
         warn!(event = "backend-limit-unreadable", instance = instance.as_str(); "the limit that the backend server states is not a number of requests per second: {text:?}");
     }
     if let Some(change) = change {
-        log_change(state, instance, &change);
+        state.metrics.set_backend_limit(change.to);
+        let begins_or_ends = change.from.is_none() || change.to.is_none();
+        if begins_or_ends || state.routine_log_quota.allows(now) {
+            log_change(instance, &change);
+        }
     }
 }
 
-fn log_change(state: &State, instance: &instance::Name, change: &RateChange) {
-    state.metrics.set_backend_limit(change.to);
+fn log_change(instance: &instance::Name, change: &RateChange) {
     let describe = |rate: Option<Rate>| rate.map_or_else(|| "none".to_owned(), |r| r.to_string());
     info!(
         event = "backend-limit-changed",
