routing: a target whose limit is withdrawn is tried again within five seconds

Found by reading: a router learns from a response that a limit is withdrawn. With a limit of zero, or of a request in some minutes, the reported wait kept it from the target for up to 71 minutes, unless no other target was left.

Change: a reported pace keeps requests away for at most 5 s, the longest interval of the probes, after which the gate is asked and answers with its present pace.

--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -18,6 +18,10 @@
 /// Weight of one local success in the latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// Longest time for which a reported pace keeps requests away. Only a response shows that the limit is
+/// withdrawn, so a target must get a request now and then.
+const PACE_WAIT_MAX: Duration = Duration::from_secs(5);
+
 /// Minimum share of a target that warms up, so that it receives any requests at all.
 const WARM_UP_SHARE_MIN: f64 = 0.02;
 
@@ -49,8 +53,8 @@
 #[derive(Clone, Copy, Debug)]
 struct NextStart {
     at: Instant,
-    /// How much later it is with each request that is sent; `None` when none ever starts.
-    interval: Option<Duration>,
+    /// How much later it is with each request that is sent.
+    interval: Duration,
 }
 
 impl Entry {
@@ -77,9 +81,10 @@
         self.next_start = pace.map(|pace| {
             let reported_ago = now.since(self.reported_at);
             let wait = Duration::from_micros(u64::from(pace.wait_us));
+            let interval = pace.rate.interval().unwrap_or(PACE_WAIT_MAX);
             NextStart {
-                at: now + wait.saturating_sub(reported_ago),
-                interval: pace.rate.interval(),
+                at: now + wait.min(PACE_WAIT_MAX).saturating_sub(reported_ago),
+                interval: interval.min(PACE_WAIT_MAX),
             }
         });
     }
@@ -143,12 +148,8 @@
 
     pub(crate) fn request_started(&mut self, now: Instant) {
         self.in_flight.push(now);
-        if let Some(NextStart {
-            at,
-            interval: Some(interval),
-        }) = &mut self.next_start
-        {
-            *at = (*at).max(now) + *interval;
+        if let Some(next) = &mut self.next_start {
+            next.at = next.at.max(now) + next.interval;
         }
     }
 
