--- a/crates/soak/src/backend_server.rs
+++ b/crates/soak/src/backend_server.rs
@@ -159,8 +159,7 @@
         if let Some(running) = self.running.lock().await.as_ref() {
             running.server.leaving.store(true, Ordering::Relaxed);
         }
-        time::sleep(DEPARTURE_PERIOD).await;
-        time::sleep(DEPARTURE_PERIOD).await;
+        time::sleep(DEPARTURE_PERIOD * 2).await;
         self.stop().await;
         time::sleep(DOWNTIME).await;
         self.start(run_context).await
