--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -3,6 +3,8 @@
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod drained;
+mod first_start;
+mod large_bodies;
 mod old_state;
 mod refused_change;
 mod server;
@@ -29,6 +31,8 @@
         }
     };
     let result = match case.as_str() {
+        "first-start" => first_start::run(&record),
+        "large-bodies" => large_bodies::run(&record),
         "old-state" => old_state::run(&record),
         "drained" => drained::run(&record),
         "refused-change" => refused_change::run(&record),
--- a/review/stand-in/old_state.rs
+++ b/review/stand-in/old_state.rs
@@ -1,13 +1,17 @@
 //! Case "old state": a minority misses a change, one of the others loses its disk, the rest are down.
 
 use std::io;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::server::Server;
 use crate::support;
+use crate::support::CALLER_PORT;
 use crate::support::Deployment;
 use crate::support::Outcome;
+use crate::support::Program;
 use crate::support::Record;
 
 /// Registry processes that miss the change.
@@ -18,15 +22,37 @@
 const DARK: [u8; 2] = [4, 5];
 /// How long they are down: the dose of `for_s` of `core_cut` in the site file.
 const DARK_TIME: Duration = Duration::from_millis(5_500);
+/// `stabilityWindowS` of the settings.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+/// Machines of the old and the new service of the route, and the machine that is added.
+const OLD_SERVICE: u8 = 6;
+const NEW_SERVICE: u8 = 7;
+const ADDED: u8 = 9;
+/// Route that the change moves, and its version after it.
+const ROUTE: &str = "r-moving";
+const VERSION: u64 = 7;
 
 /// Runs the case.
 pub fn run(record: &Record) -> io::Result<Outcome> {
-    let first = support::first_config(&["catalogue", "bookings"], &[("r-moving", "catalogue")]);
+    let services = ["catalogue", "bookings", "payments"];
+    let first = support::first_config(&services, &[(ROUTE, "catalogue")]);
     let mut deployment = Deployment::start(record, &first)?;
+    let network = deployment.network;
+    let folder = deployment.folder.0.clone();
+    let router = |number, service: &str| Program::router(number, service, &folder, network, record);
+    let mut old_router = router(OLD_SERVICE, "catalogue");
+    let mut new_router = router(NEW_SERVICE, "bookings");
+    let mut added_router = router(ADDED, "payments");
+    old_router.start(true)?;
+    new_router.start(true)?;
+    let work = Duration::from_millis(60);
+    let old = Server::start(network, OLD_SERVICE, "catalogue", work, record)?;
+    let new = Server::start(network, NEW_SERVICE, "bookings", work, record)?;
     let all: Vec<u8> = (1..=support::REGISTRIES).collect();
-    if !deployment.wait_for(&all, "r-moving", 1, Duration::from_secs(10)) {
+    if !deployment.wait_for(&all, ROUTE, 1, Duration::from_secs(10)) {
         return Err(io::Error::other("the first configuration is not read back"));
     }
+    thread::sleep(Duration::from_secs(3));
     let trouble = support::has_trouble();
     if trouble {
         for number in MINORITY {
@@ -34,18 +60,20 @@
         }
     }
     thread::sleep(Duration::from_millis(500));
-    let change = support::patch(&[support::route("r-moving", 7, "bookings", 1.0)]);
+    let change = support::patch(&[support::route(ROUTE, VERSION, "bookings", 1.0)]);
     let majority: Vec<_> = deployment.admins()[2..].to_vec();
     let patience = Duration::from_secs(10);
-    if !support::change_until_accepted(record, &majority, "r-moving version 7", &change, patience) {
+    let label = format!("{ROUTE} moves to bookings, version {VERSION},");
+    if !support::change_until_accepted(record, &majority, &label, &change, patience) {
         return Err(io::Error::other("the change was not acknowledged"));
     }
-    if !deployment.wait_for(&[3, 4, 5], "r-moving", 7, Duration::from_secs(5)) {
-        return Err(io::Error::other(
-            "the change is not read back at the majority",
-        ));
+    if !deployment.wait_for(&[3, 4, 5], ROUTE, VERSION, Duration::from_secs(5)) {
+        return Err(io::Error::other("the majority does not have the change"));
     }
-    record.line("read    registry 3, 4, 5 have r-moving version 7");
+    record.line(&format!(
+        "read    registry-3, 4 and 5 have {ROUTE} version {VERSION}"
+    ));
+    thread::sleep(Duration::from_millis(500));
     if trouble {
         deployment.registry(WIPED).kill();
         for number in DARK {
@@ -57,46 +85,81 @@
         }
         deployment.registry(WIPED).start(false)?;
     }
+    added_router.start(false)?;
+    let dark_since = Instant::now();
     let mut older = 0;
-    let dark_until = Instant::now() + DARK_TIME;
-    while Instant::now() < dark_until {
-        older += read_all(record, &deployment, 7);
-        thread::sleep(Duration::from_millis(250));
+    let mut asked = 0;
+    let mut statuses = Vec::new();
+    while dark_since.elapsed() < DARK_TIME {
+        if dark_since.elapsed() < STABILITY_WINDOW {
+            older += read_all(record, &deployment);
+            thread::sleep(Duration::from_millis(400));
+            continue;
+        }
+        asked += 1;
+        statuses.push(look_up(&deployment, asked));
+        thread::sleep(Duration::from_millis(40));
     }
+    older += read_all(record, &deployment);
+    record.line(&format!(
+        "clients {asked} requests on {ROUTE} at the added machine, at least {STABILITY_WINDOW:?} after the last event, answers: {statuses:?}"
+    ));
+    let old_runs = runs(&old);
+    record.line(&format!(
+        "ran     {old_runs} of them at {} of the old service, {} at {} of the new one",
+        old.id,
+        runs(&new),
+        new.id
+    ));
     if trouble {
         for number in DARK {
             deployment.registry(number).start(false)?;
         }
     }
-    // The read-back at the end of the day, when all machines are back.
-    let settled = deployment.wait_for(&all, "r-moving", 7, Duration::from_secs(15));
+    // When all machines are back, the acknowledged version is there again.
+    let settled = deployment.wait_for(&all, ROUTE, VERSION, Duration::from_secs(15));
     record.line(&format!(
-        "read    all have r-moving version 7 within 15 s of the return: {settled}"
+        "read    all have {ROUTE} version {VERSION} within 15 s of the return: {settled}"
     ));
     record.line(&format!(
-        "count   {older} answers 200 with r-moving older than the acknowledged version 7"
+        "count   {older} answers 200 with {ROUTE} older than the acknowledged version {VERSION}; {old_runs} requests run by its old service"
     ));
-    Ok(if older > 0 || !settled {
+    Ok(if old_runs > 0 || older > 0 || !settled {
         Outcome::Broken
     } else {
         Outcome::Held
     })
 }
 
+fn runs(server: &Arc<Server>) -> usize {
+    server.arrivals.lock().unwrap().len()
+}
+
+/// Sends one request at the added machine. Returns its status, zero without an answer.
+fn look_up(deployment: &Deployment, number: u32) -> u16 {
+    let address = deployment.network.address(ADDED, CALLER_PORT);
+    let headers = format!(
+        "Host: shop.example\r\nShallotrill-Attempt-Id: {number:016x}\r\nShallotrill-Deadline-Ms: 1000\r\n"
+    );
+    let path = format!("/{ROUTE}/{number}");
+    let answer = support::call(address, "GET", &path, &headers, "", Duration::from_secs(1));
+    answer.map_or(0, |response| response.status)
+}
+
 /// Reads back from all registry processes. Returns the number of answers with an older version.
-fn read_all(record: &Record, deployment: &Deployment, acknowledged: u64) -> usize {
+fn read_all(record: &Record, deployment: &Deployment) -> usize {
     let mut older = 0;
     for registry in &deployment.registries {
         let Some(config) = support::read_back(registry.admin()) else {
             record.line(&format!("read    {}: no 200", registry.name));
             continue;
         };
-        let version = support::version(&config, "r-moving");
+        let version = support::version(&config, ROUTE);
         record.line(&format!(
-            "read    {}: 200, r-moving version {version:?}",
+            "read    {}: 200, {ROUTE} version {version:?}",
             registry.name
         ));
-        older += usize::from(version.is_none_or(|version| version < acknowledged));
+        older += usize::from(version.is_none_or(|version| version < VERSION));
     }
     older
 }
--- a/review/stand-in/support.rs
+++ b/review/stand-in/support.rs
@@ -1,10 +1,11 @@
 //! Support for the review scripts: processes, HTTP calls, JSON documents and the record of a run.
 
 use std::env;
-use std::fmt::Write as _;
 use std::fs;
 use std::fs::File;
 use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -277,14 +278,12 @@
         }
     }
 
-    /// Sends SIGTERM and waits until the process has ended.
-    pub fn terminate(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            self.record.line(&format!("term    {}", self.name));
-            signal(child.id(), SIGTERM);
-            let _ = child.wait();
-            self.record.line(&format!("ended   {}", self.name));
-        }
+    /// Resident memory of the process in kB; `None` while it is not running.
+    pub fn resident_kb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
     }
 
     /// Stops the process without ending it.
@@ -337,10 +336,7 @@
     }
 }
 
-const SIGTERM: i32 = 15;
-#[cfg(target_os = "linux")]
 const SIGCONT: i32 = 18;
-#[cfg(target_os = "linux")]
 const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
@@ -403,6 +399,48 @@
     parse(&bytes).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
+/// A connection that a client keeps for several requests.
+pub struct KeptConnection(BufReader<TcpStream>);
+
+impl KeptConnection {
+    /// Opens a connection.
+    pub fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, timeout)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(timeout))?;
+        Ok(Self(BufReader::new(stream)))
+    }
+
+    /// Sends a request without a body and reads the whole answer. Returns its status.
+    pub fn get(&mut self, target: &str, headers: &str) -> io::Result<u16> {
+        let request = format!("GET {target} HTTP/1.1\r\n{headers}\r\n");
+        self.0.get_mut().write_all(request.as_bytes())?;
+        let closed = || io::Error::from(io::ErrorKind::UnexpectedEof);
+        let mut status = None;
+        let mut length = 0;
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line)? == 0 {
+                return Err(closed());
+            }
+            let line = line.trim_end();
+            if line.is_empty() {
+                break;
+            }
+            if status.is_none() {
+                status = line.split(' ').nth(1).and_then(|s| s.parse().ok());
+            } else if let Some((name, value)) = line.split_once(':')
+                && name.eq_ignore_ascii_case("content-length")
+            {
+                length = value.trim().parse().unwrap_or(0);
+            }
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body)?;
+        status.ok_or_else(closed)
+    }
+}
+
 fn parse(bytes: &[u8]) -> Option<Response> {
     let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
     let head = std::str::from_utf8(&bytes[..end]).ok()?;
@@ -601,12 +639,3 @@
         false
     }
 }
-
-/// Formats a list of numbers.
-pub fn list(numbers: &[u8]) -> String {
-    let mut text = String::new();
-    for number in numbers {
-        let _ = write!(text, "{}{number}", if text.is_empty() { "" } else { ", " });
-    }
-    text
-}
