--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exit code: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/review ] && [ -x target/release/shallotrill ] || exit 2
-exec target/review/review old-state review/1
+exec target/review/review endless review/1
--- a/review/stand-in/server.rs
+++ b/review/stand-in/server.rs
@@ -40,6 +40,29 @@
     pub path: String,
 }
 
+/// How a server refuses requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusals {
+    /// It runs them.
+    None,
+    /// With a whole answer.
+    Short,
+    /// With an answer whose body does not end until the connection is closed.
+    Endless,
+}
+
+/// Bytes of one piece of a body that does not end.
+const PIECE_BYTES: usize = 64 * 1024;
+/// Time from one piece to the next: 80 MB a second on a connection.
+const PIECE_INTERVAL: Duration = Duration::from_micros(800);
+
+/// How a server refuses requests now, and how many it has refused.
+#[derive(Clone, Copy, Debug)]
+struct Refusing {
+    how: Refusals,
+    refused: u32,
+}
+
 /// A running backend server.
 pub struct Server {
     /// Its id.
@@ -52,6 +75,7 @@
     work: Duration,
     /// Whether it sends check-ins.
     pub beats: AtomicBool,
+    refusals: Mutex<Refusing>,
     /// Requests that it ran.
     pub arrivals: Mutex<Vec<Arrival>>,
     record: Record,
@@ -80,6 +104,10 @@
             sequence: AtomicU64::new(0),
             work,
             beats: AtomicBool::new(true),
+            refusals: Mutex::new(Refusing {
+                how: Refusals::None,
+                refused: 0,
+            }),
             arrivals: Mutex::new(Vec::new()),
             record: record.clone(),
         });
@@ -106,6 +134,43 @@
         Ok(server)
     }
 
+    /// Changes how the server refuses requests.
+    pub fn refuse(&self, refusals: Refusals) {
+        self.refusals.lock().unwrap().how = refusals;
+    }
+
+    /// Number of requests that it has refused.
+    pub fn refused(&self) -> u32 {
+        self.refusals.lock().unwrap().refused
+    }
+
+    /// How the next request is refused, if it is.
+    fn next_refusal(&self) -> Refusals {
+        let mut refusing = self.refusals.lock().unwrap();
+        if refusing.how != Refusals::None {
+            refusing.refused += 1;
+        }
+        refusing.how
+    }
+
+    /// Refuses one request. Returns `None` when the connection is closed.
+    fn refuse_one(&self, refusals: Refusals, id: &str, mut writer: &TcpStream) -> Option<()> {
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nShallotrill-Attempt-Id: {id}\r\nShallotrill-Not-Executed: 1\r\n"
+        );
+        if refusals == Refusals::Short {
+            let answer = format!("{head}Content-Length: 5\r\n\r\nfull\n");
+            return writer.write_all(answer.as_bytes()).ok();
+        }
+        let answer = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        writer.write_all(answer.as_bytes()).ok()?;
+        let piece = format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES));
+        loop {
+            writer.write_all(piece.as_bytes()).ok()?;
+            thread::sleep(PIECE_INTERVAL);
+        }
+    }
+
     /// The body of the next check-in.
     pub fn check_in(&self, state: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -195,6 +260,10 @@
                     "HTTP/1.1 421 Misdirected\r\nShallotrill-Attempt-Id: {id}\r\nShallotrill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 )
             } else {
+                let refusals = self.next_refusal();
+                if refusals != Refusals::None {
+                    return self.refuse_one(refusals, &id, writer);
+                }
                 let at = self.record.now();
                 self.arrivals.lock().unwrap().push(Arrival {
                     at,
--- a/review/stand-in/support.rs
+++ b/review/stand-in/support.rs
@@ -101,7 +101,13 @@
     process::exit(2);
 }
 
-fn forget(id: u32) {
+/// Adds a process that this program has started to those that are ended with it.
+pub fn remember(id: u32) {
+    RUNNING.lock().unwrap().push(id);
+}
+
+/// Removes a process that has ended.
+pub fn forget(id: u32) {
     if let Ok(mut running) = RUNNING.lock() {
         running.retain(|known| *known != id);
     }
@@ -129,6 +135,14 @@
         })
     }
 
+    /// Creates a record that is not kept, for a stand-in that runs as a process of its own.
+    pub fn unkept() -> io::Result<Self> {
+        Ok(Self {
+            file: Arc::new(Mutex::new(File::options().write(true).open("/dev/null")?)),
+            start: Instant::now(),
+        })
+    }
+
     /// Seconds since the start of the run.
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
@@ -136,8 +150,13 @@
 
     /// Writes a line.
     pub fn line(&self, text: &str) {
+        print!("{:8.3} {text}\n", self.now());
+        self.note(text);
+    }
+
+    /// Writes a line to the file only.
+    pub fn note(&self, text: &str) {
         let line = format!("{:8.3} {text}\n", self.now());
-        print!("{line}");
         let mut file = self.file.lock().unwrap();
         let _ = file.write_all(line.as_bytes());
     }
@@ -173,7 +192,7 @@
                 CALLER_PORT,
                 9_464,
             ];
-            let mut addresses = (1..=12)
+            let mut addresses = (1..=16)
                 .flat_map(|n| ports.map(|port| SocketAddr::new(network.ip(n).into(), port)));
             if addresses.all(|address| TcpListener::bind(address).is_ok()) {
                 return Ok(network);
@@ -182,6 +201,20 @@
         Err(io::ErrorKind::AddrInUse.into())
     }
 
+    /// The network as an argument for another process; [`Network::parse`] reads it.
+    pub fn text(self) -> String {
+        format!("{}.{}", self.second, self.third)
+    }
+
+    /// Reads the text of a network.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (second, third) = text.split_once('.')?;
+        Some(Self {
+            second: second.parse().ok()?,
+            third: third.parse().ok()?,
+        })
+    }
+
     /// Address of the machine `number`.
     pub fn ip(self, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.second, self.third, number)
@@ -203,6 +236,8 @@
     service: Option<String>,
     folder: PathBuf,
     network: Network,
+    /// Machines that the settings name as seeds.
+    seeds: [u8; 3],
     child: Option<Child>,
     record: Record,
 }
@@ -254,11 +289,17 @@
             service,
             folder,
             network,
+            seeds: [1, 2, 3],
             child: None,
             record: record.clone(),
         }
     }
 
+    /// Sets the machines that the settings name as seeds.
+    pub fn set_seeds(&mut self, seeds: [u8; 3]) {
+        self.seeds = seeds;
+    }
+
     fn data(&self) -> PathBuf {
         self.folder.join("data")
     }
@@ -270,8 +311,9 @@
 
     fn settings(&self, bootstrap: bool) -> String {
         let address = |port| self.network.address(self.number, port);
-        let seeds: Vec<String> = (1..=3)
-            .map(|n| format!("\"{}\"", self.network.address(n, ADMIN_PORT)))
+        let seeds = self.seeds.iter();
+        let seeds: Vec<String> = seeds
+            .map(|n| format!("\"{}\"", self.network.address(*n, ADMIN_PORT)))
             .collect();
         let (addresses, rest) = match &self.service {
             None => (
@@ -344,6 +386,11 @@
         }
     }
 
+    /// What the process has written to its log.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
     /// Resident memory of the process in kB; `None` while it is not running.
     pub fn resident_kb(&self) -> Option<u64> {
         let id = self.child.as_ref()?.id();
@@ -539,18 +586,16 @@
 /// Headers of an operator's call.
 pub const JSON_HEADERS: &str = "Host: control\r\nContent-Type: application/json\r\n";
 
+/// Length from which the body of a call counts as large.
+const LARGE_BYTES: usize = 100_000;
+
 /// Sends a change to one registry process and records the answer. `None` is no clear answer.
 pub fn change(record: &Record, registry: SocketAddr, label: &str, body: &str) -> Option<u16> {
     let sent = record.now();
     let path = "/api/Config.Patch";
-    let answer = call(
-        registry,
-        "POST",
-        path,
-        JSON_HEADERS,
-        body,
-        Duration::from_secs(1),
-    );
+    // "a second without a response (more for large bodies)"
+    let patience = Duration::from_secs(if body.len() > LARGE_BYTES { 3 } else { 1 });
+    let answer = call(registry, "POST", path, JSON_HEADERS, body, patience);
     match answer {
         Ok(response) => {
             let text = String::from_utf8_lossy(&response.body).into_owned();
@@ -625,6 +670,17 @@
     )
 }
 
+/// A route in the layout of the example on the page of the operator's API.
+pub fn long_route(name: &str) -> String {
+    format!(
+        "{{\"type\":\"routes\",\"metadata\":{{\"name\":\"{name}\",\"version\":7}},\
+         \"spec\":{{\"host\":\"{name}.preorder.example\",\"prefix\":\"/{name}/available/\",\"kind\":\"safe\",\
+         \"timeoutS\":1,\"targetLatencyS\":0.5,\"priority\":2,\"trafficSplit\":[\
+         {{\"service\":\"catalogue\",\"weight\":90}},{{\"service\":\"bookings\",\"weight\":10}}],\
+         \"maxAttempts\":2}}}}"
+    )
+}
+
 /// A call of the operator that sets items.
 pub fn patch(items: &[String]) -> String {
     format!(
