--- a/review/stand-in/support.rs
+++ b/review/stand-in/support.rs
@@ -386,10 +386,6 @@
         }
     }
 
-    /// What the process has written to its log.
-    pub fn log(&self) -> String {
-        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
-    }
 
     /// Resident memory of the process in kB; `None` while it is not running.
     pub fn resident_kb(&self) -> Option<u64> {
