--- a/review/stand-in/endless.rs
+++ b/review/stand-in/endless.rs
@@ -83,6 +83,11 @@
         servers[2].refused()
     ));
     let closed: Vec<String> = closed.into_inner().unwrap();
+    for server in &servers {
+        for arrival in server.arrivals.lock().unwrap().iter() {
+            record.note(&format!("ran     {} ran {} at {:.3}", server.id, arrival.id, arrival.at));
+        }
+    }
     let passed_on = closed.iter().filter(|id| ran(&servers[..2], id)).count();
     record.line(&format!(
         "count   {kills} processes were killed over their memory limit of {MEMORY_KB} kB; {} kept connections were closed without an answer, {passed_on} of them with a request that had been passed on to one of the two sound servers",
@@ -140,6 +145,8 @@
             thread::sleep(Duration::from_millis(100));
             continue;
         };
+        // Whether the connection has carried an answer, so that it is a kept one.
+        let mut kept = false;
         while !done.load(Ordering::Relaxed) {
             number += 1;
             let id = format!("{client:08x}{number:08x}");
@@ -149,6 +156,7 @@
             );
             match connection.get(&format!("/r-look/{id}"), &headers) {
                 Ok(status) => {
+                    kept = true;
                     record.note(&format!("client  {id}: {status}"));
                     *statuses.lock().unwrap().entry(status).or_insert(0) += 1;
                     if status != 200 {
@@ -156,8 +164,12 @@
                     }
                 }
                 Err(error) => {
-                    record.line(&format!("client  {id}: closed without an answer ({error})"));
-                    closed.lock().unwrap().push(id);
+                    record.line(&format!(
+                        "client  {id}: closed without an answer ({error}), kept connection: {kept}"
+                    ));
+                    if kept {
+                        closed.lock().unwrap().push(id);
+                    }
                     break;
                 }
             }
