bench tests: the exit of a crashed backend server is counted when it is seen

Cause: the last case of deposits_run_at_most_once counted exited servers as soon as the request was answered. The connections of a process close before its parent can see the exit, so a server could be missed; the case then waited 30 s for state dumps with exactly the lower number of crashes.

The count is now part of the wait: exits are counted in each poll until the dumps of all three nodes show that number. What is asserted stays: two crashes, shown by all nodes, and no third one.

--- a/crates/bench/tests/processes/deposits.rs
+++ b/crates/bench/tests/processes/deposits.rs
@@ -335,15 +335,16 @@
     let mut crashed_at = Instant::now();
     while crashes < 2 {
         drop(fixture.send(0, &crash));
-        crashes += restart_servers(fixture);
         crashed_at = Instant::now();
-        for node in 0..3 {
-            wait("the state dump of the node shows the crashes", || {
+        // The exit of a server can become visible some milliseconds after its connections are closed.
+        wait("the state dumps of the nodes show the crashes", || {
+            crashes += restart_servers(fixture);
+            (0..3).all(|node| {
                 let dump = Request::get(SERVICE, "/v1/state");
                 let dump = fixture.send_to(fixture.cluster.instances[node].announce, &dump);
                 dump.is_ok_and(|dump| shows_crashes(&dump.text(), crashes))
-            });
-        }
+            })
+        });
     }
     println!(
         "all nodes received the crash record after {:?}",
