bench: an installation reserves its loopback address

Cause: the last byte of the address was drawn at random, and all groups of a test run use the same ports. While a group had a process down, the process of another group on the same address took its port and joined the wrong group for good.

--- a/crates/bench/examples/claims.rs
+++ b/crates/bench/examples/claims.rs
@@ -148,7 +148,7 @@
 async fn measure(options: Options) -> Result<()> {
     fs::create_dir_all(&options.folder)?;
     let folder = tempfile::tempdir_in(&options.folder)?;
-    let group = Group::start(cluster::loopback_ip(), folder.path(), 3, options.delay).await?;
+    let group = Group::start(cluster::reserve_ip()?, folder.path(), 3, options.delay).await?;
     let group = Arc::new(group);
     ready(&group).await?;
     let leader = leader(&group).await?;
--- a/crates/bench/examples/path.rs
+++ b/crates/bench/examples/path.rs
@@ -178,7 +178,7 @@
         let layout = Layout {
             program_folder: cluster::program_folder()?,
             folder: folder.clone(),
-            ip: cluster::loopback_ip(),
+            ip: cluster::reserve_ip()?,
             region: "waikato",
             zones: vec!["hamilton", "cambridge", "matamata"],
             services: vec![service],
--- a/crates/bench/examples/slopes.rs
+++ b/crates/bench/examples/slopes.rs
@@ -122,7 +122,7 @@
 
 impl Bench {
     async fn fleet(&self, count: u16, voters: u16) -> Result<Fleet> {
-        let ip = cluster::loopback_ip();
+        let ip = cluster::reserve_ip()?;
         let folder = self.folder.path().join(ip.to_string());
         std::fs::create_dir_all(&folder)?;
         let fleet = Fleet::start(&self.program, &folder, ip, count, voters).await?;
@@ -474,7 +474,7 @@
     let fleet = bench.fleet(1, 1).await?;
     create_services(&fleet.operators, 0, 1_700).await?;
     let mut created = 1_700;
-    let ip = cluster::loopback_ip();
+    let ip = cluster::reserve_ip()?;
     let control = fleet.node_relays[0].address;
     let processes = NodeProcesses::start(&bench.program, bench.folder.path(), ip, control, 10)?;
     time::sleep(Duration::from_secs(5)).await;
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -1,8 +1,8 @@
 //! Starts the processes of one small installation on this machine.
 //!
-//! Each installation uses a random address in the loopback range, so that
-//! several can run at once without coordinating ports. Processes are signalled
-//! by process id only.
+//! Each installation reserves an address in the loopback range, so that several
+//! can run at once with the same ports. Processes are signalled by process id
+//! only.
 
 use std::fs;
 use std::fs::File;
@@ -10,18 +10,25 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 
+/// Port that reserves an address of the loopback range while it is bound.
+const RESERVATION_PORT: u16 = 6999;
+/// Addresses of one process id; the last byte is never 0 or 255.
+const ADDRESSES_PER_PROCESS: u32 = 250;
 /// First port of the RPC listeners of control processes.
 const RPC_PORT: u16 = 7000;
 /// First port of the operator listeners of control processes.
@@ -126,14 +133,33 @@
     pub instances: Vec<Instance>,
 }
 
-/// Returns an address in the loopback range.
+/// Reserves an address in the loopback range until this process ends.
 ///
-/// The process id and a random byte determine it, so that concurrent installations are unlikely to share one.
-pub fn loopback_ip() -> Ipv4Addr {
+/// Two installations on one address would take each other's ports: a control process that is started while a
+/// process of the other installation is down joins the wrong group.
+///
+/// # Errors
+///
+/// Returns the error of the system when an address cannot be bound, and one of kind `AddrInUse` when none is free.
+pub fn reserve_ip() -> io::Result<Ipv4Addr> {
+    static RESERVED: AtomicU32 = AtomicU32::new(0);
     let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let random_byte: u8 = rand::random();
-    // The second byte is never 0 and the last byte is never 0 or 255, so 127.0.0.1 is never returned.
-    Ipv4Addr::new(127, 1 + high % 250, low, 1 + random_byte % 250)
+    for _ in 0..ADDRESSES_PER_PROCESS {
+        let number = RESERVED.fetch_add(1, Ordering::Relaxed) % ADDRESSES_PER_PROCESS;
+        // The second byte is never 0, so 127.0.0.1 is never returned.
+        let ip = Ipv4Addr::new(127, 1 + high % 250, low, 1 + number as u8);
+        match TcpListener::bind((ip, RESERVATION_PORT)) {
+            Ok(reservation) => {
+                // The system closes the listener when the process ends. Child processes do not inherit it.
+                std::mem::forget(reservation);
+                return Ok(ip);
+            }
+            // Reserved by this process before, or by one whose id has the same last 16 bits.
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 /// Returns the build folder with the programs, found from the path of the running test or example.
--- a/crates/bench/tests/processes/fixture.rs
+++ b/crates/bench/tests/processes/fixture.rs
@@ -117,7 +117,7 @@
             program_folder: cluster::program_folder()
                 .expect("the path of the test executable is known"),
             folder: folder.path().to_path_buf(),
-            ip: cluster::loopback_ip(),
+            ip: cluster::reserve_ip().expect("a loopback address is free"),
             region: "waikato",
             zones: vec!["hamilton", "cambridge", "matamata"],
             services: vec![service.clone()],
--- a/crates/control/tests/faults/claims.rs
+++ b/crates/control/tests/faults/claims.rs
@@ -322,7 +322,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn faults_at_any_step_lose_no_claim_and_grant_none_twice() {
     let folder = tempfile::tempdir().unwrap();
-    let started = Group::start(cluster::loopback_ip(), folder.path(), 3, Duration::ZERO).await;
+    let started = Group::start(
+        cluster::reserve_ip().expect("a loopback address is free"),
+        folder.path(),
+        3,
+        Duration::ZERO,
+    )
+    .await;
     let mut group = started.unwrap();
     for case in CASES.iter().filter(|case| case.fault != Fault::SlowNetwork) {
         let started_at = std::time::Instant::now();
@@ -332,9 +338,14 @@
     drop(group);
     let folder = tempfile::tempdir().unwrap();
     let delay = Duration::from_millis(40);
-    let mut slow = Group::start(cluster::loopback_ip(), folder.path(), 3, delay)
-        .await
-        .unwrap();
+    let mut slow = Group::start(
+        cluster::reserve_ip().expect("a loopback address is free"),
+        folder.path(),
+        3,
+        delay,
+    )
+    .await
+    .unwrap();
     for case in CASES.iter().filter(|case| case.fault == Fault::SlowNetwork) {
         run_case(&mut slow, case).await;
     }
--- a/crates/control/tests/faults/configuration.rs
+++ b/crates/control/tests/faults/configuration.rs
@@ -212,7 +212,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_changes_persist_and_changes_without_a_quorum_are_not_accepted() {
     let folder = tempfile::tempdir().unwrap();
-    let group = Group::start(cluster::loopback_ip(), folder.path(), 3, Duration::ZERO).await;
+    let group = Group::start(
+        cluster::reserve_ip().expect("a loopback address is free"),
+        folder.path(),
+        3,
+        Duration::ZERO,
+    )
+    .await;
     let mut group = group.unwrap();
     RawProposer::new(&group, 1).await;
     for (number, case) in CASES.iter().enumerate() {
@@ -226,7 +232,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_concurrent_changes_is_accepted() {
     let folder = tempfile::tempdir().unwrap();
-    let group = Group::start(cluster::loopback_ip(), folder.path(), 3, Duration::ZERO).await;
+    let group = Group::start(
+        cluster::reserve_ip().expect("a loopback address is free"),
+        folder.path(),
+        3,
+        Duration::ZERO,
+    )
+    .await;
     let group = group.unwrap();
     RawProposer::new(&group, 1).await;
     let operators = group.operators();
--- a/crates/control/tests/faults/operators.rs
+++ b/crates/control/tests/faults/operators.rs
@@ -34,7 +34,7 @@
 async fn start_with(members: usize) -> (TempDir, Group) {
     let folder = tempfile::tempdir().unwrap();
     let group = Group::start(
-        cluster::loopback_ip(),
+        cluster::reserve_ip().expect("a loopback address is free"),
         folder.path(),
         members,
         Duration::ZERO,
