registry: only voters count among those that know what is in force

Callers saw: a route that was moved and acknowledged was served in its older version by a router that started while two registry processes that had missed the change and one with an empty disk were the only ones running; operators read the older version back with 200.

Cause: run::in_force counted every process that was copied in the last 2 s, also one that is not a voter because its disk is empty, and members::view sent items to a new router without any check. Two processes without the change and one that had lost it then passed for a quorum. Ruled out: a vote of the empty process (no vote-admitted before the holders return).

Roster::has_copied_quorum counts voters, and copies made while the process was a voter. Any quorum of voters contains one that accepted the change, so a process that has copied a quorum has it. A router without items gets none from a process that has not. Same class: Roster::admit counted a copy made before the vote, and the age of a copy started with its reply instead of its request.

--- a/crates/items/src/roster.rs
+++ b/crates/items/src/roster.rs
@@ -31,8 +31,10 @@
 struct KnownMember {
     member: Member,
     last_contact: Instant,
-    /// Whether all its registers were copied to this process since the member was added or its disk last changed.
-    copied: bool,
+    /// When its registers were last copied to this process. `None` if they were not copied since its disk last
+    /// changed, or only while it was not a voter: a process with an empty disk lacks items that its earlier disk
+    /// had accepted.
+    copied_at: Option<Instant>,
 }
 
 /// The local registry process and the other ones that it knows.
@@ -69,7 +71,9 @@
         match self.find(member.address) {
             Ok(index) => {
                 let known = &mut self.others[index];
-                known.copied &= known.member.identity == member.identity;
+                if known.member.identity != member.identity {
+                    known.copied_at = None;
+                }
                 known.member = member;
                 known.last_contact = now;
             }
@@ -77,7 +81,7 @@
                 let known = KnownMember {
                     member,
                     last_contact: now,
-                    copied: false,
+                    copied_at: None,
                 };
                 self.others.insert(index, known);
             }
@@ -90,13 +94,30 @@
         others.map(move |known| (known.member, now.since(known.last_contact)))
     }
 
-    /// Records that all registers of the process at `address` were copied to the local process.
-    pub fn mark_copied(&mut self, address: SocketAddr) {
-        if let Ok(index) = self.find(address) {
-            self.others[index].copied = true;
+    /// Records that the local process has copied all registers that another process had at `copied_at`. Ignores a
+    /// copy of a process that is not a voter.
+    pub fn record_copy(&mut self, member: Member, copied_at: Instant) {
+        if !member.votes {
+            return;
+        }
+        if let Ok(index) = self.find(member.address) {
+            let known = &mut self.others[index];
+            if known.member.identity == member.identity {
+                known.copied_at = known.copied_at.max(Some(copied_at));
+            }
         }
     }
 
+    /// Whether the local process knows every item that was committed before `since`.
+    ///
+    /// A committed item is stored by a quorum of the voters, so the registers of a quorum must have been copied
+    /// since then. Only voters count: each of them has all that it ever accepted.
+    pub fn has_copied_quorum(&self, since: Instant, now: Instant) -> bool {
+        let others = self.others.iter();
+        let copied = others.filter(|k| k.member.votes && k.copied_at >= Some(since));
+        copied.count() + usize::from(self.own.votes) >= self.quorum(now)
+    }
+
     /// Addresses of the other processes.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.others.iter().map(|k| k.member.address).collect()
@@ -133,7 +154,8 @@
             return true;
         }
         let copied = self.others.iter();
-        let copied = copied.filter(|k| k.member.votes && k.copied).count();
+        let copied = copied.filter(|k| k.member.votes && k.copied_at.is_some());
+        let copied = copied.count();
         let voters_max = 2 * self.tolerated + 1;
         if copied > self.tolerated && self.voters(REACHABLE_TIMEOUT, now) < voters_max {
             self.own.votes = true;
--- a/crates/items/tests/roster.rs
+++ b/crates/items/tests/roster.rs
@@ -129,7 +129,7 @@
             let other = member(number, votes);
             roster.record_contact(other, last_contact);
             if copied {
-                roster.mark_copied(other.address);
+                roster.record_copy(other, last_contact);
             }
         }
         assert_eq!(roster.quorum(now), case.quorum, "{}", case.name);
@@ -143,7 +143,7 @@
     let now = Instant(1);
     let mut roster = Roster::new(member(1, false), 0);
     roster.record_contact(member(2, true), now);
-    roster.mark_copied(member(2, true).address);
+    roster.record_copy(member(2, true), now);
     let replacement = Member {
         identity: Identity(99),
         ..member(2, true)
@@ -151,3 +151,76 @@
     roster.record_contact(replacement, now);
     assert!(!roster.admit(now));
 }
+
+/// Guards against a process that becomes a voter with the registers that another one had before it voted.
+#[test]
+fn a_copy_made_before_the_vote_does_not_count() {
+    let mut roster = Roster::new(member(1, false), 0);
+    roster.record_contact(member(2, false), Instant(1));
+    roster.record_copy(member(2, false), Instant(1));
+    roster.record_contact(member(2, true), Instant(1));
+    // The other process is not reachable any longer, so its place is free.
+    let now = Instant(5_000_000);
+    assert!(!roster.clone().admit(now));
+    roster.record_copy(member(2, true), Instant(1));
+    assert!(roster.admit(now));
+}
+
+struct Copied {
+    name: &'static str,
+    votes: bool,
+    /// Other processes: number, whether it votes, seconds since it was last copied.
+    others: &'static [(u16, bool, u64)],
+    complete: bool,
+}
+
+/// Guards against older items that are taken for those in force: a process with an empty disk, which has forgotten
+/// what it accepted, must not count towards the quorum that knows them.
+const COPIED: &[Copied] = &[
+    Copied {
+        name: "two of four others were copied",
+        votes: true,
+        others: &[(2, true, 0), (3, true, 0), (4, true, 9), (5, true, 9)],
+        complete: true,
+    },
+    Copied {
+        name: "the third process has an empty disk",
+        votes: true,
+        others: &[(2, true, 0), (3, false, 0), (4, true, 9), (5, true, 9)],
+        complete: false,
+    },
+    Copied {
+        name: "the local process has an empty disk",
+        votes: false,
+        others: &[(2, true, 0), (3, true, 0), (4, true, 9), (5, true, 9)],
+        complete: false,
+    },
+    Copied {
+        name: "the local process has an empty disk and copied a quorum",
+        votes: false,
+        others: &[(2, true, 0), (3, true, 0), (4, true, 0), (5, true, 9)],
+        complete: true,
+    },
+    Copied {
+        name: "too few copies are recent",
+        votes: true,
+        others: &[(2, true, 0), (3, true, 3), (4, true, 3), (5, true, 3)],
+        complete: false,
+    },
+];
+
+#[test]
+fn a_quorum_of_voters_knows_all_items() {
+    let now = Instant(100_000_000);
+    let before = |seconds| Instant(now.0 - Duration::from_secs(seconds).as_micros() as u64);
+    for case in COPIED {
+        let mut roster = Roster::new(member(1, case.votes), 2);
+        for &(number, votes, age_s) in case.others {
+            let other = member(number, votes);
+            roster.record_contact(other, now);
+            roster.record_copy(other, before(age_s));
+        }
+        let complete = roster.has_copied_quorum(before(2), now);
+        assert_eq!(complete, case.complete, "{}", case.name);
+    }
+}
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -23,8 +23,8 @@
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Entry;
-use shallotrill_locks::Mutex;
-use shallotrill_locks::Rank;
+use shallotrill_items::roster::Member;
+use shallotrill_model::time::Instant;
 use shallotrill_process::metrics::count;
 use shallotrill_wire::listen;
 
@@ -51,17 +51,15 @@
         } => {
             announce(state, announcement.clone());
             let wait = Duration::from_millis(u64::from(*wait_ms));
-            let wants_items = held.is_some();
-            let changed = wait_for_change(state, wait, &|| {
-                view_has_changed(state, *cursor, wants_items)
-            })
-            .await;
+            let held = held.map(ItemSetHash);
+            let changed =
+                wait_for_change(state, wait, &|| view_has_changed(state, *cursor, held)).await;
             // A watcher that has received nothing yet is answered at once.
             if changed && cursor.session == state.session {
                 let gather_time = state.announcements.lock().gather_time();
                 time::sleep(gather_time).await;
             }
-            view(state, *cursor, held.map(ItemSetHash))
+            view(state, *cursor, held)
         }
         Request::Announce(announcement) => {
             announce(state, announcement.clone());
@@ -187,12 +185,22 @@
     time::timeout(wait, waiting).await.is_ok()
 }
 
-fn view_has_changed(state: &State, cursor: Cursor, wants_items: bool) -> bool {
+fn view_has_changed(state: &State, cursor: Cursor, held: Option<ItemSetHash>) -> bool {
     let announcements = state.announcements.lock().revision();
-    let items = state.consensus.lock().replica.revision();
-    cursor.session != state.session
-        || cursor.announcements != announcements
-        || (wants_items && cursor.items != items)
+    if cursor.session != state.session || cursor.announcements != announcements {
+        return true;
+    }
+    let now = state.now();
+    let consensus = state.consensus.lock();
+    sends_items(&consensus, held, now) && cursor.items != consensus.replica.revision()
+}
+
+/// Whether a watcher is sent items: it requests them, and they are not older than those in force.
+///
+/// A watcher without items takes what it is sent as the configuration in force, so it is sent nothing while this
+/// process may lack committed items. One that has items keeps the highest version of each.
+fn sends_items(consensus: &ConsensusState, held: Option<ItemSetHash>, now: Instant) -> bool {
+    held.is_some_and(|held| held != ItemSetHash::default() || consensus.is_complete(now))
 }
 
 fn view(state: &State, cursor: Cursor, held: Option<ItemSetHash>) -> Reply {
@@ -208,14 +216,15 @@
     };
     let registries = state.registries();
     let (items, items_revision) = {
+        let now = state.now();
         let consensus = state.consensus.lock();
         let from = if same_session { cursor.items } else { 0 };
         match held {
-            None => (Vec::new(), from),
-            Some(held) => (
+            Some(held) if sends_items(&consensus, Some(held), now) => (
                 missing_items(&consensus, from, held),
                 consensus.replica.revision(),
             ),
+            _ => (Vec::new(), from),
         }
     };
     Reply::View {
@@ -303,27 +312,24 @@
         if address == state.settings.address() {
             continue;
         }
-        let peer = {
+        {
             let mut peers = state.peers.lock();
             let Err(index) = peers.binary_search_by(|p| p.link.address().cmp(&address)) else {
                 continue;
             };
             let peer = Arc::new(Peer {
                 link: Link::new(address),
-                last_copied: Mutex::new(Rank::Claims, None),
             });
-            peers.insert(index, Arc::clone(&peer));
-            peer
-        };
+            peers.insert(index, peer);
+        }
         info!(event = "registry-met", address = address.to_string().as_str(); "following a new registry process");
-        tokio::spawn(copy_from_peer(Arc::clone(state), peer));
+        tokio::spawn(copy_from_peer(Arc::clone(state), address));
     }
 }
 
 /// Copies the registers of another process by long polls, until it is unreachable for
 /// [`MEMBER_RETENTION_PERIOD`].
-async fn copy_from_peer(state: Arc<State>, peer: Arc<Peer>) {
-    let address = peer.link.address();
+async fn copy_from_peer(state: Arc<State>, address: SocketAddr) {
     let link = Link::new(address);
     let mut stop = state.stop.subscribe();
     let mut cursor = Cursor::default();
@@ -335,6 +341,7 @@
             member: state.consensus.lock().roster.own(),
             wait_ms: COPY_WAIT.as_millis() as u32,
         };
+        let requested_at = state.now();
         let reply = tokio::select! {
             () = listen::stopped(&mut stop) => return,
             reply = link.call(&request, COPY_WAIT + REPLY_SLACK) => reply,
@@ -353,12 +360,7 @@
                 last_contact = state.now();
                 cursor = read;
                 merge_entries(&state, &entries);
-                {
-                    let mut consensus = state.consensus.lock();
-                    consensus.roster.record_contact(member, last_contact);
-                    consensus.roster.mark_copied(address);
-                }
-                *peer.last_copied.lock() = Some(last_contact);
+                record_copy(&state, member, requested_at, last_contact);
                 follow(&state, &registries);
             }
             other => {
@@ -379,6 +381,23 @@
     }
 }
 
+/// Records a copy of the registers of `member`, and wakes the watchers that wait until this process knows all
+/// committed items.
+///
+/// The copy counts from the time of its request: a process that was suspended reads the reply long after it was sent.
+fn record_copy(state: &State, member: Member, requested_at: Instant, now: Instant) {
+    let completed = {
+        let mut consensus = state.consensus.lock();
+        let was_complete = consensus.is_complete(now);
+        consensus.roster.record_contact(member, now);
+        consensus.roster.record_copy(member, requested_at);
+        !was_complete && consensus.is_complete(now)
+    };
+    if completed {
+        state.notify();
+    }
+}
+
 fn merge_entries(state: &State, entries: &[Entry]) {
     let changed = {
         let mut consensus = state.consensus.lock();
@@ -472,6 +491,7 @@
     };
     if admitted && state.persist().await {
         state.consensus.lock().roster.admit(now);
+        state.notify();
         info!(event = "vote-admitted"; "this process is now a voter: the registers were copied from enough voters");
         state.persist().await;
     }
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -3,7 +3,6 @@
 use std::error;
 use std::fmt;
 use std::sync::Arc;
-use std::time::Duration;
 
 use log::info;
 use tokio::sync::watch;
@@ -32,9 +31,6 @@
 /// Maximum number of connections of other processes: two for each router and registry process.
 const CONNECTIONS_MAX: usize = 3_000;
 
-/// The items in force are known only if the registers of a quorum were copied within this time.
-const COPY_AGE_MAX: Duration = Duration::from_secs(2);
-
 /// Why a registry process could not be started.
 #[derive(Debug)]
 pub enum Error {
@@ -146,18 +142,12 @@
     }
 }
 
-/// The items in force, or `None` while this replica cannot know them: it has not copied the
+/// The items in force, or `None` while this process cannot know them: it has not copied the
 /// registers of a quorum recently, or an uncommitted item may still be committed.
 pub fn in_force(state: &State) -> Option<Vec<Arc<Item>>> {
     let now = state.now();
-    let peers = state.peers();
-    let recent = peers.iter().filter(|peer| {
-        let last_copied = *peer.last_copied.lock();
-        last_copied.is_some_and(|copied_at| now.since(copied_at) < COPY_AGE_MAX)
-    });
-    let recent = recent.count() + 1;
     let consensus = state.consensus.lock();
-    if recent < consensus.roster.quorum(now) || consensus.replica.uncommitted().next().is_some() {
+    if !consensus.is_complete(now) || consensus.replica.uncommitted().next().is_some() {
         return None;
     }
     Some(consensus.replica.committed().cloned().collect())
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::warn;
 use tokio::sync::watch;
@@ -33,18 +34,28 @@
     pub changes: u64,
 }
 
+/// The committed items are known only if the registers of a quorum were copied within this time. It covers two
+/// long polls between registry processes and the delay of a busy one.
+const COPY_AGE_MAX: Duration = Duration::from_secs(2);
+
+impl ConsensusState {
+    /// Whether the local replica has all items that were committed up to [`COPY_AGE_MAX`] before `now`.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let since = Instant(now.0.saturating_sub(COPY_AGE_MAX.as_micros() as u64));
+        self.roster.has_copied_quorum(since, now)
+    }
+}
+
 /// Another registry process.
 #[derive(Debug)]
 pub struct Peer {
     /// Connection for proposals. The long poll uses a separate one.
     pub link: Link,
-    /// When its registers were last copied completely; `None` before the first time.
-    pub last_copied: Mutex<Option<Instant>>,
 }
 
 /// Shared state of a registry process.
 ///
-/// Lock order: `announcements`, `peers`, `consensus`, then the locks of a [`Peer`].
+/// Lock order: `announcements`, `peers`, `consensus`.
 #[derive(Debug)]
 pub struct State {
     /// Settings of this process.
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -7,12 +7,18 @@
 use tempfile::TempDir;
 use tokio::time;
 
+use shallotrill_feed::message::Announcement;
+use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Reply;
+use shallotrill_feed::message::Request;
 use shallotrill_items::item::Content;
 use shallotrill_items::item::Item;
 use shallotrill_items::item::Key;
 use shallotrill_items::item::Kind;
+use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::route::Service;
 use shallotrill_process::clock::Clock;
+use shallotrill_registry::members;
 use shallotrill_registry::propose;
 use shallotrill_registry::propose::Failure;
 use shallotrill_registry::run;
@@ -203,6 +209,90 @@
         .expect("the change is accepted");
 }
 
+/// Stops a process and returns its data folder.
+async fn stop(member: Member) -> TempDir {
+    member.registry.stop();
+    let stopped = Arc::downgrade(&member.registry.state());
+    drop(member.registry);
+    wait_for("the process has stopped", || stopped.strong_count() == 0).await;
+    member.folder
+}
+
+/// Number of items that a router without items is sent.
+async fn items_sent_to_a_new_router(member: &Member) -> usize {
+    let request = Request::Watch {
+        cursor: Cursor::default(),
+        announcement: Announcement {
+            router: "127.0.0.1:1".parse().expect("an address"),
+            session: 1,
+            sequence: 1,
+            target: None,
+            crashes: Vec::new(),
+        },
+        wait_ms: 0,
+        held: Some(ItemSetHash::default().0),
+    };
+    match members::handle(&member.registry.state(), &request).await {
+        Reply::View { items, .. } => items.len(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against an acknowledged item that is shown, and sent to a new router, in its older version: two processes
+/// missed the change, a third one has lost its disk, and the two that have the change are down.
+#[tokio::test]
+async fn an_empty_disk_does_not_restore_an_older_item() {
+    let mut members = group().await;
+    let (older, item) = (service("a", 1, 10), service("a", 2, 20));
+    change(&members[0], &older)
+        .await
+        .expect("the change is accepted");
+    for member in &members {
+        wait_for("the older item is in force", || is_in_force(member, &older)).await;
+    }
+    let mut outdated = Vec::new();
+    for member in members.drain(..2) {
+        outdated.push(stop(member).await);
+    }
+    change(&members[0], &item)
+        .await
+        .expect("the change is accepted");
+    drop(stop(members.remove(0)).await);
+    let mut holders = Vec::new();
+    for member in members.drain(..) {
+        holders.push(stop(member).await);
+    }
+    let first = start(Vec::new(), false, outdated.remove(0)).await;
+    let seed = first.address;
+    let second = start(vec![seed], false, outdated.remove(0)).await;
+    let emptied = start(vec![seed], false, folder()).await;
+    members.extend([first, second, emptied]);
+    for member in &members {
+        let state = member.registry.state();
+        wait_for("the process follows the other two", || {
+            let consensus = state.consensus.lock();
+            consensus.roster.others(state.now()).count() == 2
+                && !consensus.replica.entries().is_empty()
+        })
+        .await;
+    }
+    // Several long polls between the processes end in this time.
+    for _ in 0..40 {
+        for member in &members {
+            assert_eq!(run::in_force(&member.registry.state()), None);
+            assert_eq!(items_sent_to_a_new_router(member).await, 0);
+        }
+        time::sleep(POLL_INTERVAL).await;
+    }
+    for folder in holders {
+        members.push(start(vec![seed], false, folder).await);
+    }
+    for member in &members {
+        wait_for("the item is in force", || is_in_force(member, &item)).await;
+        assert_eq!(items_sent_to_a_new_router(member).await, 1);
+    }
+}
+
 /// Guards against a change that is lost when all processes restart.
 #[tokio::test]
 async fn a_restart_of_all_keeps_the_items() {
@@ -213,11 +303,7 @@
         .expect("the change is accepted");
     let mut folders = Vec::new();
     for member in members {
-        member.registry.stop();
-        let stopped = Arc::downgrade(&member.registry.state());
-        drop(member.registry);
-        wait_for("the process has stopped", || stopped.strong_count() == 0).await;
-        folders.push(member.folder);
+        folders.push(stop(member).await);
     }
     let mut folders = folders.into_iter();
     let first = start(Vec::new(), false, folders.next().expect("five folders")).await;
