--- a/crates/bench/tests/addresses.rs
+++ b/crates/bench/tests/addresses.rs
@@ -12,7 +12,7 @@
     let threads: Vec<_> = (0..INSTALLATIONS)
         .map(|_| std::thread::spawn(reserve))
         .collect();
-    let addresses = threads.into_iter().map(|thread| thread.join());
+    let addresses = threads.into_iter().map(std::thread::JoinHandle::join);
     let mut addresses: Vec<_> = addresses
         .map(|address| address.expect("the thread ends"))
         .collect();
