router: the body of a refusal is read without being kept

Callers saw: a backend server that refuses with 503 and a body without end took the router beside it over its memory; it was killed with all requests in it, three times in 5 s.

Cause: serve::finish collected the body of a refusal, up to 64 MiB for each of eight slots, only to use the connection again. Ruled out: responses that are passed on, which are streamed; backend/tests/contract/endless.rs covers them.

wire::body::discard drops each frame, and above 64 KiB the connection is closed. The health check of a router uses it too.

--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -115,7 +115,7 @@
         Ok(head) => {
             notice::record(state, &probe.instance, probe.incarnation, head.headers());
             let response = head.into_response(Box::new(|_| {}));
-            let body = body::collect(response.into_body(), BODY_BYTES_MAX, PROBE_TIMEOUT).await;
+            let body = body::discard(response.into_body(), BODY_BYTES_MAX, PROBE_TIMEOUT).await;
             if let Err(error) = body {
                 log::debug!(event = "probe-failed"; "cannot read the body of the probe response: {error}");
             }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs forwarded requests at the local backend server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -37,6 +38,13 @@
 /// caller's request is received.
 const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
 
+/// Maximum size of the body of a refusal that is read to its end. The connection of a longer one is closed, which
+/// costs less than reading it.
+const REFUSAL_BYTES_MAX: usize = 64 * 1024;
+
+/// Longest time for the body of a refusal to arrive. Its slot is in use until then.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Statuses from which a caller concludes that its request has not run. A backend server that
 /// returns one without the not-run header may have run the request.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
@@ -216,7 +224,7 @@
     state: &State,
     message: BufferedRequest,
     forwarded: &Forwarded,
-    remaining: std::time::Duration,
+    remaining: Duration,
 ) -> Request<Full<Bytes>> {
     let names = &state.settings.names;
     let mut request = Request::new(Full::new(message.body));
@@ -248,11 +256,12 @@
         let misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
         // The response is read to its end in the background, so that its connection can be reused.
         let rest = head.into_response(Box::new(move |_| drop(slot)));
-        tokio::spawn(body::collect(
-            rest.into_body(),
-            BODY_BYTES_MAX,
-            std::time::Duration::from_secs(1),
-        ));
+        tokio::spawn(async move {
+            let read = body::discard(rest.into_body(), REFUSAL_BYTES_MAX, REFUSAL_TIMEOUT).await;
+            if let Err(error) = read {
+                log::debug!(event = "refusal-not-read"; "connection closed during the body of a refusal: {error}");
+            }
+        });
         return Err(if misdirected {
             Denial::Gone
         } else {
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -97,6 +97,31 @@
     }
 }
 
+/// Reads a body to its end without keeping its bytes, so that its connection can be reused.
+///
+/// # Errors
+///
+/// Returns [`Error`] when the body is truncated, longer than `limit_bytes`, or not complete within `timeout`. The
+/// body is dropped then, which closes its connection.
+pub async fn discard(mut body: Body, limit_bytes: usize, timeout: Duration) -> Result<(), Error> {
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(Error::TooLarge(limit_bytes));
+    }
+    let reading = async {
+        let mut read_bytes = 0;
+        while let Some(frame) = body.frame().await {
+            read_bytes += frame?.data_ref().map_or(0, Bytes::len);
+            if read_bytes > limit_bytes {
+                return Err(Error::TooLarge(limit_bytes));
+            }
+        }
+        Ok(())
+    };
+    tokio::time::timeout(timeout, reading)
+        .await
+        .or(Err(Error::Timeout(timeout)))?
+}
+
 /// Whether a response states where its body ends, so that truncation can be detected.
 ///
 /// A response that is delimited by the close of its connection is not framed: its reader cannot detect missing bytes.
