registry, router: an acknowledged departure outlives a restart of the router

Callers saw: requests reached a backend server for as long as it ran after its deregistration had been acknowledged, because its router had restarted and a check-in that was sent before arrived late.

Cause: retired incarnations were kept in the memory of one router only, and a router that had just restarted recorded no departure at all. Ruled out: targets that other routers keep; the restarted router announced the target as ready again.

A departure is now on the disks of a majority of the registry processes before it is acknowledged, and a router that starts applies check-ins only after it has read the departures of its address. A deregistration retires only incarnations that started at its stated time or before, so a late one of an earlier incarnation no longer removes a later one for good.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -14,11 +14,12 @@
 use shallotrill_items::replica::Accepted;
 use shallotrill_items::replica::Entry;
 use shallotrill_items::roster::Member;
+use shallotrill_model::instance;
 use shallotrill_model::target::Target;
 use shallotrill_retry::containment::CrashRecord;
 
 /// Version of the message format. Frames with another version are rejected.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 
 /// State that a router announces to the registry: its address and its local backend server. The backend server
 /// reports its own state to the router in another type, `ServerAnnouncement` of the router package.
@@ -36,6 +37,20 @@
     pub crashes: Vec<CrashRecord>,
 }
 
+/// Departure of a backend server that its router has acknowledged: no incarnation of this name that started at
+/// `start_time_ms` or before may receive requests again.
+///
+/// A router keeps no state of its own across a restart, so registry processes remember this for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Address of the router beside the backend server.
+    pub router: SocketAddr,
+    /// Name of the backend server.
+    pub instance: instance::Name,
+    /// Start of the latest incarnation that has departed, as Unix time in milliseconds.
+    pub start_time_ms: u64,
+}
+
 /// Changes of the announcements that a registry process stores.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcements {
@@ -96,6 +111,8 @@
     pub items: u64,
     /// Last revision of the announcements that was read.
     pub announcements: u64,
+    /// Last revision of the departures that was read; only registry processes read them by revision.
+    pub departures: u64,
 }
 
 /// A request to a registry process.
@@ -111,9 +128,13 @@
         wait_ms: u32,
         /// Digest of the items that the router has; `None` when it currently requests no items.
         held: Option<u64>,
+        /// Whether the router has not received the departures of its earlier sessions yet.
+        needs_departures: bool,
     },
     /// A router announces a change without waiting for its next watch request.
     Announce(Announcement),
+    /// A router reports departures, which must be durable before it acknowledges them.
+    Depart(Vec<Departure>),
     /// A registry process copies the registers of another one.
     Copy {
         /// Position up to which the requesting process has read.
@@ -159,6 +180,9 @@
         items: Vec<Arc<Item>>,
         /// Changes of the announcements.
         announcements: Announcements,
+        /// Departures that the router has reported, also in earlier sessions. `None` when it does not need them, or
+        /// while the registry process may not know all of them.
+        departures: Option<Vec<Departure>>,
         /// Addresses of the registry processes, including the one that replies.
         registries: Vec<SocketAddr>,
     },
@@ -168,6 +192,8 @@
         cursor: Cursor,
         /// Changed registers.
         entries: Vec<Entry>,
+        /// Changed departures.
+        departures: Vec<Departure>,
         /// The registry process that replies.
         member: Member,
         /// Addresses of the other registry processes known to the one that replies.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,6 +7,7 @@
 //! and routers; `shallotrill run` starts the control and node roles instead.
 
 pub mod announcements;
+pub mod departures;
 pub mod members;
 pub mod metrics;
 pub mod propose;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -15,6 +15,7 @@
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Departure;
 use shallotrill_feed::message::RegistryStatus;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
@@ -48,23 +49,36 @@
             announcement,
             wait_ms,
             held,
+            needs_departures,
         } => {
             announce(state, announcement.clone());
             let wait = Duration::from_millis(u64::from(*wait_ms));
-            let held = held.map(ItemSetHash);
-            let changed =
-                wait_for_change(state, wait, &|| view_has_changed(state, *cursor, held)).await;
+            let watcher = Watcher {
+                router: announcement.router,
+                cursor: *cursor,
+                held: held.map(ItemSetHash),
+                needs_departures: *needs_departures,
+            };
+            let changed = wait_for_change(state, wait, &|| view_has_changed(state, &watcher)).await;
             // A watcher that has received nothing yet is answered at once.
             if changed && cursor.session == state.session {
                 let gather_time = state.announcements.lock().gather_time();
                 time::sleep(gather_time).await;
             }
-            view(state, *cursor, held)
+            view(state, &watcher)
         }
         Request::Announce(announcement) => {
             announce(state, announcement.clone());
             Reply::Done
         }
+        Request::Depart(departures) => {
+            merge_departures(state, departures);
+            if state.persist_departures().await {
+                Reply::Done
+            } else {
+                Reply::Unable
+            }
+        }
         Request::Copy {
             cursor,
             member,
@@ -185,25 +199,46 @@
     time::timeout(wait, waiting).await.is_ok()
 }
 
-fn view_has_changed(state: &State, cursor: Cursor, held: Option<ItemSetHash>) -> bool {
+/// What a router that waits for changes has, and what it requests.
+struct Watcher {
+    router: SocketAddr,
+    cursor: Cursor,
+    /// Hash of its items; `None` when it requests none.
+    held: Option<ItemSetHash>,
+    needs_departures: bool,
+}
+
+impl Watcher {
+    /// Whether it is sent items: it requests them, and they are not older than those in force.
+    ///
+    /// A watcher without items takes what it is sent as the configuration in force, so it is sent nothing while this
+    /// process may lack committed items. One that has items keeps the highest version of each.
+    fn is_sent_items(&self, consensus: &ConsensusState, now: Instant) -> bool {
+        let held = self.held;
+        held.is_some_and(|held| held != ItemSetHash::default() || consensus.is_complete(now))
+    }
+
+    /// Whether it is sent the departures that it has reported in earlier sessions.
+    fn is_sent_departures(&self, consensus: &ConsensusState, now: Instant) -> bool {
+        self.needs_departures && consensus.is_complete(now)
+    }
+}
+
+fn view_has_changed(state: &State, watcher: &Watcher) -> bool {
+    let cursor = watcher.cursor;
     let announcements = state.announcements.lock().revision();
     if cursor.session != state.session || cursor.announcements != announcements {
         return true;
     }
     let now = state.now();
     let consensus = state.consensus.lock();
-    sends_items(&consensus, held, now) && cursor.items != consensus.replica.revision()
-}
-
-/// Whether a watcher is sent items: it requests them, and they are not older than those in force.
-///
-/// A watcher without items takes what it is sent as the configuration in force, so it is sent nothing while this
-/// process may lack committed items. One that has items keeps the highest version of each.
-fn sends_items(consensus: &ConsensusState, held: Option<ItemSetHash>, now: Instant) -> bool {
-    held.is_some_and(|held| held != ItemSetHash::default() || consensus.is_complete(now))
+    let items_changed = cursor.items != consensus.replica.revision();
+    (items_changed && watcher.is_sent_items(&consensus, now))
+        || watcher.is_sent_departures(&consensus, now)
 }
 
-fn view(state: &State, cursor: Cursor, held: Option<ItemSetHash>) -> Reply {
+fn view(state: &State, watcher: &Watcher) -> Reply {
+    let cursor = watcher.cursor;
     let same_session = cursor.session == state.session;
     let (announcements, announcements_revision) = {
         let table = state.announcements.lock();
@@ -215,26 +250,29 @@
         (table.since(from), table.revision())
     };
     let registries = state.registries();
-    let (items, items_revision) = {
-        let now = state.now();
-        let consensus = state.consensus.lock();
-        let from = if same_session { cursor.items } else { 0 };
-        match held {
-            Some(held) if sends_items(&consensus, Some(held), now) => (
-                missing_items(&consensus, from, held),
-                consensus.replica.revision(),
-            ),
-            _ => (Vec::new(), from),
-        }
+    let now = state.now();
+    // Checked first: a copy that makes this process complete also brings departures.
+    let sends_departures = watcher.is_sent_departures(&state.consensus.lock(), now);
+    let departures = sends_departures.then(|| state.departures.lock().of(watcher.router));
+    let consensus = state.consensus.lock();
+    let from = if same_session { cursor.items } else { 0 };
+    let (items, items_revision) = match watcher.held {
+        Some(held) if watcher.is_sent_items(&consensus, now) => (
+            missing_items(&consensus, from, held),
+            consensus.replica.revision(),
+        ),
+        _ => (Vec::new(), from),
     };
     Reply::View {
         cursor: Cursor {
             session: state.session,
             items: items_revision,
             announcements: announcements_revision,
+            departures: 0,
         },
         items,
         announcements,
+        departures,
         registries,
     }
 }
@@ -283,24 +321,33 @@
 }
 
 fn registers_have_changed(state: &State, cursor: Cursor) -> bool {
-    cursor.session != state.session || cursor.items != state.consensus.lock().replica.revision()
+    cursor.session != state.session
+        || cursor.departures != state.departures.lock().revision()
+        || cursor.items != state.consensus.lock().replica.revision()
 }
 
 fn registers(state: &State, cursor: Cursor) -> Reply {
     let registries = state.registries();
-    let consensus = state.consensus.lock();
     let from = if cursor.session == state.session {
-        cursor.items
+        cursor
     } else {
-        0
+        Cursor::default()
+    };
+    // Read before the registers: a copy of these means that the departures were copied too.
+    let (departures, departures_revision) = {
+        let departures = state.departures.lock();
+        (departures.since(from.departures), departures.revision())
     };
+    let consensus = state.consensus.lock();
     Reply::Registers {
         cursor: Cursor {
             session: state.session,
             items: consensus.replica.revision(),
             announcements: 0,
+            departures: departures_revision,
         },
-        entries: consensus.replica.since(from),
+        entries: consensus.replica.since(from.items),
+        departures,
         member: consensus.roster.own(),
         registries,
     }
@@ -350,6 +397,7 @@
             Ok(Reply::Registers {
                 cursor: read,
                 entries,
+                departures,
                 member,
                 registries,
             }) => {
@@ -360,6 +408,7 @@
                 last_contact = state.now();
                 cursor = read;
                 merge_entries(&state, &entries);
+                merge_departures(&state, &departures);
                 record_copy(&state, member, requested_at, last_contact);
                 follow(&state, &registries);
             }
@@ -412,6 +461,15 @@
     }
 }
 
+/// Adds departures to the table. Returns whether it changed.
+fn merge_departures(state: &State, departures: &[Departure]) -> bool {
+    let changed = state.departures.lock().merge(departures);
+    if changed {
+        state.notify();
+    }
+    changed
+}
+
 /// Runs the periodic maintenance: expires leases, makes this process a voter when it may vote, and
 /// repairs interrupted proposals.
 pub async fn maintain(state: Arc<State>, mut stop: watch::Receiver<bool>) {
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::announcements;
+use crate::departures;
 use crate::members;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -15,6 +16,7 @@
 use crate::state::State;
 use crate::store;
 use crate::store::Content;
+use crate::store::Opened;
 use shallotrill_feed::server;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::ballot::Identity;
@@ -67,7 +69,12 @@
         .await
         .map_err(Error::Listen)?;
     settings.listen = listener.address();
-    let (store, identity, content) = store::open(&settings.folder).await;
+    let Opened {
+        store,
+        identity,
+        content,
+        departures: departed,
+    } = store::open(&settings.folder).await;
     let clock = settings.clock;
     let was_voter = content.as_ref().is_some_and(|c| c.votes);
     let Content { replica, .. } = content.unwrap_or(Content {
@@ -79,6 +86,8 @@
         address: settings.address(),
         votes: was_voter || settings.first_start,
     };
+    let mut departures = departures::Table::default();
+    departures.merge(&departed);
     let (changed, _) = watch::channel(0);
     let (stop, stopped) = watch::channel(false);
     let state = Arc::new(State {
@@ -86,6 +95,7 @@
         proposer: Identity(rand::random()),
         clock,
         announcements: Mutex::new(Rank::Membership, announcements::Table::default()),
+        departures: Mutex::new(Rank::Report, departures),
         peers: Mutex::new(Rank::Pool, Vec::new()),
         consensus: Mutex::new(
             Rank::Consensus,
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -8,8 +8,10 @@
 use tokio::sync::watch;
 
 use crate::announcements;
+use crate::departures;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::store;
 use crate::store::Content;
 use crate::store::Store;
 use shallotrill_feed::link::Link;
@@ -55,7 +57,7 @@
 
 /// Shared state of a registry process.
 ///
-/// Lock order: `announcements`, `peers`, `consensus`.
+/// Lock order: `announcements`, `peers`, `departures`, `consensus`.
 #[derive(Debug)]
 pub struct State {
     /// Settings of this process.
@@ -69,6 +71,8 @@
     pub clock: Clock,
     /// Announcements of routers with their leases.
     pub announcements: Mutex<announcements::Table>,
+    /// Departures that routers have acknowledged to their backend servers.
+    pub departures: Mutex<departures::Table>,
     /// Other registry processes, sorted by address.
     pub peers: Mutex<Vec<Arc<Peer>>>,
     /// The replicated registers.
@@ -103,9 +107,9 @@
                 votes: consensus.roster.own().votes,
                 replica: consensus.replica.clone(),
             };
-            (consensus.changes, content)
+            (consensus.changes, store::encode(&content))
         };
-        match self.store.persist(changes, &content).await {
+        match self.store.registers.persist(changes, &content).await {
             Ok(()) => true,
             Err(failure) => {
                 warn!(event = "disk-refused"; "cannot write the registers to disk: {failure}");
@@ -114,6 +118,22 @@
         }
     }
 
+    /// Writes the current departures to disk. Returns whether they are durable.
+    pub async fn persist_departures(&self) -> bool {
+        let revision = self.departures.lock().revision();
+        let content = || {
+            let departures = self.departures.lock();
+            (departures.revision(), store::encode(&departures.since(0)))
+        };
+        match self.store.departures.persist(revision, &content).await {
+            Ok(()) => true,
+            Err(failure) => {
+                warn!(event = "disk-refused"; "cannot write the departures to disk: {failure}");
+                false
+            }
+        }
+    }
+
     /// All other known registry processes.
     pub fn peers(&self) -> Vec<Arc<Peer>> {
         self.peers.lock().clone()
--- a/crates/registry/src/store.rs
+++ b/crates/registry/src/store.rs
@@ -1,4 +1,5 @@
-//! Durable state of a registry process: one document with its registers and its vote.
+//! Durable state of a registry process: a document with its registers and its vote, and one with the departures of
+//! backend servers, which change more often and are small.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 use log::warn;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::sync::Mutex;
 use tokio::task;
 use tokio::time;
@@ -16,16 +18,20 @@
 use shallotrill_disk::document::Document;
 use shallotrill_disk::failure::Failure;
 use shallotrill_disk::folder::Folder;
+use shallotrill_feed::message::Departure;
 use shallotrill_items::ballot::Identity;
 use shallotrill_items::replica::Replica;
 
-/// Name of the document in the data folder.
-const DOCUMENT_NAME: &str = "registers";
+/// Name of the document with the registers and the vote.
+const REGISTERS_NAME: &str = "registers";
+
+/// Name of the document with the departures.
+const DEPARTURES_NAME: &str = "departures";
 
 /// Delay before opening the data folder is retried at the start.
 const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Content of the document.
+/// Content of the document with the registers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Content {
     /// Whether the process is a voter.
@@ -37,14 +43,28 @@
 /// Store of a registry process.
 #[derive(Debug)]
 pub struct Store {
-    document: Arc<Document>,
-    /// Latest durable revision. It is locked during a sync, so that queued writers share the next sync.
-    durable: Mutex<u64>,
+    /// The registers and the vote.
+    pub registers: Revisions,
+    /// The departures of backend servers.
+    pub departures: Revisions,
     _folder: Folder,
 }
 
+/// What a registry process reads from its data folder at its start.
+#[derive(Debug)]
+pub struct Opened {
+    /// The opened store.
+    pub store: Store,
+    /// Identity of the disk.
+    pub identity: Identity,
+    /// Registers and vote; `None` if they were never written or cannot be decoded.
+    pub content: Option<Content>,
+    /// Departures of backend servers.
+    pub departures: Vec<Departure>,
+}
+
 /// Opens the data folder and reads its content, if there is any. Retries until this succeeds.
-pub async fn open(path: &Path) -> (Store, Identity, Option<Content>) {
+pub async fn open(path: &Path) -> Opened {
     loop {
         match try_open(path) {
             Ok(opened) => return opened,
@@ -57,31 +77,60 @@
     }
 }
 
-fn try_open(path: &Path) -> Result<(Store, Identity, Option<Content>), Failure> {
+fn try_open(path: &Path) -> Result<Opened, Failure> {
     let folder = Folder::open(path)?;
     let identity = folder.identity();
-    let document = Document::new(path, DOCUMENT_NAME, identity, IoCalls::default());
-    let content = document.read()?;
-    let content = content.and_then(|bytes| match postcard::from_bytes(&bytes) {
-        Ok(content) => Some(content),
-        Err(error) => {
-            // The checksum was correct, so another release has written the document. The registers can
-            // be copied from the other processes.
-            warn!(event = "registers-unreadable"; "cannot decode the stored registers, starting without them: {error}");
-            None
-        }
-    });
+    let document = |name| Document::new(path, name, identity, IoCalls::default());
+    let (registers, departures) = (document(REGISTERS_NAME), document(DEPARTURES_NAME));
+    let content: Option<Content> = read(&registers)?;
+    let departed: Option<Vec<Departure>> = read(&departures)?;
     info!(event = "disk-opened", identity = identity.to_string().as_str(), remembered = content.is_some(); "data folder opened");
     let store = Store {
-        document: Arc::new(document),
-        durable: Mutex::new(0),
+        registers: Revisions::new(registers),
+        departures: Revisions::new(departures),
         _folder: folder,
     };
-    Ok((store, Identity(identity.0), content))
+    Ok(Opened {
+        store,
+        identity: Identity(identity.0),
+        content,
+        departures: departed.unwrap_or_default(),
+    })
+}
+
+/// Reads a document; `None` if it was never written or cannot be decoded.
+fn read<T: DeserializeOwned>(document: &Document) -> Result<Option<T>, Failure> {
+    let Some(bytes) = document.read()? else {
+        return Ok(None);
+    };
+    match postcard::from_bytes(&bytes) {
+        Ok(content) => Ok(Some(content)),
+        Err(error) => {
+            // The checksum was correct, so another release has written the document. Its content can be copied from
+            // the other processes.
+            warn!(event = "registers-unreadable"; "cannot decode a stored document, starting without it: {error}");
+            Ok(None)
+        }
+    }
 }
 
-impl Store {
-    /// Makes all changes up to `revision` durable. `content` returns the current revision and content.
+/// A document that is replaced whenever its content has a new revision.
+#[derive(Debug)]
+pub struct Revisions {
+    document: Arc<Document>,
+    /// Latest durable revision. It is locked during a sync, so that queued writers share the next sync.
+    durable: Mutex<u64>,
+}
+
+impl Revisions {
+    fn new(document: Document) -> Self {
+        Self {
+            document: Arc::new(document),
+            durable: Mutex::new(0),
+        }
+    }
+
+    /// Makes all changes up to `revision` durable. `content` returns the current revision and its encoded content.
     ///
     /// # Errors
     ///
@@ -89,14 +138,13 @@
     pub async fn persist(
         &self,
         revision: u64,
-        content: &(dyn Fn() -> (u64, Content) + Send + Sync),
+        content: &(dyn Fn() -> (u64, Vec<u8>) + Send + Sync),
     ) -> Result<(), Failure> {
         let mut durable = self.durable.lock().await;
         if *durable >= revision {
             return Ok(());
         }
-        let (written_revision, content) = content();
-        let bytes = postcard::to_allocvec(&content).unwrap_or_default();
+        let (written_revision, bytes) = content();
         let document = Arc::clone(&self.document);
         let written = task::spawn_blocking(move || document.write(&bytes)).await;
         match written {
@@ -109,3 +157,12 @@
         }
     }
 }
+
+/// Encodes the content of a document.
+///
+/// # Panics
+///
+/// Panics when the content has a type that the format does not support.
+pub fn encode<T: Serialize>(content: &T) -> Vec<u8> {
+    postcard::to_allocvec(content).expect("the content has only types that postcard supports")
+}
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -9,6 +9,7 @@
 
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Departure;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
 use shallotrill_items::item::Content;
@@ -17,6 +18,7 @@
 use shallotrill_items::item::Kind;
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::route::Service;
+use shallotrill_model::instance;
 use shallotrill_process::clock::Clock;
 use shallotrill_registry::members;
 use shallotrill_registry::propose;
@@ -231,6 +233,7 @@
         },
         wait_ms: 0,
         held: Some(ItemSetHash::default().0),
+        needs_departures: false,
     };
     match members::handle(&member.registry.state(), &request).await {
         Reply::View { items, .. } => items.len(),
@@ -293,6 +296,45 @@
     }
 }
 
+/// Guards against a departure that is forgotten when all processes restart and one of them has lost its disk.
+#[tokio::test]
+async fn a_restart_of_all_keeps_the_departures() {
+    let mut members = group().await;
+    let departure = Departure {
+        router: "127.0.0.1:1".parse().expect("an address"),
+        instance: instance::Name::new("i-1").expect("a valid name"),
+        start_time_ms: 5,
+    };
+    let request = Request::Depart(vec![departure.clone()]);
+    // A process becomes a voter for good when it has stored something.
+    change(&members[0], &service("a", 1, 10))
+        .await
+        .expect("the change is accepted");
+    for member in &members[..3] {
+        let reply = members::handle(&member.registry.state(), &request).await;
+        assert!(matches!(reply, Reply::Done), "{reply:?}");
+    }
+    drop(stop(members.remove(0)).await);
+    let mut folders = Vec::new();
+    for member in members.drain(..) {
+        folders.push(stop(member).await);
+    }
+    let first = start(Vec::new(), false, folders.remove(0)).await;
+    let seed = first.address;
+    members.push(first);
+    for folder in folders {
+        members.push(start(vec![seed], false, folder).await);
+    }
+    members.push(start(vec![seed], false, folder()).await);
+    for member in &members {
+        let state = member.registry.state();
+        let complete = || state.consensus.lock().is_complete(state.now());
+        wait_for("the process knows what is in force", complete).await;
+        let departures = state.departures.lock().of(departure.router);
+        assert_eq!(departures, std::slice::from_ref(&departure));
+    }
+}
+
 /// Guards against a change that is lost when all processes restart.
 #[tokio::test]
 async fn a_restart_of_all_keeps_the_items() {
--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -53,6 +53,7 @@
         announcement: announcement(1, 0),
         wait_ms: 0,
         held,
+        needs_departures: false,
     };
     match members::handle(state, &request).await {
         Reply::View { cursor, items, .. } => (cursor, items),
@@ -198,6 +199,7 @@
             announcement: announcement(1, 1),
             wait_ms: 60_000,
             held: None,
+            needs_departures: false,
         };
         members::handle(&state, &request).await
     });
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 
 use crate::forwarded::Denial;
 use crate::state::State;
+use shallotrill_feed::message::Departure;
 use shallotrill_limits::config::Config;
 use shallotrill_limits::gate::Gate;
 use shallotrill_limits::ticket;
@@ -140,7 +142,32 @@
 pub struct Backend {
     /// Its current incarnation; `None` before the first announcement and after it has departed.
     pub current: Option<ServerState>,
-    retired: Vec<(instance::Name, u64)>,
+    /// Incarnations that must not be used again, oldest first; at most one entry for each name.
+    retired: Vec<Retired>,
+    /// Whether the departures that earlier processes of this router acknowledged are in `retired`.
+    restored: bool,
+    /// The latest announcement of a backend server that accepts requests, received before they were.
+    pending: Option<ServerAnnouncement>,
+}
+
+/// The incarnations of a name that must not be used again.
+#[derive(Clone, Debug)]
+struct Retired {
+    instance: instance::Name,
+    /// Start of the latest of them.
+    start_time_ms: u64,
+    reason: Reason,
+}
+
+/// Why an incarnation must not be used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reason {
+    /// A later one has announced itself.
+    Superseded,
+    /// It has stated its departure, which registry processes must store before it is acknowledged.
+    Departed,
+    /// It has departed, and registry processes have stored that.
+    Stored,
 }
 
 /// Effect of an announcement.
@@ -196,15 +223,91 @@
         Change::Incarnation
     }
 
-    /// Retires the current incarnation if it belongs to `instance`. Returns whether it did, in which
-    /// case the target must be published again.
-    pub fn deregister(&mut self, instance: &instance::Name) -> bool {
-        let current = self.current.as_ref();
-        if current.is_none_or(|current| current.announcement.instance != *instance) {
-            return false;
+    /// Applies an announcement as [`Backend::announce`] does. One of a backend server that accepts requests waits
+    /// until the acknowledged departures are restored, because it may have been sent before its departure.
+    pub fn receive(&mut self, announcement: ServerAnnouncement, now: Instant) -> Change {
+        if self.restored || announcement.draining {
+            let (instance, start_time_ms) =
+                (announcement.instance.clone(), announcement.start_time_ms);
+            let draining = announcement.draining;
+            let change = self.announce(announcement, now);
+            if draining {
+                self.retire(&instance, start_time_ms, Reason::Departed);
+            }
+            return change;
         }
-        self.retire_current();
-        true
+        let order = |known: &ServerAnnouncement| (known.start_time_ms, known.sequence);
+        let known = self.pending.as_ref();
+        if known.is_none_or(|known| order(known) < order(&announcement)) {
+            self.pending = Some(announcement);
+        }
+        Change::None
+    }
+
+    /// Whether the departures that earlier processes of this router acknowledged are known.
+    pub const fn is_restored(&self) -> bool {
+        self.restored
+    }
+
+    /// Adds the departures that earlier processes of this router acknowledged, and returns the announcement that
+    /// waited for them.
+    pub fn restore(&mut self, departures: &[Departure]) -> Option<ServerAnnouncement> {
+        for departure in departures {
+            self.retire(&departure.instance, departure.start_time_ms, Reason::Stored);
+        }
+        self.restored = true;
+        self.pending.take()
+    }
+
+    /// Departures that must be stored by registry processes before they are acknowledged.
+    pub fn unconfirmed(&self, router: SocketAddr) -> Vec<Departure> {
+        let retired = self.retired.iter();
+        let unconfirmed = retired.filter(|retired| retired.reason == Reason::Departed);
+        let departure = |retired: &Retired| Departure {
+            router,
+            instance: retired.instance.clone(),
+            start_time_ms: retired.start_time_ms,
+        };
+        unconfirmed.map(departure).collect()
+    }
+
+    /// Records that registry processes have stored departures.
+    pub fn confirm(&mut self, departures: &[Departure]) {
+        for retired in &mut self.retired {
+            let stored = departures.iter().any(|departure| {
+                departure.instance == retired.instance
+                    && departure.start_time_ms >= retired.start_time_ms
+            });
+            if stored {
+                retired.reason = Reason::Stored;
+            }
+        }
+    }
+
+    /// Retires the incarnations of `instance` that started at `start_time_ms` or before. Returns whether the current
+    /// one is among them, in which case the target must be published again.
+    ///
+    /// Without a stated start these are the known incarnation or, when none is known (the router may have restarted),
+    /// all that started before `wall_ms`, the present Unix time in milliseconds.
+    pub fn deregister(
+        &mut self,
+        instance: &instance::Name,
+        start_time_ms: Option<u64>,
+        wall_ms: u64,
+    ) -> bool {
+        let current = self.current.as_ref().map(|current| &current.announcement);
+        let known = [current, self.pending.as_ref()];
+        let known = known.into_iter().flatten();
+        let known = known.filter(|known| known.instance == *instance);
+        let known = known.map(|known| known.start_time_ms).max();
+        let last = start_time_ms.or(known).unwrap_or(wall_ms);
+        let departed =
+            current.is_some_and(|known| known.instance == *instance && known.start_time_ms <= last);
+        if departed {
+            self.retire_current();
+        }
+        self.retire(instance, last, Reason::Departed);
+        departed
     }
 
     fn retire_current(&mut self) {
@@ -214,8 +317,25 @@
         let effect = current.gate.drain();
         current.notify_waiting(effect);
         let known = &current.announcement;
-        self.retired
-            .push((known.instance.clone(), known.start_time_ms));
+        self.retire(&known.instance, known.start_time_ms, Reason::Superseded);
+    }
+
+    fn retire(&mut self, instance: &instance::Name, start_time_ms: u64, reason: Reason) {
+        let known = self.retired.iter_mut().find(|r| r.instance == *instance);
+        if let Some(known) = known {
+            if start_time_ms > known.start_time_ms {
+                known.start_time_ms = start_time_ms;
+                known.reason = reason;
+            } else if start_time_ms == known.start_time_ms {
+                known.reason = known.reason.max(reason);
+            }
+            return;
+        }
+        self.retired.push(Retired {
+            instance: instance.clone(),
+            start_time_ms,
+            reason,
+        });
         if self.retired.len() > RETIRED_INCARNATIONS_MAX {
             self.retired.remove(0);
         }
@@ -223,8 +343,9 @@
 
     fn is_retired(&self, announcement: &ServerAnnouncement) -> bool {
         let mut retired = self.retired.iter();
-        retired.any(|(name, start_time_ms)| {
-            *name == announcement.instance && announcement.start_time_ms <= *start_time_ms
+        retired.any(|retired| {
+            retired.instance == announcement.instance
+                && announcement.start_time_ms <= retired.start_time_ms
         })
     }
 
@@ -429,7 +550,7 @@
     let reported = announcement.clone();
     let change = {
         let mut backend = state.backend.lock();
-        let change = backend.announce(announcement, now);
+        let change = backend.receive(announcement, now);
         let slots = backend.current.as_ref().map_or(1, |l| l.announcement.slots);
         let limit = slots.saturating_mul(2).max(1) as usize;
         if change == Change::Target {
@@ -458,15 +579,37 @@
     Ok(())
 }
 
-/// Handles the deregistration of the local backend server, which will not come back.
-pub fn deregister(state: &State, instance: &instance::Name) {
-    let departed = state.backend.lock().deregister(instance);
+/// Handles the deregistration of the local backend server, which will not come back. `start_time_ms` is the start of
+/// the incarnation, if it is stated.
+pub fn deregister(state: &State, instance: &instance::Name, start_time_ms: Option<u64>) {
+    let wall_ms = state.clock.wall().0;
+    let departed = state
+        .backend
+        .lock()
+        .deregister(instance, start_time_ms, wall_ms);
     if departed {
         info!(event = "backend-left", instance = instance.as_str(); "the local backend server has deregistered");
         state.publish();
     }
 }
 
+/// Adds the departures that earlier processes of this router acknowledged, and applies the announcement that waited
+/// for them.
+pub fn restore(state: &State, departures: &[Departure]) {
+    let pending = {
+        let mut backend = state.backend.lock();
+        if backend.is_restored() {
+            return;
+        }
+        backend.restore(departures)
+    };
+    info!(event = "departures-restored", count = departures.len(); "departures of the local backend server are known");
+    // It was checked when it was received.
+    if let Some(Err(error)) = pending.map(|announcement| announce(state, announcement)) {
+        log::warn!(event = "announcement-refused"; "cannot apply an announcement: {error}");
+    }
+}
+
 /// The target that is published to the registries; `None` without a backend server, or when it is
 /// withdrawn because the process stops.
 pub fn target(state: &State) -> Option<Target> {
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::backend;
 use crate::state::State;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
@@ -118,6 +119,11 @@
         }
     }
 
+    /// Addresses of all known registry processes.
+    pub fn registries(&self) -> Vec<SocketAddr> {
+        self.views.iter().map(|view| view.registry).collect()
+    }
+
     /// Number of registry processes with recent contact.
     pub fn reachable_registries(&self, now: Instant) -> usize {
         self.views.iter().filter(|view| view.is_fresh(now)).count()
@@ -202,6 +208,7 @@
             announcement: state.announcement(),
             wait_ms: wait.as_millis() as u32,
             held,
+            needs_departures: !state.backend.lock().is_restored(),
         };
         let reply = tokio::select! {
             () = listen::stopped(&mut stop) => return,
@@ -212,6 +219,7 @@
                 cursor: read,
                 items,
                 announcements,
+                departures,
                 registries,
             }) => {
                 if !reachable {
@@ -220,6 +228,9 @@
                 reachable = true;
                 last_contact = state.now();
                 cursor = read;
+                if let Some(departures) = departures {
+                    backend::restore(&state, &departures);
+                }
                 apply_items(&state, &items);
                 merge_crashes(&state, &announcements.changed);
                 state
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt;
 pub mod backend;
 pub mod crashes;
+pub mod departure;
 pub mod entry;
 pub mod follow;
 pub mod forwarded;
--- a/crates/router/tests/backend.rs
+++ b/crates/router/tests/backend.rs
@@ -1,5 +1,8 @@
 //! Incarnations of the local backend server: late announcements, drains and slowness reports.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use shallotrill_limits::ticket;
@@ -13,6 +16,12 @@
 use shallotrill_router::backend::ServerAnnouncement;
 use shallotrill_router::forwarded::Denial;
 
+/// Address of the router.
+const ROUTER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
+/// Unix time of the deregistrations, in milliseconds.
+const WALL_MS: u64 = 1_000;
+
 fn name(text: &str) -> instance::Name {
     instance::Name::new(text).expect("a valid name")
 }
@@ -118,13 +127,121 @@
 fn a_deregistered_incarnation_is_not_reactivated() {
     let mut backend = Backend::default();
     backend.announce(announcement(("a", 100, 1, false)), Instant(1));
-    assert!(!backend.deregister(&name("b")));
-    assert!(backend.deregister(&name("a")));
+    assert!(!backend.deregister(&name("b"), None, WALL_MS));
+    assert!(backend.deregister(&name("a"), None, WALL_MS));
     let change = backend.announce(announcement(("a", 100, 2, false)), Instant(2));
     assert_eq!(change, Change::None);
     assert!(backend.current.is_none());
 }
 
+struct Deregistration {
+    name: &'static str,
+    /// Announcements before the deregistration of `a`.
+    before: &'static [ReportedState],
+    /// Start that the deregistration states.
+    start_time_ms: Option<u64>,
+    /// Announcement that arrives after the deregistration.
+    after: ReportedState,
+    /// Whether the incarnation of the last announcement is current.
+    accepted: bool,
+}
+
+/// Guards against a departure that is acknowledged and not remembered, and against a late deregistration of an
+/// earlier incarnation that removes a later one for good.
+const DEREGISTRATIONS: &[Deregistration] = &[
+    Deregistration {
+        name: "the router knows the backend server",
+        before: &[("a", 100, 1, false)],
+        start_time_ms: None,
+        after: ("a", 100, 2, false),
+        accepted: false,
+    },
+    Deregistration {
+        name: "the router has restarted and does not know it",
+        before: &[],
+        start_time_ms: None,
+        after: ("a", 100, 2, false),
+        accepted: false,
+    },
+    Deregistration {
+        name: "the router has restarted, the start is stated",
+        before: &[],
+        start_time_ms: Some(100),
+        after: ("a", 100, 2, false),
+        accepted: false,
+    },
+    Deregistration {
+        name: "a later incarnation of the same name",
+        before: &[("a", 100, 1, false)],
+        start_time_ms: None,
+        after: ("a", 200, 1, false),
+        accepted: true,
+    },
+    Deregistration {
+        name: "a later incarnation, which began after a restart of the router",
+        before: &[],
+        start_time_ms: None,
+        after: ("a", WALL_MS + 1, 1, false),
+        accepted: true,
+    },
+    Deregistration {
+        name: "a late deregistration of an earlier incarnation",
+        before: &[("a", 200, 1, false)],
+        start_time_ms: Some(100),
+        after: ("a", 200, 2, false),
+        accepted: true,
+    },
+    Deregistration {
+        name: "another backend server",
+        before: &[("b", 100, 1, false)],
+        start_time_ms: None,
+        after: ("b", 100, 2, false),
+        accepted: true,
+    },
+];
+
+#[test]
+fn departures_are_remembered() {
+    for case in DEREGISTRATIONS {
+        let mut backend = Backend::default();
+        assert!(backend.restore(&[]).is_none(), "{}", case.name);
+        for &announced in case.before {
+            backend.receive(announcement(announced), Instant(1));
+        }
+        backend.deregister(&name("a"), case.start_time_ms, WALL_MS);
+        let departures = backend.unconfirmed(ROUTER);
+        assert_eq!(departures.len(), 1, "{}", case.name);
+        backend.receive(announcement(case.after), Instant(2));
+        let current = backend.current.as_ref().map(|c| &c.announcement);
+        let accepted = current.is_some_and(|c| c.start_time_ms == case.after.1);
+        assert_eq!(accepted, case.accepted, "{}", case.name);
+        // The router restarts, and the announcement arrives before the departures are known again.
+        let mut restarted = Backend::default();
+        restarted.receive(announcement(case.after), Instant(3));
+        assert!(restarted.current.is_none(), "{}", case.name);
+        let pending = restarted.restore(&departures).expect(case.name);
+        restarted.receive(pending, Instant(4));
+        assert_eq!(restarted.current.is_some(), case.accepted, "{}", case.name);
+    }
+}
+
+/// Guards against a drain that is acknowledged before the registry processes remember it, and against one that is
+/// reported to them again and again.
+#[test]
+fn a_drain_is_confirmed_once() {
+    let mut backend = Backend::default();
+    backend.restore(&[]);
+    backend.receive(announcement(("a", 100, 1, false)), Instant(1));
+    assert!(backend.unconfirmed(ROUTER).is_empty());
+    backend.receive(announcement(("a", 100, 2, true)), Instant(2));
+    let departures = backend.unconfirmed(ROUTER);
+    assert_eq!(departures[0].start_time_ms, 100);
+    backend.confirm(&departures);
+    backend.receive(announcement(("a", 100, 3, true)), Instant(3));
+    assert!(backend.unconfirmed(ROUTER).is_empty());
+    assert!(backend.current.is_some_and(|current| current.is_draining()));
+}
+
 fn ticket(id: u64) -> Ticket {
     Ticket {
         id: ticket::Id(id),
--- a/crates/router/tests/path/gates.rs
+++ b/crates/router/tests/path/gates.rs
@@ -76,7 +76,7 @@
         name: "it has left",
         withdraw: |router| {
             let name = instance::Name::new("i-0").expect("a valid name");
-            backend::deregister(&router.state(), &name);
+            backend::deregister(&router.state(), &name, None);
         },
     },
     WithdrawalCase {
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! The path of a request from end to end: a registry process, routers, and backend servers that misbehave.
 
+mod departures;
 mod endless;
 mod gates;
 mod limits;
@@ -320,24 +321,10 @@
         .expect("the change is accepted");
     let mut routers = Vec::new();
     for (number, &address) in backends.iter().enumerate() {
-        let router = shallotrill_router::run::start(Settings {
-            caller_listen: "127.0.0.1:0".parse().expect("an address"),
-            router_listen: "127.0.0.1:0".parse().expect("an address"),
-            advertised: None,
-            backend: address,
-            service: service_name(),
-            zone: zone::Name::new("bodo").expect("a valid name"),
-            region: region::Name::new("nordland").expect("a valid name"),
-            registries: vec![state.settings.listen],
-            retry_permille,
-            retry_slack: retry_permille,
-            retry_window: Duration::from_secs(10),
-            grace_period: Duration::from_secs(2),
-            names: Names::default(),
-            clock: Clock::start(),
-        })
-        .await
-        .expect("a router");
+        let settings = settings(address, vec![state.settings.listen], retry_permille);
+        let router = shallotrill_router::run::start(settings)
+            .await
+            .expect("a router");
         announce(&router, number, 1, false);
         routers.push(router);
     }
@@ -350,6 +337,26 @@
     fixture
 }
 
+/// Settings of a router beside the backend server at `backend`.
+fn settings(backend: SocketAddr, registries: Vec<SocketAddr>, retry_permille: u32) -> Settings {
+    Settings {
+        caller_listen: "127.0.0.1:0".parse().expect("an address"),
+        router_listen: "127.0.0.1:0".parse().expect("an address"),
+        advertised: None,
+        backend,
+        service: service_name(),
+        zone: zone::Name::new("bodo").expect("a valid name"),
+        region: region::Name::new("nordland").expect("a valid name"),
+        registries,
+        retry_permille,
+        retry_slack: retry_permille,
+        retry_window: Duration::from_secs(10),
+        grace_period: Duration::from_secs(2),
+        names: Names::default(),
+        clock: Clock::start(),
+    }
+}
+
 async fn start_registry(folder: &TempDir, seeds: Vec<SocketAddr>) -> registry::Registry {
     registry::start(shallotrill_registry::settings::Settings {
         listen: "127.0.0.1:0".parse().expect("an address"),
