items: a proposal of several items is completed or withdrawn as a whole

Operators saw: of two racing changes one was answered 409, and its other routes came into force (1 to 8 of 24 pairs).

Cause: replicas that had not yet promised the competing ballot accepted all items of the losing proposal. An accepted item did not say which proposal it came from, so the refusal itself and the repair of interrupted proposals committed the others. Ruled out: commit messages of the refused proposal; none is sent before a quorum accepts.

A replica keeps an uncommitted proposal with the items that it replaces, and a proposer reads all its registers and settles it before it proposes a change. A refusal that depends on other items is answered once a quorum has accepted what the registers contain without the change. It works because a proposal that a quorum accepted is read by every later proposer, so a register that contradicts it proves that none did.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -11,8 +11,10 @@
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::item::Item;
 use shallotrill_items::item::Key;
-use shallotrill_items::replica::Accepted;
 use shallotrill_items::replica::Entry;
+use shallotrill_items::replica::Promise;
+use shallotrill_items::replica::Proposal;
+use shallotrill_items::replica::Proposed;
 use shallotrill_items::roster::Member;
 use shallotrill_model::instance;
 use shallotrill_model::target::Target;
@@ -157,8 +159,8 @@
     Accept {
         /// Ballot number of the proposal.
         ballot: Ballot,
-        /// Items to accept.
-        items: Vec<Arc<Item>>,
+        /// Items to accept, sorted by key.
+        items: Vec<Proposed>,
     },
     /// Reports that a majority has accepted a proposal.
     Commit {
@@ -192,6 +194,8 @@
         cursor: Cursor,
         /// Changed registers.
         entries: Vec<Entry>,
+        /// Uncommitted proposals that were added.
+        proposals: Vec<Proposal>,
         /// Changed departures.
         departures: Vec<Departure>,
         /// The registry process that replies.
@@ -201,8 +205,8 @@
     },
     /// Reply to [`Request::Show`]: the status of the registry process.
     Shown(RegistryStatus),
-    /// Promise of a voter, with the proposal that it last accepted for each key, in the order of the keys.
-    Promised(Vec<Option<Accepted>>),
+    /// Promise of a voter, with what it has accepted for each key.
+    Promised(Promise),
     /// The request was executed and its effect is durable.
     Done,
     /// The voter has promised a higher ballot, so it rejects the proposal; contains that ballot.
--- a/crates/items/src/change.rs
+++ b/crates/items/src/change.rs
@@ -25,6 +25,16 @@
 }
 
 impl Refusal {
+    /// Whether the change could be accepted if other items were different.
+    pub const fn depends_on_others(&self) -> bool {
+        match self {
+            Self::Conflict { .. } => true,
+            Self::Invalid { problem, .. } => {
+                matches!(problem, crate::check::ValidationError::UnknownService(_))
+            }
+        }
+    }
+
     /// Whether the change conflicts with existing content. `false` means that the change itself is invalid.
     pub const fn is_conflict(&self) -> bool {
         matches!(self, Self::Conflict { .. })
--- a/crates/items/src/item.rs
+++ b/crates/items/src/item.rs
@@ -57,6 +57,9 @@
     Limits(Limits),
     /// The item is removed. The version is retained, so that a delayed older change cannot restore the item.
     Removed,
+    /// No version of the item has been in effect. Accepted in the place of a first version whose proposal is
+    /// withdrawn; never committed.
+    Absent,
 }
 
 /// One version of an item.
@@ -71,3 +74,27 @@
     /// The operator's document in canonical form, returned to operators unchanged; empty for a removed item.
     pub document: Arc<str>,
 }
+
+impl Item {
+    /// The value of a register in which no item has been in effect.
+    pub fn absent(key: Key) -> Self {
+        Self {
+            key,
+            version: 0,
+            content: Content::Absent,
+            document: Arc::from(""),
+        }
+    }
+
+    /// Whether no version of the item has been in effect.
+    pub fn is_absent(&self) -> bool {
+        self.content == Content::Absent
+    }
+
+    /// Whether both are the same version with the same content.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.version == other.version
+            && self.content == other.content
+            && self.document == other.document
+    }
+}
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -24,6 +24,7 @@
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Entry;
+use shallotrill_items::replica::Proposal;
 use shallotrill_items::roster::Member;
 use shallotrill_model::time::Instant;
 use shallotrill_process::metrics::count;
@@ -347,6 +348,7 @@
             departures: departures_revision,
         },
         entries: consensus.replica.since(from.items),
+        proposals: consensus.replica.proposals_since(from.items),
         departures,
         member: consensus.roster.own(),
         registries,
@@ -397,6 +399,7 @@
             Ok(Reply::Registers {
                 cursor: read,
                 entries,
+                proposals,
                 departures,
                 member,
                 registries,
@@ -407,7 +410,7 @@
                 reachable = true;
                 last_contact = state.now();
                 cursor = read;
-                merge_entries(&state, &entries);
+                merge_entries(&state, &entries, &proposals);
                 merge_departures(&state, &departures);
                 record_copy(&state, member, requested_at, last_contact);
                 follow(&state, &registries);
@@ -447,12 +450,12 @@
     }
 }
 
-fn merge_entries(state: &State, entries: &[Entry]) {
+fn merge_entries(state: &State, entries: &[Entry], proposals: &[Proposal]) {
     let changed = {
         let mut consensus = state.consensus.lock();
         let promised = entries.iter().map(|e| e.promised).max();
         consensus.highest_ballot = consensus.highest_ballot.max(promised.unwrap_or_default());
-        let changed = consensus.replica.merge(entries);
+        let changed = consensus.replica.merge(entries, proposals);
         consensus.changes += u64::from(changed);
         changed
     };
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -23,6 +23,7 @@
 use shallotrill_items::proposal;
 use shallotrill_items::proposal::Plan;
 use shallotrill_items::proposal::QuorumRead;
+use shallotrill_items::replica::Proposed;
 
 /// Longest wait for a quorum in one step; a slow disk syncs in a few hundred milliseconds.
 const STEP_TIMEOUT: Duration = Duration::from_millis(900);
@@ -30,6 +31,10 @@
 /// Maximum number of proposals for one change; then it fails and the operator must send it again.
 const PROPOSALS_MAX: u32 = 4;
 
+/// Maximum number of steps for one change, including those that settle proposals of others. An operator's patience
+/// ends earlier.
+const STEPS_MAX: u32 = 32;
+
 /// Longest delay after a proposal was overtaken. The delay is random, so that two competing
 /// proposers do not keep overtaking each other.
 const RETRY_DELAY_MAX_MS: u64 = 120;
@@ -95,39 +100,55 @@
     outcome
 }
 
-/// Completes the latest proposals of registers, which may have been interrupted.
+/// Completes or withdraws the latest proposals of registers, which may have been interrupted.
 ///
 /// # Errors
 ///
 /// Returns a [`Failure`] when no quorum responds or every proposal is overtaken.
-pub async fn repair(state: &Arc<State>, keys: Vec<Key>) -> Result<(), Failure> {
+pub async fn repair(state: &Arc<State>, mut keys: Vec<Key>) -> Result<(), Failure> {
+    keys.sort();
     let wanted = keys.clone();
-    let latest = move |reading: &QuorumRead| Plan {
-        items: wanted
-            .iter()
-            .filter_map(|k| reading.get(k))
-            .cloned()
-            .collect(),
+    let unchanged = move |reading: &QuorumRead| Plan {
+        items: reading.unchanged(&wanted),
         refusal: None,
     };
-    propose(state, keys, &latest).await.map(|_| ())
+    propose(state, keys, &unchanged).await.map(|_| ())
 }
 
 type Decide<'a> = dyn Fn(&QuorumRead) -> Plan + Send + Sync + 'a;
 
-async fn propose(state: &Arc<State>, keys: Vec<Key>, decide: &Decide<'_>) -> Result<Plan, Failure> {
-    for _ in 0..PROPOSALS_MAX {
+async fn propose(
+    state: &Arc<State>,
+    mut keys: Vec<Key>,
+    decide: &Decide<'_>,
+) -> Result<Plan, Failure> {
+    let mut settled = Vec::new();
+    let mut overtaken = 0;
+    // Each step below settles a proposal, adds its registers, or counts as overtaken.
+    for _ in 0..STEPS_MAX {
         let ballot = next_ballot(state);
-        match attempt(state, ballot, &keys, decide).await {
-            Ok(plan) => return Ok(plan),
+        match attempt(state, ballot, &keys, &settled, decide).await {
+            Ok(Step::Proposed(plan)) => return Ok(plan),
+            Ok(Step::Settled) => settled.push(ballot),
+            Ok(Step::Missing(missing)) => {
+                keys.extend(missing);
+                keys.sort();
+                keys.dedup();
+            }
             Err(AttemptFailure::Failed(failure)) => return Err(failure),
             Err(AttemptFailure::Overtaken(by)) => {
-                let mut consensus = state.consensus.lock();
-                consensus.highest_ballot = consensus.highest_ballot.max(by);
+                {
+                    let mut consensus = state.consensus.lock();
+                    consensus.highest_ballot = consensus.highest_ballot.max(by);
+                }
+                overtaken += 1;
+                if overtaken >= PROPOSALS_MAX {
+                    break;
+                }
+                let delay = rand::rng().random_range(5..RETRY_DELAY_MAX_MS);
+                time::sleep(Duration::from_millis(delay)).await;
             }
         }
-        let delay = rand::rng().random_range(5..RETRY_DELAY_MAX_MS);
-        time::sleep(Duration::from_millis(delay)).await;
     }
     Err(Failure::Overtaken)
 }
@@ -144,30 +165,58 @@
     Failed(Failure),
 }
 
+/// What one attempt has achieved.
+enum Step {
+    /// A quorum has accepted the plan.
+    Proposed(Plan),
+    /// A quorum has accepted an unsettled proposal of others, or its withdrawal.
+    Settled,
+    /// An unsettled proposal has more registers, which must be read too.
+    Missing(Vec<Key>),
+}
+
 async fn attempt(
     state: &Arc<State>,
     ballot: Ballot,
     keys: &[Key],
+    settled: &[Ballot],
     decide: &Decide<'_>,
-) -> Result<Plan, AttemptFailure> {
+) -> Result<Step, AttemptFailure> {
     let mut reading = QuorumRead::new(keys.to_vec());
     let prepare = Request::Prepare {
         ballot,
         keys: keys.to_vec(),
     };
     for reply in call_quorum(state, prepare).await? {
-        if let Reply::Promised(promised) = reply {
-            reading.add(promised);
+        if let Reply::Promised(promise) = reply {
+            reading.add(promise);
         }
     }
+    let missing = reading.missing_keys(settled);
+    if !missing.is_empty() {
+        return Ok(Step::Missing(missing));
+    }
+    if let Some(items) = reading.unsettled(settled) {
+        accept(state, ballot, items).await?;
+        return Ok(Step::Settled);
+    }
     let plan = decide(&reading);
-    if plan.items.is_empty() {
-        return Ok(plan);
+    if !plan.items.is_empty() {
+        accept(state, ballot, plan.items.clone()).await?;
     }
-    let items = plan.items.clone();
+    Ok(Step::Proposed(plan))
+}
+
+/// Has a quorum accept the items of a proposal, and commits them.
+async fn accept(
+    state: &Arc<State>,
+    ballot: Ballot,
+    items: Vec<Proposed>,
+) -> Result<(), AttemptFailure> {
+    let accepted: Vec<Arc<Item>> = items.iter().map(|p| Arc::clone(&p.item)).collect();
     call_quorum(state, Request::Accept { ballot, items }).await?;
-    commit(state, ballot, &plan.items);
-    Ok(plan)
+    commit(state, ballot, &accepted);
+    Ok(())
 }
 
 /// Commits items locally and notifies the other replicas, without waiting for them.
--- a/crates/registry/src/store.rs
+++ b/crates/registry/src/store.rs
@@ -100,10 +100,15 @@
 
 /// Reads a document; `None` if it was never written or cannot be decoded.
 fn read<T: DeserializeOwned>(document: &Document) -> Result<Option<T>, Failure> {
-    let Some(bytes) = document.read()? else {
+    let Some(mut bytes) = document.read()? else {
         return Ok(None);
     };
-    match postcard::from_bytes(&bytes) {
+    let decoded = postcard::from_bytes(&bytes).or_else(|_| {
+        // Registers that an earlier release has written end before the list of proposals; zero is an empty list.
+        bytes.push(0);
+        postcard::from_bytes(&bytes)
+    });
+    match decoded {
         Ok(content) => Ok(Some(content)),
         Err(error) => {
             // The checksum was correct, so another release has written the document. Its content can be copied from
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -12,11 +12,14 @@
 use shallotrill_feed::message::Departure;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
+use shallotrill_items::ballot::Ballot;
+use shallotrill_items::ballot::Identity;
 use shallotrill_items::item::Content;
 use shallotrill_items::item::Item;
 use shallotrill_items::item::Key;
 use shallotrill_items::item::Kind;
 use shallotrill_items::item_set_hash::ItemSetHash;
+use shallotrill_items::replica::Proposed;
 use shallotrill_items::route::Service;
 use shallotrill_model::instance;
 use shallotrill_process::clock::Clock;
@@ -296,6 +299,110 @@
     }
 }
 
+/// Guards against a refused change that comes into force in part: one replica had accepted all its items before a
+/// competing change won one of them.
+#[tokio::test]
+async fn a_refused_change_comes_into_force_in_part() {
+    let members = group().await;
+    let competing = service("a", 2, 10);
+    let large = [
+        service("a", 2, 20),
+        service("b", 2, 20),
+        service("c", 2, 20),
+    ];
+    let earlier = service("c", 1, 10);
+    change(&members[0], &earlier)
+        .await
+        .expect("the change is accepted");
+    for member in &members {
+        wait_for("the item is in force", || is_in_force(member, &earlier)).await;
+    }
+    let ballot = Ballot {
+        round: 1_000,
+        proposer: Identity(1),
+    };
+    let keys: Vec<Key> = large.iter().map(|item| item.key.clone()).collect();
+    let handle =
+        async |member: &Member, request| members::handle(&member.registry.state(), &request).await;
+    for member in &members {
+        let keys = keys.clone();
+        let promised = handle(member, Request::Prepare { ballot, keys }).await;
+        assert!(matches!(promised, Reply::Promised(_)), "{promised:?}");
+    }
+    let previous = [
+        Item::absent(keys[0].clone()),
+        Item::absent(keys[1].clone()),
+        earlier.clone(),
+    ];
+    let items = large.iter().zip(previous).map(|(item, previous)| Proposed {
+        item: Arc::new(item.clone()),
+        previous: Arc::new(previous),
+    });
+    let items: Vec<Proposed> = items.collect();
+    // The competing proposal has the next ballot, and its messages overtake those of the large one.
+    let next = Ballot::above(ballot, Identity(2));
+    let key = vec![competing.key.clone()];
+    for member in &members[1..4] {
+        let prepare = Request::Prepare {
+            ballot: next,
+            keys: key.clone(),
+        };
+        let promised = handle(member, prepare).await;
+        assert!(matches!(promised, Reply::Promised(_)), "{promised:?}");
+    }
+    let mut accepted = 0;
+    for member in &members {
+        let items = items.clone();
+        let reply = handle(member, Request::Accept { ballot, items }).await;
+        accepted += usize::from(matches!(reply, Reply::Done));
+    }
+    assert_eq!(accepted, 2);
+    for member in &members[1..4] {
+        let items = vec![Proposed {
+            item: Arc::new(competing.clone()),
+            previous: Arc::new(Item::absent(competing.key.clone())),
+        }];
+        let reply = handle(
+            member,
+            Request::Accept {
+                ballot: next,
+                items,
+            },
+        )
+        .await;
+        assert!(matches!(reply, Reply::Done), "{reply:?}");
+    }
+    // The second attempt of the large change is refused.
+    let state = members[0].registry.state();
+    let sending = async {
+        loop {
+            match propose::change(&state, &large).await {
+                Err(Failure::Unavailable { .. } | Failure::Overtaken) => {}
+                decided => return decided,
+            }
+        }
+    };
+    let refused = time::timeout(WAIT_TIMEOUT, sending).await.expect("in time");
+    assert!(matches!(refused, Err(Failure::Refused(_))), "{refused:?}");
+    for member in &members {
+        let state = member.registry.state();
+        wait_for("no item is uncommitted", || {
+            state
+                .consensus
+                .lock()
+                .replica
+                .uncommitted()
+                .next()
+                .is_none()
+        })
+        .await;
+        wait_for("the item is in force", || is_in_force(member, &competing)).await;
+        let items = run::in_force(&state).expect("items in force");
+        let items: Vec<Item> = items.iter().map(|item| (**item).clone()).collect();
+        assert_eq!(items, [competing.clone(), earlier.clone()]);
+    }
+}
+
 /// Guards against a departure that is forgotten when all processes restart and one of them has lost its disk.
 #[tokio::test]
 async fn a_restart_of_all_keeps_the_departures() {
