router: a request that may outlast a planned stop is refused

Reported by other operators: requests that came late in the grace period were passed on and cut without an answer.

Cause: a stopping router passed on each request that its listeners had taken, whatever its time limit. A request whose body is complete late, or any with a long time limit under a long grace period, could be in flight at the abort.

router::grace decides when the body is complete: after callers can have noticed the stop, only requests whose time limit ends before the abort are passed on; others get 503 at once, as not run.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -69,6 +69,9 @@
     caller_timeout: Duration,
 }
 
+/// `Retry-After` of a request that came too late for a stopping router; another one takes it at once.
+const RETRY_AFTER_STOPPING: &str = "0.05";
+
 /// Handles one request of a caller.
 pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     let received_at = state.now();
@@ -146,6 +149,14 @@
         }
         Err(error) => return Err(refuse(id, StatusCode::REQUEST_TIMEOUT, &error.to_string())),
     };
+    let now = state.now();
+    let remaining = timeout.saturating_sub(now.since(received_at));
+    if let Some(grace) = state.grace.get()
+        && !grace.admits(remaining, now)
+    {
+        let reason = "the router stops before the request may end";
+        return Err(unavailable(id, RETRY_AFTER_STOPPING, reason));
+    }
     let path = parts.uri.path_and_query().cloned();
     hop::strip_hop_by_hop(&mut parts.headers);
     parts.headers.remove(header::HOST);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod follow;
 pub mod forwarded;
+pub mod grace;
 pub mod metrics;
 pub mod names;
 pub mod notice;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -7,6 +7,7 @@
 use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -25,6 +26,7 @@
 use crate::entry;
 use crate::follow;
 use crate::follow::RegistryViews;
+use crate::grace::Grace;
 use crate::metrics::Metrics;
 use crate::pacer;
 use crate::probe;
@@ -242,7 +244,7 @@
         probes: Arc::new(pool::Pool::new(probes)),
         routers: peer_pool::Pool::new(routers),
         published,
-        stopping: AtomicBool::new(false),
+        grace: OnceLock::new(),
         withdrawn: AtomicBool::new(false),
         numbers: AtomicU64::new(0),
         settings,
@@ -292,13 +294,16 @@
     /// then its connections are closed as they become idle.
     pub async fn stop(self) -> bool {
         info!(event = "router-stopping"; "router is no longer ready and stops within its grace period");
-        self.state.stopping.store(true, Ordering::Relaxed);
         let grace_period = self.state.settings.grace_period;
+        let listens = grace_period.mul_f64(LISTEN_SHARE);
+        let aborts = grace_period.mul_f64(ABORT_SHARE);
+        let grace = Grace::new(self.state.now(), listens, aborts);
+        self.state.grace.get_or_init(|| grace);
         let started = time::Instant::now();
         time::sleep(grace_period.mul_f64(WITHDRAW_SHARE)).await;
         self.state.withdrawn.store(true, Ordering::Relaxed);
         self.state.publish();
-        time::sleep_until(started + grace_period.mul_f64(LISTEN_SHARE)).await;
+        time::sleep_until(started + listens).await;
         self.stop_listeners.send_replace(true);
         let finished = async {
             for listener in self.listeners {
@@ -307,7 +312,7 @@
                 }
             }
         };
-        let abort_at = started + grace_period.mul_f64(ABORT_SHARE);
+        let abort_at = started + aborts;
         let complete = time::timeout_at(abort_at, finished).await.is_ok();
         self.stop_loops.send_replace(true);
         info!(event = "router-stopped", whole = complete; "router has stopped");
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,7 @@
 //! Shared state of a router.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -14,6 +15,7 @@
 use crate::backend::ServerState;
 use crate::crashes::Crashes;
 use crate::follow::RegistryViews;
+use crate::grace::Grace;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use shallotrill_backend::pool;
@@ -89,7 +91,7 @@
     /// Sequence number of the announcement; increases with each change that the registries must be sent.
     pub published: watch::Sender<u64>,
     /// Set when the process starts to stop.
-    pub stopping: AtomicBool,
+    pub grace: OnceLock<Grace>,
     /// Set when the target of this router is withdrawn because the process stops.
     pub withdrawn: AtomicBool,
     /// Source of unique numbers.
@@ -150,7 +152,7 @@
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.grace.get().is_some()
     }
 
     /// Whether callers should send requests here.
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod gates;
 mod limits;
+mod stops;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
