node: the body of a probe response is read without being kept

Reported by other operators: a target sent a body without end, and the machine that had called it kept all of it.

Cause: node::probe::send collected the body of a health check without a limit, until its timeout of 0.5 s. The class is that of endless refusals: a body that is kept although only its end is needed. wire::body::discard bounds and drops it.

--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -7,7 +7,6 @@
 use http::Request;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use log::debug;
 
@@ -16,6 +15,10 @@
 use shallotrill_limits::probe::Observations;
 use shallotrill_limits::probe::Permit;
 use shallotrill_limits::probe::ProbePolicy;
+use shallotrill_wire::body;
+
+/// Maximum size of the response body of a probe.
+const BODY_BYTES_MAX: usize = 64 * 1024;
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -91,5 +94,9 @@
     };
     let success = head.status().is_success();
     let response = head.into_response(Box::new(|_| {}));
-    success && response.into_body().collect().await.is_ok()
+    let read = body::discard(response.into_body(), BODY_BYTES_MAX, PROBE_TIMEOUT).await;
+    if let Err(error) = &read {
+        debug!(event = "probe-failed", cost_us = cost.as_micros() as u64; "the body of the probe response was not read: {error}");
+    }
+    success && read.is_ok()
 }
--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -67,6 +67,11 @@
     pub aborted: AtomicU64,
     pub probes: AtomicU64,
     pub failing: AtomicBool,
+    /// Whether the responses to probes have bodies without end.
+    pub endless: AtomicBool,
+    /// Bytes of these bodies, and how many of them the node has closed.
+    pub endless_bytes: Arc<AtomicU64>,
+    pub endless_closed: Arc<AtomicU64>,
     /// Retry tokens of each request to `/chain/`, with the number in its path.
     pub tokens: Mutex<Vec<(u32, u32)>>,
     /// Address for nested calls.
@@ -112,6 +117,9 @@
             aborted: AtomicU64::new(0),
             probes: AtomicU64::new(0),
             failing: AtomicBool::new(false),
+            endless: AtomicBool::new(false),
+            endless_bytes: Arc::default(),
+            endless_closed: Arc::default(),
             tokens: Mutex::default(),
             caller: Mutex::default(),
         });
@@ -138,6 +146,9 @@
             if self.failing.load(Ordering::Relaxed) {
                 *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
             }
+            if self.endless.load(Ordering::Relaxed) {
+                *response.body_mut() = self.endless_body();
+            }
         } else if path == "/hold" {
             self.held.fetch_add(1, Ordering::Relaxed);
             let mut counter = AbortCounter(&self.aborted, false);
@@ -156,6 +167,21 @@
         response
     }
 
+    /// A body that goes on until the node closes it.
+    fn endless_body(&self) -> Body {
+        const CHUNK: &[u8] = &[0; 16 * 1024];
+        let (sender, receiver) = mpsc::channel(1);
+        let bytes = Arc::clone(&self.endless_bytes);
+        let closed = Arc::clone(&self.endless_closed);
+        tokio::spawn(async move {
+            while sender.send(Bytes::from_static(CHUNK)).await.is_ok() {
+                bytes.fetch_add(CHUNK.len() as u64, Ordering::Relaxed);
+            }
+            closed.fetch_add(1, Ordering::Relaxed);
+        });
+        ChannelBody(receiver).boxed_unsync()
+    }
+
     /// A body whose second half waits for a permit.
     fn stream(&self) -> Body {
         let (sender, receiver) = mpsc::channel(2);
--- a/crates/node/tests/contract/edge.rs
+++ b/crates/node/tests/contract/edge.rs
@@ -200,3 +200,23 @@
         .expect("two probes arrive");
     assert_eq!(fixture.backend.probes.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against a node that keeps the body of a probe response without end in memory.
+#[tokio::test]
+async fn the_body_of_a_probe_response_has_no_end() {
+    /// What the node reads, and the buffers of the two sockets.
+    const SENT_BYTES_MAX: u64 = 16 * 1024 * 1024;
+    let fixture = common::start(common::spec(), DRAIN_TIMEOUT).await;
+    fixture.backend.endless.store(true, Ordering::Relaxed);
+    let closed = || fixture.backend.endless_closed.load(Ordering::Relaxed);
+    let closing = async {
+        while closed() == 0 {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(WAIT_TIMEOUT, closing)
+        .await
+        .expect("the node closes the response");
+    let sent = fixture.backend.endless_bytes.load(Ordering::Relaxed) / closed();
+    assert!(sent < SENT_BYTES_MAX, "{sent} bytes");
+}
--- a/crates/router/tests/path/stops.rs
+++ b/crates/router/tests/path/stops.rs
@@ -16,12 +16,12 @@
 use crate::fixture;
 use shallotrill_model::class::Class;
 
-/// Time from the head of the request to the stop.
-const BEFORE_STOP: Duration = Duration::from_millis(100);
+/// Time from the stop until the head of the request is sent. The grace period is 2 s, and the listeners stop after 0.8 s.
+const HEAD_AFTER: Duration = Duration::from_millis(700);
 
-/// Time from the stop until the body is complete. The grace period is 2 s, the listeners stop after 0.8 s, and the
-/// request may last until 1.4 s after that.
-const BODY_DELAY: Duration = Duration::from_millis(1_000);
+/// Time from the head until the body is complete. The request may last for 1.5 s from its head, and requests are aborted
+/// 1.8 s after the stop.
+const BODY_AFTER: Duration = Duration::from_millis(400);
 
 /// Guards against a request that is complete only late in the grace period, is passed on, and is cut at its end without
 /// an answer.
@@ -35,15 +35,11 @@
     let router = fixture.routers.pop().expect("a router");
     let address = router.state().settings.caller_listen;
     let mut stream = TcpStream::connect(address).await.expect("connected");
-    let stopping = tokio::spawn(async move {
-        time::sleep(BEFORE_STOP).await;
-        router.stop().await
-    });
-    // The head arrives as late as the listeners allow, so that the request may outlast the grace period.
-    time::sleep(Duration::from_millis(800)).await;
+    let stopping = tokio::spawn(async move { router.stop().await });
+    time::sleep(HEAD_AFTER).await;
     let head = "GET /a/never HTTP/1.1\r\nHost: host\r\nshallotrill-request: one\r\nContent-Length: 4\r\n\r\nbo";
     stream.write_all(head.as_bytes()).await.expect("sent");
-    time::sleep(BEFORE_STOP + BODY_DELAY - Duration::from_millis(800)).await;
+    time::sleep(BODY_AFTER).await;
     stream.write_all(b"dy").await.expect("sent");
     let mut response = Vec::new();
     let read = time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut response)).await;
