registry tests: disks that are full one after another

Looked for here and not shown: a process with a full disk answers that it cannot vote, four others accept changes, and its next write succeeds. The document is replaced through a temporary file that the next write truncates, and no state of a failed write is kept. changes_are_accepted_after_each_disk_was_full blocks the writes of each of five processes in turn, changes an item through all five each time, and then needs three particular disks for a last change.

--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -328,6 +328,47 @@
     }
 }
 
+/// Guards against changes that stay refused or unanswered after disks have refused writes, one after another: each has
+/// room again before the next one is full.
+#[tokio::test]
+async fn changes_are_accepted_after_each_disk_was_full() {
+    let members = group().await;
+    let mut version = 0;
+    for (index, full) in members.iter().enumerate() {
+        // The document is written under this name first, so every write fails while it is a folder.
+        let blocked = ["registers.tmp", "departures.tmp"].map(|name| full.folder.path().join(name));
+        for path in &blocked {
+            // A write that is in progress uses the name.
+            wait_for("the name is free", || std::fs::create_dir(path).is_ok()).await;
+        }
+        for sender in 0..members.len() {
+            version += 1;
+            let item = service("a", version, 10);
+            change(&members[sender], &item)
+                .await
+                .expect("the change is accepted with four disks");
+        }
+        let state = full.registry.state();
+        assert!(!state.persist().await, "the disk {index} takes no bytes");
+        for path in &blocked {
+            std::fs::remove_dir(path).expect("the folder is empty");
+        }
+        assert!(state.persist().await, "the disk {index} has room again");
+    }
+    // Every process votes with its disk again: any three of them accept a change.
+    let mut members = members;
+    for member in members.split_off(3) {
+        member.registry.stop();
+    }
+    let item = service("a", version + 1, 10);
+    for member in &members {
+        change(member, &item)
+            .await
+            .expect("the change is accepted by three processes");
+        wait_until_in_force(member, &item).await;
+    }
+}
+
 /// Guards against a refused change that comes into force in part: one replica had accepted all its items before a
 /// competing change won one of them.
 #[tokio::test]
