registry: a repair does not propose again what it has just settled

Cause: a repair first settled an interrupted proposal and then proposed the same items once more, so its second round could be overtaken by the repairs of other processes without need.

--- a/crates/items/src/proposal.rs
+++ b/crates/items/src/proposal.rs
@@ -129,6 +129,12 @@
         (!latest.item.is_absent()).then_some(&latest.item)
     }
 
+    /// Whether a register contains an item of a proposal with one of the ballots `settled`.
+    pub fn is_settled(&self, key: &Key, settled: &[Ballot]) -> bool {
+        let latest = self.latest(key);
+        latest.is_some_and(|latest| settled.contains(&latest.ballot))
+    }
+
     /// Proposes again what registers contain. A register without an item gets [`Item::absent`], which a withdrawn item
     /// with a lower ballot cannot replace.
     pub fn unchanged(&self, keys: &[Key]) -> Vec<Proposed> {
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -79,7 +79,7 @@
 /// Returns a [`Failure`], from which it follows whether the change can still come into force.
 pub async fn change(state: &Arc<State>, items: &[Item]) -> Result<(), Failure> {
     let keys = check::required_keys(items);
-    let plan = propose(state, keys, &|reading| proposal::plan(items, reading)).await;
+    let plan = propose(state, keys, &|reading, _| proposal::plan(items, reading)).await;
     let outcome = match plan {
         Ok(plan) => plan.refusal.map_or(Ok(()), |r| Err(Failure::Refused(r))),
         Err(failure) => Err(failure),
@@ -108,14 +108,20 @@
 pub async fn repair(state: &Arc<State>, mut keys: Vec<Key>) -> Result<(), Failure> {
     keys.sort();
     let wanted = keys.clone();
-    let unchanged = move |reading: &QuorumRead| Plan {
-        items: reading.unchanged(&wanted),
-        refusal: None,
+    let unchanged = move |reading: &QuorumRead, settled: &[Ballot]| {
+        let keys = wanted.iter();
+        let keys = keys.filter(|key| !reading.is_settled(key, settled));
+        let keys: Vec<Key> = keys.cloned().collect();
+        Plan {
+            items: reading.unchanged(&keys),
+            refusal: None,
+        }
     };
     propose(state, keys, &unchanged).await.map(|_| ())
 }
 
-type Decide<'a> = dyn Fn(&QuorumRead) -> Plan + Send + Sync + 'a;
+/// Decides what to propose, given what a quorum has accepted and the ballots of the proposals that were settled.
+type Decide<'a> = dyn Fn(&QuorumRead, &[Ballot]) -> Plan + Send + Sync + 'a;
 
 async fn propose(
     state: &Arc<State>,
@@ -200,7 +206,7 @@
         accept(state, ballot, items).await?;
         return Ok(Step::Settled);
     }
-    let plan = decide(&reading);
+    let plan = decide(&reading, settled);
     if !plan.items.is_empty() {
         accept(state, ballot, plan.items.clone()).await?;
     }
