registry: a write of the registers holds its lock until it ends

Cause: the lock belonged to the call, which can be dropped (a closed connection, a proposer that waits no longer), while its thread writes on; the next call then wrote the same temporary file. The lock now moves into the thread.

Measured: a_dropped_call_leaves_a_write_that_overlaps_the_next failed before ("Rename: No such file or directory") and passes.

--- a/crates/registry/src/store.rs
+++ b/crates/registry/src/store.rs
@@ -123,15 +123,16 @@
 #[derive(Debug)]
 pub struct Revisions {
     document: Arc<Document>,
-    /// Latest durable revision. It is locked during a sync, so that queued writers share the next sync.
-    durable: Mutex<u64>,
+    /// Latest durable revision. It is locked during a write, so that queued writers share the next one.
+    durable: Arc<Mutex<u64>>,
 }
 
 impl Revisions {
-    fn new(document: Document) -> Self {
+    /// Creates the revisions of a document, none of which is known to be durable.
+    pub fn new(document: Document) -> Self {
         Self {
             document: Arc::new(document),
-            durable: Mutex::new(0),
+            durable: Arc::new(Mutex::new(0)),
         }
     }
 
@@ -145,19 +146,20 @@
         revision: u64,
         content: &(dyn Fn() -> (u64, Vec<u8>) + Send + Sync),
     ) -> Result<(), Failure> {
-        let mut durable = self.durable.lock().await;
+        let mut durable = Arc::clone(&self.durable).lock_owned().await;
         if *durable >= revision {
             return Ok(());
         }
         let (written_revision, bytes) = content();
         let document = Arc::clone(&self.document);
-        let written = task::spawn_blocking(move || document.write(&bytes)).await;
-        match written {
-            Ok(Ok(())) => {
-                *durable = written_revision;
-                Ok(())
-            }
-            Ok(Err(failure)) => Err(failure),
+        // The write holds the lock: it goes on when the call is dropped, and the next one uses the same temporary file.
+        let written = task::spawn_blocking(move || {
+            document.write(&bytes)?;
+            *durable = written_revision;
+            Ok(())
+        });
+        match written.await {
+            Ok(written) => written,
             Err(panic) => std::panic::resume_unwind(panic.into_panic()),
         }
     }
--- a/crates/registry/tests/store.rs
+++ b/crates/registry/tests/store.rs
@@ -1,6 +1,10 @@
 //! Documents in the data folder of a registry process.
 
+use std::os::unix::fs::FileExt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tempfile::TempDir;
 
@@ -16,6 +20,10 @@
 use shallotrill_items::replica::Replica;
 use shallotrill_registry::store;
 use shallotrill_registry::store::Content;
+use shallotrill_registry::store::Revisions;
+
+/// Time that a write to the slow disk of a test takes.
+const WRITE_TIME: Duration = Duration::from_millis(100);
 
 fn replica() -> Replica {
     let mut replica = Replica::default();
@@ -88,3 +96,55 @@
         assert_eq!(opened.content, expected, "{}", case.name);
     }
 }
+
+/// Guards against a damaged document, with which a process never starts again: a call that is dropped leaves a write
+/// behind that goes on, and the next call writes the same temporary file.
+#[tokio::test]
+async fn a_dropped_call_leaves_a_write_that_overlaps_the_next() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let opened = Folder::open(folder.path()).expect("a data folder");
+    let writing = Arc::new(AtomicUsize::new(0));
+    let most = Arc::new(AtomicUsize::new(0));
+    let (begun, ended) = (Arc::clone(&writing), Arc::clone(&writing));
+    let observed = Arc::clone(&most);
+    let calls = IoCalls {
+        // The first of the three parts of a document begins a write.
+        write: Box::new(move |file, bytes, offset| {
+            if offset == 0 {
+                let writes = begun.fetch_add(1, Ordering::SeqCst) + 1;
+                observed.fetch_max(writes, Ordering::SeqCst);
+                std::thread::sleep(WRITE_TIME);
+            }
+            file.write_at(bytes, offset)
+        }),
+        // The file is synced, and then its folder.
+        sync: Box::new(move |file| {
+            if file.metadata()?.is_dir() {
+                ended.fetch_sub(1, Ordering::SeqCst);
+            }
+            file.sync_data()
+        }),
+        ..IoCalls::default()
+    };
+    let document = || Document::new(folder.path(), "d", opened.identity(), IoCalls::default());
+    let written = Document::new(folder.path(), "d", opened.identity(), calls);
+    let revisions = Arc::new(Revisions::new(written));
+    let persist = |revision: u64| {
+        let revisions = Arc::clone(&revisions);
+        async move {
+            let content = move || (revision, vec![revision as u8; 100]);
+            revisions.persist(revision, &content).await
+        }
+    };
+    for revision in 1..6 {
+        let dropped = tokio::spawn(persist(2 * revision));
+        while writing.load(Ordering::SeqCst) == 0 {
+            tokio::time::sleep(WRITE_TIME / 20).await;
+        }
+        dropped.abort();
+        persist(2 * revision + 1).await.expect("written");
+        let read = document().read().expect("a sound document");
+        assert_eq!(read, Some(vec![2 * revision as u8 + 1; 100]));
+    }
+    assert_eq!(most.load(Ordering::SeqCst), 1);
+}
