--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -341,10 +341,10 @@
             // A write that is in progress uses the name.
             wait_for("the name is free", || std::fs::create_dir(path).is_ok()).await;
         }
-        for sender in 0..members.len() {
+        for sender in &members {
             version += 1;
             let item = service("a", version, 10);
-            change(&members[sender], &item)
+            change(sender, &item)
                 .await
                 .expect("the change is accepted with four disks");
         }
