registry, router: replies to watching routers and retired incarnations have modules of their own

Code is moved, none is changed: registry::view (what a watching router is sent) and router::retired (incarnations that must not be used again).

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod view;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -13,6 +13,8 @@
 use crate::state::ConsensusState;
 use crate::state::Peer;
 use crate::state::State;
+use crate::view;
+use crate::view::Watcher;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Cursor;
@@ -43,7 +45,7 @@
 const REPLY_SLACK: Duration = Duration::from_secs(1);
 
 /// Delay after a failed poll.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A registry process without contact for this long is removed, unless it is a seed.
 const MEMBER_RETENTION_PERIOD: Duration = Duration::from_secs(30);
@@ -59,25 +61,13 @@
             needs_departures,
         } => {
             announce(state, announcement.clone());
-            let wait = Duration::from_millis(u64::from(*wait_ms));
             let watcher = Watcher {
                 router: announcement.router,
                 cursor: *cursor,
                 held: held.map(ItemSetHash),
                 needs_departures: *needs_departures,
             };
-            let changed = wait_for_change(state, wait, &|| view_has_changed(state, &watcher)).await;
-            // A watcher that has received nothing yet is answered at once.
-            if changed && cursor.session == state.session {
-                let gather_time = state.announcements.lock().gather_time();
-                time::sleep(gather_time).await;
-            }
-            let confirmed = !watcher.needs_confirmation() || confirm(state).await;
-            if !confirmed {
-                // A router without an answer asks again at once.
-                time::sleep(RETRY_INTERVAL.min(wait)).await;
-            }
-            view(state, &watcher, confirmed)
+            view::reply(state, &watcher, Duration::from_millis(u64::from(*wait_ms))).await
         }
         Request::Announce(announcement) => {
             announce(state, announcement.clone());
@@ -194,7 +184,7 @@
 }
 
 /// Waits for a change. Returns whether there is one.
-async fn wait_for_change(
+pub(crate) async fn wait_for_change(
     state: &State,
     wait: Duration,
     has_changed: &(dyn Fn() -> bool + Send + Sync),
@@ -211,83 +201,6 @@
     time::timeout(wait, waiting).await.is_ok()
 }
 
-/// What a router that waits for changes has, and what it requests.
-struct Watcher {
-    router: SocketAddr,
-    cursor: Cursor,
-    /// Hash of its items; `None` when it requests none.
-    held: Option<ItemSetHash>,
-    needs_departures: bool,
-}
-
-impl Watcher {
-    /// Whether it takes what it is sent as complete: all items in force, or all departures. It is sent nothing while
-    /// this process may lack some. A watcher that has items keeps the highest version of each.
-    fn needs_confirmation(&self) -> bool {
-        self.needs_departures || self.has_no_items()
-    }
-
-    fn has_no_items(&self) -> bool {
-        self.held == Some(ItemSetHash::default())
-    }
-}
-
-fn view_has_changed(state: &State, watcher: &Watcher) -> bool {
-    let cursor = watcher.cursor;
-    let announcements = state.announcements.lock().revision();
-    if cursor.session != state.session || cursor.announcements != announcements {
-        return true;
-    }
-    let now = state.now();
-    let consensus = state.consensus.lock();
-    let items_changed = watcher.held.is_some() && cursor.items != consensus.replica.revision();
-    if watcher.needs_confirmation() {
-        (items_changed || watcher.needs_departures) && consensus.is_complete(now)
-    } else {
-        items_changed
-    }
-}
-
-/// Builds the reply to a watcher. `confirmed` is whether this process has just confirmed what is in force; without it,
-/// a watcher that needs that is sent neither items nor departures.
-fn view(state: &State, watcher: &Watcher, confirmed: bool) -> Reply {
-    let cursor = watcher.cursor;
-    let same_session = cursor.session == state.session;
-    let (announcements, announcements_revision) = {
-        let table = state.announcements.lock();
-        let from = if same_session {
-            cursor.announcements
-        } else {
-            0
-        };
-        (table.since(from), table.revision())
-    };
-    let registries = state.registries();
-    let sends_departures = watcher.needs_departures && confirmed;
-    let departures = sends_departures.then(|| state.departures.lock().of(watcher.router));
-    let consensus = state.consensus.lock();
-    let from = if same_session { cursor.items } else { 0 };
-    let (items, items_revision) = match watcher.held {
-        Some(held) if confirmed || !watcher.has_no_items() => (
-            missing_items(&consensus, from, held),
-            consensus.replica.revision(),
-        ),
-        _ => (Vec::new(), from),
-    };
-    Reply::View {
-        cursor: Cursor {
-            session: state.session,
-            items: items_revision,
-            announcements: announcements_revision,
-            departures: 0,
-        },
-        items,
-        announcements,
-        departures,
-        registries,
-    }
-}
-
 fn show(state: &State) -> RegistryStatus {
     let now = state.now();
     let millis = |time: Duration| time.as_millis() as u64;
@@ -309,28 +222,6 @@
     }
 }
 
-/// Items that a watcher does not have yet. A watcher that has received nothing from this process
-/// may have received all items from another one.
-fn missing_items(consensus: &ConsensusState, from: u64, held: ItemSetHash) -> Vec<Arc<Item>> {
-    let replica = &consensus.replica;
-    if from == 0 && ItemSetHash::of(replica.committed().map(Arc::as_ref)) == held {
-        return Vec::new();
-    }
-    let changed = replica.since(from).into_iter();
-    let changed = changed.filter_map(|entry| entry.committed);
-    changed
-        .map(|item| Arc::new(without_document(&item)))
-        .collect()
-}
-
-/// Copies an item without its document, which is most of its size and needed only by operators.
-fn without_document(item: &Item) -> Item {
-    Item {
-        document: Arc::from(""),
-        ..item.clone()
-    }
-}
-
 fn registers_have_changed(state: &State, cursor: Cursor) -> bool {
     cursor.session != state.session
         || cursor.departures != state.departures.lock().revision()
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -10,6 +10,8 @@
 use tokio::sync::oneshot;
 
 use crate::forwarded::Denial;
+use crate::retired;
+use crate::retired::Reason;
 use crate::state::State;
 use shallotrill_feed::message::Departure;
 use shallotrill_limits::config::Config;
@@ -40,9 +42,6 @@
 /// Service time that the gate assumes before the first request has finished.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(50);
 
-/// Retired incarnations that are remembered, so that a late announcement does not reactivate one.
-const RETIRED_INCARNATIONS_MAX: usize = 16;
-
 /// Announcement in which a backend server reports its state to its router. The router announces itself and this
 /// backend server to the registries with `Announcement` of the feed package.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -142,34 +141,14 @@
 pub struct Backend {
     /// Its current incarnation; `None` before the first announcement and after it has departed.
     pub current: Option<ServerState>,
-    /// Incarnations that must not be used again, oldest first; at most one entry for each name.
-    retired: Vec<Retired>,
+    /// Incarnations that must not be used again.
+    retired: retired::List,
     /// Whether the departures that earlier processes of this router acknowledged are in `retired`.
     restored: bool,
     /// The latest announcement of a backend server that accepts requests, received before they were.
     pending: Option<ServerAnnouncement>,
 }
 
-/// The incarnations of a name that must not be used again.
-#[derive(Clone, Debug)]
-struct Retired {
-    instance: instance::Name,
-    /// Start of the latest of them.
-    start_time_ms: u64,
-    reason: Reason,
-}
-
-/// Why an incarnation must not be used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Reason {
-    /// A later one has announced itself.
-    Superseded,
-    /// It has stated its departure, which registry processes must store before it is acknowledged.
-    Departed,
-    /// It has departed, and registry processes have stored that.
-    Stored,
-}
-
 /// Effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -184,7 +163,10 @@
 impl Backend {
     /// Applies an announcement; a late or repeated one changes nothing.
     pub fn announce(&mut self, announcement: ServerAnnouncement, now: Instant) -> Change {
-        if self.is_retired(&announcement) {
+        if self
+            .retired
+            .contains(&announcement.instance, announcement.start_time_ms)
+        {
             return Change::None;
         }
         if let Some(current) = &mut self.current {
@@ -232,7 +214,7 @@
             let draining = announcement.draining;
             let change = self.announce(announcement, now);
             if draining {
-                self.retire(&instance, start_time_ms, Reason::Departed);
+                self.retired.add(&instance, start_time_ms, Reason::Departed);
             }
             return change;
         }
@@ -253,7 +235,8 @@
     /// waited for them.
     pub fn restore(&mut self, departures: &[Departure]) -> Option<ServerAnnouncement> {
         for departure in departures {
-            self.retire(&departure.instance, departure.start_time_ms, Reason::Stored);
+            self.retired
+                .add(&departure.instance, departure.start_time_ms, Reason::Stored);
         }
         self.restored = true;
         self.pending.take()
@@ -261,27 +244,12 @@
 
     /// Departures that must be stored by registry processes before they are acknowledged.
     pub fn unconfirmed(&self, router: SocketAddr) -> Vec<Departure> {
-        let retired = self.retired.iter();
-        let unconfirmed = retired.filter(|retired| retired.reason == Reason::Departed);
-        let departure = |retired: &Retired| Departure {
-            router,
-            instance: retired.instance.clone(),
-            start_time_ms: retired.start_time_ms,
-        };
-        unconfirmed.map(departure).collect()
+        self.retired.unconfirmed(router)
     }
 
     /// Records that registry processes have stored departures.
     pub fn confirm(&mut self, departures: &[Departure]) {
-        for retired in &mut self.retired {
-            let stored = departures.iter().any(|departure| {
-                departure.instance == retired.instance
-                    && departure.start_time_ms >= retired.start_time_ms
-            });
-            if stored {
-                retired.reason = Reason::Stored;
-            }
-        }
+        self.retired.confirm(departures);
     }
 
     /// Retires the incarnations of `instance` that started at `start_time_ms` or before. Returns whether the current
@@ -306,7 +274,7 @@
         if departed {
             self.retire_current();
         }
-        self.retire(instance, last, Reason::Departed);
+        self.retired.add(instance, last, Reason::Departed);
         departed
     }
 
@@ -317,36 +285,8 @@
         let effect = current.gate.drain();
         current.notify_waiting(effect);
         let known = &current.announcement;
-        self.retire(&known.instance, known.start_time_ms, Reason::Superseded);
-    }
-
-    fn retire(&mut self, instance: &instance::Name, start_time_ms: u64, reason: Reason) {
-        let known = self.retired.iter_mut().find(|r| r.instance == *instance);
-        if let Some(known) = known {
-            if start_time_ms > known.start_time_ms {
-                known.start_time_ms = start_time_ms;
-                known.reason = reason;
-            } else if start_time_ms == known.start_time_ms {
-                known.reason = known.reason.max(reason);
-            }
-            return;
-        }
-        self.retired.push(Retired {
-            instance: instance.clone(),
-            start_time_ms,
-            reason,
-        });
-        if self.retired.len() > RETIRED_INCARNATIONS_MAX {
-            self.retired.remove(0);
-        }
-    }
-
-    fn is_retired(&self, announcement: &ServerAnnouncement) -> bool {
-        let mut retired = self.retired.iter();
-        retired.any(|retired| {
-            retired.instance == announcement.instance
-                && announcement.start_time_ms <= retired.start_time_ms
-        })
+        self.retired
+            .add(&known.instance, known.start_time_ms, Reason::Superseded);
     }
 
     /// The current incarnation, if it has this name and incarnation number.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod notice;
 pub mod pacer;
 pub mod probe;
+pub mod retired;
 pub mod run;
 pub mod serve;
 pub mod settings;
