--- a/crates/registry/src/departures.rs
+++ b/crates/registry/src/departures.rs
@@ -19,7 +19,7 @@
     changed: u64,
 }
 
-/// Departures of the backend servers of all routers. The oldest are discarded above [`DEPARTURES_MAX`].
+/// Departures of the backend servers of all routers. The oldest are discarded above `DEPARTURES_MAX`.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     /// Sorted by router and instance.
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -44,7 +44,7 @@
 const COPY_AGE_MAX: Duration = Duration::from_secs(2);
 
 impl ConsensusState {
-    /// Whether the local replica has all items that were committed up to [`COPY_AGE_MAX`] before `now`.
+    /// Whether the local replica has all items that were committed up to `COPY_AGE_MAX` before `now`.
     ///
     /// What is in force at present is known only after `members::confirm`.
     pub fn is_complete(&self, now: Instant) -> bool {
--- a/crates/router/src/retired.rs
+++ b/crates/router/src/retired.rs
@@ -28,7 +28,7 @@
     reason: Reason,
 }
 
-/// Retired incarnations. The oldest entries are discarded above [`NAMES_MAX`].
+/// Retired incarnations. The oldest entries are discarded above `NAMES_MAX`.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     /// Oldest first; at most one entry for each name.
