Workspaces: keys are looked up at the entry and their holders agreed on

Cause: configurations of the new deployments have workspaces, public routes, downloads and cold targets; each first configuration was refused with 400, so nothing was served. Change: workspaces are items with digests of their keys. Each key has an item that states its holder, so that two changes of different workspaces cannot both take a key. A router finds the workspace before it reads the body and answers 401 without one; the name travels between routers and reaches the backend server in one header. The priority of the workspace precedes that of the route, and slot time is accounted by workspace. Stored registers keep their encoding.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -21,7 +21,7 @@
 use shallotrill_retry::containment::CrashRecord;
 
 /// Version of the message format. Frames with another version are rejected.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// State that a router announces to the registry: its address and its local backend server. The backend server
 /// reports its own state to the router in another type, `ServerAnnouncement` of the router package.
--- a/crates/items/src/change.rs
+++ b/crates/items/src/change.rs
@@ -30,7 +30,11 @@
         match self {
             Self::Conflict { .. } => true,
             Self::Invalid { problem, .. } => {
-                matches!(problem, crate::check::ValidationError::UnknownService(_))
+                use crate::check::ValidationError;
+                matches!(
+                    problem,
+                    ValidationError::UnknownService(_) | ValidationError::SharedKey(_)
+                )
             }
         }
     }
--- a/crates/items/src/check.rs
+++ b/crates/items/src/check.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::change::Refusal;
@@ -10,6 +11,7 @@
 use crate::item::Key;
 use crate::item::Kind;
 use crate::route::Route;
+use crate::workspace::Digest;
 use shallotrill_model::service;
 
 /// Maximum timeout of a route, as documented in the operator API.
@@ -32,6 +34,8 @@
     NoWeight,
     /// The change contains two items of the same key and version with different content.
     DuplicateVersion,
+    /// Another workspace holds a key of the workspace.
+    SharedKey(Arc<str>),
 }
 
 impl fmt::Display for ValidationError {
@@ -49,17 +53,27 @@
             Self::DuplicateVersion => {
                 f.write_str("the change contains this version twice with different content")
             }
+            Self::SharedKey(holder) => {
+                write!(
+                    f,
+                    "apiKeys: the workspace '{holder}' holds one of these keys"
+                )
+            }
         }
     }
 }
 
 impl error::Error for ValidationError {}
 
-/// Keys of the items and of the services that they name: the keys whose current content [`check_change`] reads.
+/// Keys of the items, of the services that they name and of the holders of their keys: the keys whose current content
+/// a change depends on.
 pub fn required_keys(items: &[Item]) -> Vec<Key> {
     let mut keys: Vec<Key> = Vec::new();
     for item in items {
         keys.push(item.key.clone());
+        if let Content::Workspace(workspace) = &item.content {
+            keys.extend(workspace.keys.iter().map(Digest::holder_key));
+        }
         let Content::Route(route) = &item.content else {
             continue;
         };
--- a/crates/items/src/item.rs
+++ b/crates/items/src/item.rs
@@ -9,6 +9,9 @@
 use crate::route::Limits;
 use crate::route::Route;
 use crate::route::Service;
+use crate::stored;
+use crate::workspace::Workspace;
+use shallotrill_model::workspace;
 
 /// Kind of object that an item configures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -19,6 +22,12 @@
     Route,
     /// Limits on requests. There is one such item.
     Limits,
+    /// A workspace.
+    Workspace,
+    /// Which workspace holds a key; the name is the digest of the key. Only registry processes keep these items.
+    KeyHolder,
+    /// An availability zone whose targets take no requests.
+    Evacuation,
 }
 
 impl fmt::Display for Kind {
@@ -27,6 +36,9 @@
             Self::Service => "service",
             Self::Route => "route",
             Self::Limits => "limits",
+            Self::Workspace => "workspace",
+            Self::KeyHolder => "key holder",
+            Self::Evacuation => "evacuation",
         })
     }
 }
@@ -48,6 +60,7 @@
 
 /// Content of one version of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "stored::Content", into = "stored::Content")]
 pub enum Content {
     /// A route.
     Route(Route),
@@ -60,10 +73,16 @@
     /// No version of the item has been in effect. Accepted in the place of a first version whose proposal is
     /// withdrawn; never committed.
     Absent,
+    /// A workspace.
+    Workspace(Workspace),
+    /// The workspace that holds a key.
+    KeyHolder(workspace::Name),
+    /// The targets of the availability zone that the item names take no requests.
+    Evacuation,
 }
 
 /// One version of an item.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// Key of the item.
     pub key: Key,
@@ -75,6 +94,17 @@
     pub document: Arc<str>,
 }
 
+// The document is left out because it may contain keys of a workspace.
+impl fmt::Debug for Item {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Item")
+            .field("key", &self.key)
+            .field("version", &self.version)
+            .field("content", &self.content)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Item {
     /// The value of a register in which no item has been in effect.
     pub fn absent(key: Key) -> Self {
@@ -98,3 +128,18 @@
             && self.document == other.document
     }
 }
+
+impl Kind {
+    /// Whether operators send and read items of this kind as part of the configuration.
+    pub const fn is_configuration(self) -> bool {
+        match self {
+            Self::Service | Self::Route | Self::Limits | Self::Workspace => true,
+            Self::KeyHolder | Self::Evacuation => false,
+        }
+    }
+
+    /// Whether routers need items of this kind.
+    pub const fn is_for_routers(self) -> bool {
+        !matches!(self, Self::KeyHolder)
+    }
+}
--- a/crates/items/src/lib.rs
+++ b/crates/items/src/lib.rs
@@ -1,4 +1,4 @@
-//! Versioned configuration items (routes, services and limits) and the protocol
+//! Versioned configuration items (routes, services, workspaces and limits) and the protocol
 //! by which registry replicas agree on them.
 //!
 //! The configuration as a whole has no version: for each item the highest
@@ -14,6 +14,7 @@
 pub mod ballot;
 pub mod change;
 pub mod check;
+mod holder;
 pub mod item;
 pub mod item_set_hash;
 pub mod proposal;
@@ -21,4 +22,6 @@
 pub mod roster;
 pub mod route;
 pub mod split;
+mod stored;
 pub mod table;
+pub mod workspace;
--- a/crates/items/src/proposal.rs
+++ b/crates/items/src/proposal.rs
@@ -12,6 +12,7 @@
 use crate::ballot::Ballot;
 use crate::change::Refusal;
 use crate::check;
+use crate::holder;
 use crate::item::Item;
 use crate::item::Key;
 use crate::replica::Accepted;
@@ -123,6 +124,11 @@
         self.latest[index].as_ref()
     }
 
+    /// Whether the register of a key was read.
+    pub fn contains(&self, key: &Key) -> bool {
+        self.keys.binary_search(key).is_ok()
+    }
+
     /// The item of a register; `None` if there is none.
     pub fn get(&self, key: &Key) -> Option<&Arc<Item>> {
         let latest = self.latest(key)?;
@@ -156,6 +162,8 @@
     /// Why the change is refused, or `None` if it is accepted. `items` then contains what the registers of the change
     /// contain without it: the refused change could still come into force until a majority has accepted that.
     pub refusal: Option<Refusal>,
+    /// Registers that must be read before the change can be planned; `items` is empty then.
+    pub missing: Vec<Key>,
 }
 
 /// Decides which items to propose for a change, given what the replicas have accepted. No proposal of `reading` may be
@@ -166,13 +174,30 @@
         others.any(|other| other.key == item.key && other.version > item.version)
     };
     let wanted: Vec<&Item> = change.iter().filter(|i| !is_superseded(i)).collect();
+    let missing = holder::missing_keys(&wanted, reading);
+    if !missing.is_empty() {
+        return Plan {
+            items: Vec::new(),
+            refusal: None,
+            missing,
+        };
+    }
     let current = |key: &Key| reading.get(key).map(|item| &**item);
     let refusal = check::check_change(change, &current)
         .err()
         .or_else(|| conflict(&wanted, reading));
+    let (holders, refusal) = match (holder::items(&wanted, reading), refusal) {
+        (Ok(holders), None) => (holders, None),
+        (Err(shared), None) => (Vec::new(), Some(shared)),
+        (_, refusal) => (Vec::new(), refusal),
+    };
+    let wanted: Vec<&Item> = wanted.into_iter().chain(&holders).collect();
     if refusal.as_ref().is_some_and(|r| !r.depends_on_others()) {
-        let items = Vec::new();
-        return Plan { items, refusal };
+        return Plan {
+            items: Vec::new(),
+            refusal,
+            missing: Vec::new(),
+        };
     }
     let mut keys: Vec<Key> = wanted.iter().map(|item| item.key.clone()).collect();
     keys.sort();
@@ -189,7 +214,11 @@
             }
         }
     }
-    Plan { items, refusal }
+    Plan {
+        items,
+        refusal,
+        missing: Vec::new(),
+    }
 }
 
 /// The first item of a change whose version exists with different content.
--- a/crates/items/src/route.rs
+++ b/crates/items/src/route.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use shallotrill_model::class::Class;
+use shallotrill_model::rate::Rate;
 use shallotrill_model::service;
 
 /// A service of a route and its weight.
@@ -19,7 +20,7 @@
 }
 
 /// Rules for the requests of a host and a path prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
     /// Host name in the request.
     pub host: Arc<str>,
@@ -38,15 +39,28 @@
     pub attempts: u32,
     /// Services among which the requests are divided.
     pub shares: Vec<Share>,
+    /// Whether requests need no key of a workspace.
+    pub public: bool,
+}
+
+/// What a target accepts while it is cold, after its start and whenever it reports so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// How long a target is cold after its start.
+    pub period: Duration,
+    /// Requests per second that a cold target accepts from all routers together.
+    pub rate: Rate,
 }
 
 /// Configuration of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
     /// Path of its health check.
     pub health_path: Arc<str>,
     /// Maximum number of connections to each of its targets.
     pub connections: u32,
+    /// What its targets accept while they are cold; `None` when nothing is stated.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Size and time limits on what callers send.
--- a/crates/items/src/table.rs
+++ b/crates/items/src/table.rs
@@ -1,15 +1,20 @@
-//! Table of the items in effect, with look-ups of routes, services and limits.
+//! Table of the items in effect, with look-ups of routes, services, workspaces and limits.
 
 use std::sync::Arc;
 
 use crate::item::Content;
 use crate::item::Item;
 use crate::item::Key;
+use crate::item::Kind;
 use crate::item_set_hash::ItemSetHash;
 use crate::route::Limits;
 use crate::route::Route;
 use crate::route::Service;
+use crate::workspace::Digest;
+use crate::workspace::Workspace;
 use shallotrill_model::service;
+use shallotrill_model::workspace;
+use shallotrill_model::zone;
 
 /// A route in effect.
 #[derive(Clone, Debug)]
@@ -22,6 +27,17 @@
     pub route: Arc<Route>,
 }
 
+/// A workspace in effect.
+#[derive(Clone, Debug)]
+pub struct ActiveWorkspace {
+    /// Its name.
+    pub name: workspace::Name,
+    /// Version of the item.
+    pub version: u64,
+    /// The workspace.
+    pub workspace: Workspace,
+}
+
 /// The items in effect. A version is never replaced by a lower one.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -29,13 +45,19 @@
     items: Vec<Arc<Item>>,
     /// Sorted by host, then by prefix.
     routes: Vec<ActiveRoute>,
+    /// Sorted by name.
+    workspaces: Vec<Arc<ActiveWorkspace>>,
+    /// Keys of all workspaces, sorted by digest.
+    keys: Vec<(Digest, Arc<ActiveWorkspace>)>,
+    /// Availability zones whose targets take no requests, sorted.
+    evacuated: Vec<zone::Name>,
     item_set_hash: ItemSetHash,
 }
 
 impl Table {
     /// Adds committed items that are newer than those in the table. Returns whether the table changed.
     pub fn apply(&mut self, items: &[Arc<Item>]) -> bool {
-        let mut changed = false;
+        let mut changed: Vec<Kind> = Vec::new();
         for item in items {
             match self.items.binary_search_by(|i| i.key.cmp(&item.key)) {
                 Ok(index) if self.items[index].version >= item.version => continue,
@@ -46,12 +68,19 @@
                 Err(index) => self.items.insert(index, Arc::clone(item)),
             }
             self.item_set_hash.add(item);
-            changed = true;
+            if !changed.contains(&item.key.kind) {
+                changed.push(item.key.kind);
+            }
         }
-        if changed {
-            self.rebuild_routes();
+        for kind in &changed {
+            match kind {
+                Kind::Route => self.rebuild_routes(),
+                Kind::Workspace => self.rebuild_workspaces(),
+                Kind::Evacuation => self.rebuild_evacuated(),
+                Kind::Service | Kind::Limits | Kind::KeyHolder => {}
+            }
         }
-        changed
+        !changed.is_empty()
     }
 
     fn rebuild_routes(&mut self) {
@@ -67,9 +96,83 @@
         self.routes.sort_by(|a, b| sort_key(a).cmp(&sort_key(b)));
     }
 
-    /// Whether the table contains no item, not even a removed one.
-    pub const fn is_empty(&self) -> bool {
-        self.items.is_empty()
+    fn rebuild_workspaces(&mut self) {
+        let known = std::mem::take(&mut self.workspaces);
+        for item in &self.items {
+            let Content::Workspace(workspace) = &item.content else {
+                continue;
+            };
+            let Ok(name) = workspace::Name::new(&item.key.name) else {
+                continue;
+            };
+            let unchanged = known
+                .binary_search_by(|w| w.name.cmp(&name))
+                .ok()
+                .map(|index| &known[index])
+                .filter(|active| active.version == item.version);
+            let active = unchanged.map_or_else(
+                || {
+                    Arc::new(ActiveWorkspace {
+                        name,
+                        version: item.version,
+                        workspace: workspace.clone(),
+                    })
+                },
+                Arc::clone,
+            );
+            self.workspaces.push(active);
+        }
+        let keys = self.workspaces.iter().flat_map(|active| {
+            let keys = active.workspace.keys.iter();
+            keys.map(|digest| (*digest, Arc::clone(active)))
+        });
+        self.keys = keys.collect();
+        self.keys.sort_unstable_by_key(|(digest, _)| *digest);
+    }
+
+    fn rebuild_evacuated(&mut self) {
+        let evacuations = self
+            .items
+            .iter()
+            .filter(|item| item.content == Content::Evacuation);
+        let zones = evacuations.filter_map(|item| zone::Name::new(&item.key.name).ok());
+        self.evacuated = zones.collect();
+    }
+
+    /// Whether the table contains no item of the configuration, not even a removed one.
+    pub fn is_empty(&self) -> bool {
+        !self
+            .items
+            .iter()
+            .any(|item| item.key.kind.is_configuration())
+    }
+
+    /// Whether requests need the key of a workspace, except on public routes. They still do when all workspaces are
+    /// removed, so that the removal of the last one does not open the routes to everyone.
+    pub fn requires_key(&self) -> bool {
+        self.of_kind(Kind::Workspace).next().is_some()
+    }
+
+    /// The workspace that holds a key; `None` for an unknown key.
+    pub fn workspace_of(&self, key: Digest) -> Option<&Arc<ActiveWorkspace>> {
+        let index = self.keys.binary_search_by(|(known, _)| known.cmp(&key));
+        index.ok().map(|index| &self.keys[index].1)
+    }
+
+    /// All workspaces, sorted by name.
+    pub fn workspaces(&self) -> &[Arc<ActiveWorkspace>] {
+        &self.workspaces
+    }
+
+    /// Availability zones whose targets take no requests, sorted.
+    pub fn evacuated_zones(&self) -> &[zone::Name] {
+        &self.evacuated
+    }
+
+    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Arc<Item>> {
+        let start = self.items.partition_point(|item| item.key.kind < kind);
+        let items = self.items[start..].iter();
+        items.take_while(move |item| item.key.kind == kind)
     }
 
     /// Hash of the keys and versions of all items, including removed ones.
@@ -95,8 +198,7 @@
 
     /// The configuration of a service; `None` if it is unknown or removed.
     pub fn service(&self, name: &service::Name) -> Option<&Service> {
-        let compare =
-            |key: &Key| (key.kind, &*key.name).cmp(&(crate::item::Kind::Service, name.as_str()));
+        let compare = |key: &Key| (key.kind, &*key.name).cmp(&(Kind::Service, name.as_str()));
         let index = self.items.binary_search_by(|i| compare(&i.key)).ok()?;
         match &self.items[index].content {
             Content::Service(service) => Some(service),
@@ -106,10 +208,11 @@
 
     /// The limits; `None` if they are not configured.
     pub fn limits(&self) -> Option<&Limits> {
-        self.items.iter().find_map(|item| match &item.content {
-            Content::Limits(limits) => Some(limits),
-            _ => None,
-        })
+        self.of_kind(Kind::Limits)
+            .find_map(|item| match &item.content {
+                Content::Limits(limits) => Some(limits),
+                _ => None,
+            })
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod service;
 pub mod target;
 pub mod time;
+pub mod workspace;
 pub mod zone;
 
 pub use name::Invalid;
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -115,6 +115,7 @@
         Plan {
             items: reading.unchanged(&keys),
             refusal: None,
+            missing: Vec::new(),
         }
     };
     propose(state, keys, &unchanged).await.map(|_| ())
@@ -177,7 +178,7 @@
     Proposed(Plan),
     /// A quorum has accepted an unsettled proposal of others, or its withdrawal.
     Settled,
-    /// An unsettled proposal has more registers, which must be read too.
+    /// An unsettled proposal or the change has more registers, which must be read too.
     Missing(Vec<Key>),
 }
 
@@ -207,6 +208,9 @@
         return Ok(Step::Settled);
     }
     let plan = decide(&reading, settled);
+    if !plan.missing.is_empty() {
+        return Ok(Step::Missing(plan.missing));
+    }
     if !plan.items.is_empty() {
         accept(state, ballot, plan.items.clone()).await?;
     }
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -13,6 +13,7 @@
 use shallotrill_feed::message::Reply;
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
+use shallotrill_items::replica::Replica;
 
 /// What a router that waits for changes has, and what it requests.
 #[derive(Clone, Copy, Debug)]
@@ -116,16 +117,23 @@
 /// may have received all items from another one.
 fn missing_items(consensus: &ConsensusState, from: u64, held: ItemSetHash) -> Vec<Arc<Item>> {
     let replica = &consensus.replica;
-    if from == 0 && ItemSetHash::of(replica.committed().map(Arc::as_ref)) == held {
+    if from == 0 && ItemSetHash::of(for_routers(replica)) == held {
         return Vec::new();
     }
     let changed = replica.since(from).into_iter();
     let changed = changed.filter_map(|entry| entry.committed);
     changed
+        .filter(|item| item.key.kind.is_for_routers())
         .map(|item| Arc::new(without_document(&item)))
         .collect()
 }
 
+/// The committed items that routers need.
+fn for_routers(replica: &Replica) -> impl Iterator<Item = &Item> {
+    let committed = replica.committed().map(Arc::as_ref);
+    committed.filter(|item| item.key.kind.is_for_routers())
+}
+
 /// Copies an item without its document, which is most of its size and needed only by operators.
 fn without_document(item: &Item) -> Item {
     Item {
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -85,6 +85,7 @@
         content: Content::Service(Service {
             health_path: "/healthz".into(),
             connections,
+            warm_up: None,
         }),
         document: connections.to_string().into(),
     }
--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -32,6 +32,7 @@
         content: Content::Service(Service {
             health_path: "/healthz".into(),
             connections: 10,
+            warm_up: None,
         }),
         document: "{}".into(),
     }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -18,9 +18,15 @@
 use crate::crashes;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
+use crate::forwarded::Workspace;
+use crate::names::Names;
 use crate::serve::BufferedRequest;
 use crate::state::State;
 use shallotrill_items::route::Route;
+use shallotrill_items::table::ActiveRoute;
+use shallotrill_items::table::ActiveWorkspace;
+use shallotrill_items::table::Table;
+use shallotrill_items::workspace::Digest;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::service;
@@ -49,6 +55,9 @@
 /// `Retry-After` of a quarantined request, in seconds.
 const RETRY_AFTER_QUARANTINE: &str = "60";
 
+/// Authentication scheme of the keys of workspaces, which RFC 9110 requires in a response with status 401.
+const KEY_SCHEME: &str = "Workspace-Key";
+
 /// Share of the remaining time that a request may wait for a slot.
 const SLOT_WAIT_SHARE: f64 = 0.6;
 
@@ -62,6 +71,7 @@
     host: Box<str>,
     route: Arc<Route>,
     route_version: u64,
+    workspace: Option<Arc<ActiveWorkspace>>,
     service: service::Name,
     received_at: Instant,
     timeout: Duration,
@@ -107,6 +117,7 @@
     if let Err(problem) = hop::check(&parts.method, &parts.headers) {
         return Err(refuse(id, StatusCode::BAD_REQUEST, &problem.to_string()));
     }
+    let names = &state.settings.names;
     let items = state.items();
     if items.is_empty() {
         return Err(unavailable(
@@ -126,6 +137,9 @@
     };
     let route = Arc::clone(&rule.route);
     let route_version = rule.version;
+    let Ok(workspace) = identify(&items, rule, &parts.headers, names) else {
+        return Err(unauthorized(id));
+    };
     let Some(service) = state.next_service(rule) else {
         return Err(unavailable(
             id,
@@ -133,7 +147,6 @@
             "the route has no service",
         ));
     };
-    let names = &state.settings.names;
     let requested_ms: Option<u64> = header_text(parts.headers.get(&names.deadline_ms))
         .parse()
         .ok();
@@ -162,6 +175,8 @@
     parts.headers.remove(header::HOST);
     parts.headers.remove(&names.caller);
     parts.headers.remove(&names.expected);
+    parts.headers.remove(&names.credential);
+    parts.headers.remove(&names.workspace);
     let message = BufferedRequest {
         method: parts.method,
         path: path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
@@ -180,6 +195,7 @@
         host,
         route,
         route_version,
+        workspace,
         service,
         received_at,
         timeout,
@@ -187,6 +203,24 @@
     })
 }
 
+/// The request has no key, or one that no workspace holds.
+struct UnknownKey;
+
+/// Finds the workspace of a request. There is none on a public route and while no workspaces are configured.
+fn identify(
+    items: &Table,
+    rule: &ActiveRoute,
+    headers: &HeaderMap,
+    names: &Names,
+) -> Result<Option<Arc<ActiveWorkspace>>, UnknownKey> {
+    if rule.route.public || !items.requires_key() {
+        return Ok(None);
+    }
+    let key = headers.get(&names.credential).ok_or(UnknownKey)?;
+    let workspace = items.workspace_of(Digest::of(key.as_bytes()));
+    workspace.map(Arc::clone).map(Some).ok_or(UnknownKey)
+}
+
 fn without_port(host: &str) -> &str {
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
@@ -322,6 +356,10 @@
         incarnation: choice.incarnation,
         service: pending.service.clone(),
         caller: state.settings.service.clone(),
+        workspace: pending.workspace.as_ref().map(|active| Workspace {
+            name: active.name.clone(),
+            priority: active.workspace.priority,
+        }),
         remaining,
         start_within: objective_remaining.min(remaining).mul_f64(SLOT_WAIT_SHARE),
         objective: pending.route.objective,
@@ -486,6 +524,16 @@
     response
 }
 
+/// Refuses a request without the key of a workspace. Nothing of the key is logged.
+fn unauthorized(id: &str) -> Response<Body> {
+    let reason = "the request has no key that a workspace holds";
+    let mut response = refuse(id, StatusCode::UNAUTHORIZED, reason);
+    let scheme = HeaderValue::from_static(KEY_SCHEME);
+    let headers = response.headers_mut();
+    headers.insert(header::WWW_AUTHENTICATE, scheme);
+    response
+}
+
 fn refuse(id: &str, status: StatusCode, reason: &str) -> Response<Body> {
     info!(event = "request-ended", request = id, status = status.as_u16(); "request ends without a response of a backend server: {reason}");
     let text = format!("{reason}\n");
--- a/crates/router/src/forwarded.rs
+++ b/crates/router/src/forwarded.rs
@@ -10,6 +10,7 @@
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
 use shallotrill_model::service;
+use shallotrill_model::workspace;
 
 /// Header that carries [`Forwarded`]; it is used only between routers.
 pub const FORWARDED: HeaderName = HeaderName::from_static("shallotrill-forwarded");
@@ -17,6 +18,25 @@
 /// Header that carries a [`Denial`]; it is used only between routers.
 pub const DENIAL: HeaderName = HeaderName::from_static("shallotrill-denial");
 
+/// The workspace of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Workspace {
+    /// Name of the workspace.
+    pub name: workspace::Name,
+    /// Its priority, which takes precedence over that of the route. Zero is the most urgent.
+    pub priority: u8,
+}
+
+impl Workspace {
+    fn decode(text: &str) -> Option<Self> {
+        let (name, priority) = text.split_once(',')?;
+        Some(Self {
+            name: workspace::Name::new(name).ok()?,
+            priority: priority.parse().ok()?,
+        })
+    }
+}
+
 /// Context of a forwarded request for the router of the target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Forwarded {
@@ -28,6 +48,8 @@
     pub service: service::Name,
     /// Service on whose instance the request was received.
     pub caller: service::Name,
+    /// Workspace of the request; `None` on a public route and while no workspaces are configured.
+    pub workspace: Option<Workspace>,
     /// Remaining time until the deadline of the caller.
     pub remaining: Duration,
     /// Time within which the request must be sent to the backend server to meet its objective.
@@ -52,8 +74,11 @@
             Class::Idempotent => 'i',
             Class::NonIdempotent => 'n',
         };
+        let workspace = self.workspace.as_ref();
+        let workspace = workspace.map(|w| format!("{},{}", w.name, w.priority));
+        let workspace = workspace.unwrap_or_default();
         let text = format!(
-            "{};{};{};{};{};{};{};{};{class};{};{}",
+            "{};{};{};{};{};{};{};{};{class};{};{workspace};{}",
             self.instance,
             self.incarnation.0,
             self.service,
@@ -70,7 +95,7 @@
 
     /// Decodes the header value; `None` when a field is missing or invalid.
     pub fn decode(value: &HeaderValue) -> Option<Self> {
-        let mut fields = value.to_str().ok()?.splitn(11, ';');
+        let mut fields = value.to_str().ok()?.splitn(12, ';');
         let mut next = || fields.next();
         Some(Self {
             instance: instance::Name::new(next()?).ok()?,
@@ -87,6 +112,10 @@
                 _ => return None,
             },
             last_gate: next()? == "1",
+            workspace: match next()? {
+                "" => None,
+                text => Some(Workspace::decode(text)?),
+            },
             host: next()?.into(),
         })
     }
--- a/crates/router/src/names.rs
+++ b/crates/router/src/names.rs
@@ -24,6 +24,10 @@
     pub not_run: HeaderName,
     /// Service on whose instance a request was received.
     pub caller: HeaderName,
+    /// Key of a workspace in a request of a caller; never passed on.
+    pub credential: HeaderName,
+    /// Name of the workspace of a request, for the backend server.
+    pub workspace: HeaderName,
 }
 
 impl Default for Names {
@@ -38,6 +42,8 @@
             leaving: HeaderName::from_static("shallotrill-backend-leaving"),
             not_run: HeaderName::from_static("shallotrill-backend-not-run"),
             caller: HeaderName::from_static("shallotrill-caller"),
+            credential: HeaderName::from_static("shallotrill-key"),
+            workspace: HeaderName::from_static("shallotrill-workspace"),
         }
     }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -243,6 +243,11 @@
     if let Ok(caller) = HeaderValue::from_str(forwarded.caller.as_str()) {
         headers.insert(names.caller.clone(), caller);
     }
+    if let Some(workspace) = &forwarded.workspace
+        && let Ok(name) = HeaderValue::from_str(workspace.name.as_str())
+    {
+        headers.insert(names.workspace.clone(), name);
+    }
     let left_ms = remaining.as_millis().max(1) as u64;
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
     *request.headers_mut() = headers;
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -67,19 +67,41 @@
 /// Number of ranks within one priority.
 const RANKS_PER_PRIORITY: u8 = 8;
 
+/// Number of priorities of routes that are told apart within one priority of workspaces.
+const PRIORITIES_MAX: u8 = 8;
+
+/// Number of priorities of workspaces that are told apart.
+const WORKSPACE_PRIORITIES_MAX: u8 = 4;
+
 /// The rank falls by one each time the objective doubles, starting from this length.
 const RANK_OBJECTIVE: Duration = Duration::from_millis(50);
 
 /// Rank in the queue: by priority, then by objective with the shortest first. The priority of a route is
 /// inverted here: zero is served first in a route, but the highest value is served first at the gate. Short requests that
 /// other requests depend on, such as calls of backend servers, have the shortest objectives.
+///
+/// The priority of a workspace comes first. There are as many ranks for each of its levels as for [`PRIORITIES_MAX`]
+/// levels of routes.
 fn rank(forwarded: &Forwarded) -> u8 {
     let ratio = forwarded.objective.as_secs_f64() / RANK_OBJECTIVE.as_secs_f64();
     let steps = ratio.max(1.0).log2().min(f64::from(RANKS_PER_PRIORITY - 1)) as u8;
-    let priority = forwarded.priority.min(u8::MAX / RANKS_PER_PRIORITY);
+    let priority = match &forwarded.workspace {
+        Some(workspace) => {
+            let level = workspace.priority.min(WORKSPACE_PRIORITIES_MAX - 1);
+            level * PRIORITIES_MAX + forwarded.priority.min(PRIORITIES_MAX - 1)
+        }
+        None => forwarded.priority.min(u8::MAX / RANKS_PER_PRIORITY),
+    };
     u8::MAX - priority * RANKS_PER_PRIORITY - steps
 }
 
+/// The account that pays for the slot time of a request: its workspace, or the calling service without one.
+fn account(forwarded: &Forwarded) -> Result<partner::Name, Denial> {
+    let workspace = forwarded.workspace.as_ref().map(|w| w.name.as_str());
+    let name = workspace.unwrap_or(forwarded.caller.as_str());
+    partner::Name::new(name).or(Err(Denial::Gone))
+}
+
 /// Waits for a slot of the requested incarnation.
 ///
 /// # Errors
@@ -96,7 +118,7 @@
     };
     let ticket = Ticket {
         id,
-        partner: partner::Name::new(forwarded.caller.as_str()).or(Err(Denial::Gone))?,
+        partner: account(forwarded)?,
         priority: rank(forwarded),
         timely_until: now + start_within,
         deadline: now + wait_max,
--- a/crates/router/tests/forwarded.rs
+++ b/crates/router/tests/forwarded.rs
@@ -19,6 +19,7 @@
         incarnation: Incarnation(9),
         service: service::Name::new("catalogue").expect("a valid name"),
         caller: service::Name::new("bookings").expect("a valid name"),
+        workspace: None,
         remaining: Duration::from_millis(400),
         start_within: Duration::from_millis(120),
         objective: Duration::from_millis(200),
--- a/crates/router/tests/path/gates.rs
+++ b/crates/router/tests/path/gates.rs
@@ -126,6 +126,7 @@
         incarnation: Incarnation(100),
         service: service_name(),
         caller: service_name(),
+        workspace: None,
         remaining: Duration::from_mins(1),
         start_within: Duration::from_millis(1),
         objective: Duration::from_millis(2),
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -398,6 +398,7 @@
     let service = Service {
         health_path: "/healthz".into(),
         connections: 10,
+        warm_up: None,
     };
     let route = Route {
         host: "host".into(),
@@ -411,6 +412,7 @@
             service: service_name(),
             weight: 1,
         }],
+        public: false,
     };
     vec![
         named(Kind::Service, "catalogue", Content::Service(service)),
