Tests of keys of workspaces: holders, stored encoding, refusals at the entry

Cause: the part had no tests of its own. Change: tables of cases for shared and released keys, two changes at once, look-up, earlier stored items, invalid items, and what a backend server receives. A header of a forwarded request with a workspace is decoded as encoded.

--- a/crates/router/tests/forwarded.rs
+++ b/crates/router/tests/forwarded.rs
@@ -9,9 +9,11 @@
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
 use shallotrill_model::service;
+use shallotrill_model::workspace;
 use shallotrill_router::forwarded;
 use shallotrill_router::forwarded::Denial;
 use shallotrill_router::forwarded::Forwarded;
+use shallotrill_router::forwarded::Workspace;
 
 fn example() -> Forwarded {
     Forwarded {
@@ -33,8 +35,15 @@
 /// Guards against a field that is decoded as a different one.
 #[test]
 fn fields_are_decoded_as_encoded() {
-    let encoded = example().encode().expect("a valid header value");
-    assert_eq!(Forwarded::decode(&encoded), Some(example()));
+    let mut with_workspace = example();
+    with_workspace.workspace = Some(Workspace {
+        name: workspace::Name::new("one").expect("a valid name"),
+        priority: 3,
+    });
+    for example in [example(), with_workspace] {
+        let encoded = example.encode().expect("a valid header value");
+        assert_eq!(Forwarded::decode(&encoded), Some(example));
+    }
 }
 
 struct Case {
@@ -50,19 +59,23 @@
     },
     Case {
         name: "the host is missing",
-        value: "i-1;9;catalogue;bookings;400;120;200;2;n;1",
+        value: "i-1;9;catalogue;bookings;400;120;200;2;n;1;",
     },
     Case {
         name: "unknown class",
-        value: "i-1;9;catalogue;bookings;400;120;200;2;x;1;host",
+        value: "i-1;9;catalogue;bookings;400;120;200;2;x;1;;host",
     },
     Case {
         name: "an incarnation that is not a number",
-        value: "i-1;nine;catalogue;bookings;400;120;200;2;n;1;host",
+        value: "i-1;nine;catalogue;bookings;400;120;200;2;n;1;;host",
+    },
+    Case {
+        name: "a workspace without a priority",
+        value: "i-1;9;catalogue;bookings;400;120;200;2;n;1;one;host",
     },
     Case {
         name: "an invalid instance name",
-        value: "I 1;9;catalogue;bookings;400;120;200;2;n;1;host",
+        value: "I 1;9;catalogue;bookings;400;120;200;2;n;1;;host",
     },
 ];
 
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod departures;
 mod endless;
 mod gates;
+mod keys;
 mod limits;
 mod stops;
 
