registry, router: a change of items is read from one registry process

Cause: each of the five registry processes sent every changed item to every router. Change: a poll of a router with items asks only for their hash. When it differs from its own, the router reads the items from one process at a time, as a router without items already did. The hash is kept by revision.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -117,6 +117,17 @@
     pub departures: u64,
 }
 
+/// What a router requests of the items in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Interest {
+    /// Nothing: it has no items, and reads them from another registry process first.
+    Nothing,
+    /// Only the hash of the items, as soon as it differs from the hash of those that it has, which is stated.
+    Hash(u64),
+    /// The items that it does not have. The hash of those that it has is stated.
+    Items(u64),
+}
+
 /// A request to a registry process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
@@ -128,8 +139,8 @@
         announcement: Announcement,
         /// Maximum time to wait for a change, in milliseconds.
         wait_ms: u32,
-        /// Digest of the items that the router has; `None` when it currently requests no items.
-        held: Option<u64>,
+        /// What the router requests of the items.
+        interest: Interest,
         /// Whether the router has not received the departures of its earlier sessions yet.
         needs_departures: bool,
     },
@@ -195,8 +206,10 @@
     View {
         /// Position of the reader after this reply.
         cursor: Cursor,
-        /// Changed committed items, except documents of the operator.
+        /// Changed committed items, except documents of the operator; empty unless they were requested.
         items: Vec<Arc<Item>>,
+        /// Hash of all committed items that routers need.
+        items_hash: u64,
         /// Changes of the announcements.
         announcements: Announcements,
         /// Departures that the router has reported, also in earlier sessions. `None` when it does not need them, or
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -26,7 +26,6 @@
 use shallotrill_feed::note;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::item::Item;
-use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Entry;
 use shallotrill_items::replica::Proposal;
 use shallotrill_locks::Mutex;
@@ -57,14 +56,14 @@
             cursor,
             announcement,
             wait_ms,
-            held,
+            interest,
             needs_departures,
         } => {
             announce(state, announcement.clone());
             let watcher = Watcher {
                 router: announcement.router,
                 cursor: *cursor,
-                held: held.map(ItemSetHash),
+                interest: *interest,
                 needs_departures: *needs_departures,
             };
             view::reply(state, &watcher, Duration::from_millis(u64::from(*wait_ms))).await
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -106,6 +106,7 @@
                 replica,
                 roster: Roster::new(own, settings.tolerated_disks),
                 changes: 1,
+                hashed: None,
             },
         ),
         changed,
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -19,6 +19,8 @@
 use shallotrill_feed::message::Cursor;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::ballot::Identity;
+use shallotrill_items::item::Item;
+use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Replica;
 use shallotrill_items::roster::Roster;
 use shallotrill_locks::Mutex;
@@ -36,6 +38,9 @@
     pub highest_ballot: Ballot,
     /// Number of changes of the registers and of the vote of this process.
     pub changes: u64,
+    /// Hash of the items for routers at a revision of the replica; computed again only after a change, since
+    /// every router asks for it.
+    pub hashed: Option<(u64, ItemSetHash)>,
 }
 
 /// A process without copies of a quorum within this time has probably lost its quorum, and does not try to confirm
@@ -44,6 +49,24 @@
 const COPY_AGE_MAX: Duration = Duration::from_secs(2);
 
 impl ConsensusState {
+    /// Hash of the committed items that routers need.
+    pub fn items_hash(&mut self) -> ItemSetHash {
+        let revision = self.replica.revision();
+        match self.hashed {
+            Some((hashed_revision, hash)) if hashed_revision == revision => hash,
+            _ => {
+                let hash = ItemSetHash::of(self.items_for_routers());
+                self.hashed = Some((revision, hash));
+                hash
+            }
+        }
+    }
+
+    fn items_for_routers(&self) -> impl Iterator<Item = &Item> {
+        let committed = self.replica.committed().map(Arc::as_ref);
+        committed.filter(|item| item.key.kind.is_for_routers())
+    }
+
     /// Whether the local replica has all items that were committed up to `COPY_AGE_MAX` before `now`.
     ///
     /// What is in force at present is known only after `members::confirm`.
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -10,10 +10,10 @@
 use crate::state::ConsensusState;
 use crate::state::State;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Interest;
 use shallotrill_feed::message::Reply;
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
-use shallotrill_items::replica::Replica;
 
 /// What a router that waits for changes has, and what it requests.
 #[derive(Clone, Copy, Debug)]
@@ -22,8 +22,8 @@
     pub router: SocketAddr,
     /// Position up to which it has read.
     pub cursor: Cursor,
-    /// Hash of its items; `None` when it requests none.
-    pub held: Option<ItemSetHash>,
+    /// What it requests of the items.
+    pub interest: Interest,
     /// Whether it has not received the departures of its earlier sessions yet.
     pub needs_departures: bool,
 }
@@ -36,7 +36,7 @@
     }
 
     fn has_no_items(&self) -> bool {
-        self.held == Some(ItemSetHash::default())
+        self.interest == Interest::Items(ItemSetHash::default().0)
     }
 }
 
@@ -64,8 +64,13 @@
         return true;
     }
     let now = state.now();
-    let consensus = state.consensus.lock();
-    let items_changed = watcher.held.is_some() && cursor.items != consensus.replica.revision();
+    let mut consensus = state.consensus.lock();
+    let items_changed = cursor.items != consensus.replica.revision()
+        && match watcher.interest {
+            Interest::Nothing => false,
+            Interest::Hash(held) => consensus.items_hash().0 != held,
+            Interest::Items(_) => true,
+        };
     if watcher.needs_confirmation() {
         (items_changed || watcher.needs_departures) && consensus.is_complete(now)
     } else {
@@ -90,13 +95,16 @@
     let registries = state.registries();
     let sends_departures = watcher.needs_departures && confirmed;
     let departures = sends_departures.then(|| state.departures.lock().of(watcher.router));
-    let consensus = state.consensus.lock();
+    let mut consensus = state.consensus.lock();
+    let items_hash = consensus.items_hash().0;
     let from = if same_session { cursor.items } else { 0 };
-    let (items, items_revision) = match watcher.held {
-        Some(held) if confirmed || !watcher.has_no_items() => (
-            missing_items(&consensus, from, held),
-            consensus.replica.revision(),
+    let revision = consensus.replica.revision();
+    let (items, items_revision) = match watcher.interest {
+        Interest::Items(held) if confirmed || !watcher.has_no_items() => (
+            missing_items(&consensus, from, held == items_hash),
+            revision,
         ),
+        Interest::Hash(_) => (Vec::new(), revision),
         _ => (Vec::new(), from),
     };
     Reply::View {
@@ -107,6 +115,7 @@
             departures: 0,
         },
         items,
+        items_hash,
         announcements,
         departures,
         registries,
@@ -115,9 +124,9 @@
 
 /// Items that a watcher does not have yet. A watcher that has received nothing from this process
 /// may have received all items from another one.
-fn missing_items(consensus: &ConsensusState, from: u64, held: ItemSetHash) -> Vec<Arc<Item>> {
+fn missing_items(consensus: &ConsensusState, from: u64, has_all: bool) -> Vec<Arc<Item>> {
     let replica = &consensus.replica;
-    if from == 0 && ItemSetHash::of(for_routers(replica)) == held {
+    if has_all {
         return Vec::new();
     }
     let changed = replica.since(from).into_iter();
@@ -128,12 +137,6 @@
         .collect()
 }
 
-/// The committed items that routers need.
-fn for_routers(replica: &Replica) -> impl Iterator<Item = &Item> {
-    let committed = replica.committed().map(Arc::as_ref);
-    committed.filter(|item| item.key.kind.is_for_routers())
-}
-
 /// Copies an item without its document, which is most of its size and needed only by operators.
 fn without_document(item: &Item) -> Item {
     Item {
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -10,6 +10,7 @@
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Cursor;
 use shallotrill_feed::message::Departure;
+use shallotrill_feed::message::Interest;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
 use shallotrill_items::ballot::Ballot;
@@ -244,7 +245,7 @@
             crashes: Vec::new(),
         },
         wait_ms: 0,
-        held: Some(ItemSetHash::default().0),
+        interest: Interest::Items(ItemSetHash::default().0),
         needs_departures: false,
     };
     match members::handle(&member.registry.state(), &request).await {
--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -7,6 +7,7 @@
 
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Interest;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
 use shallotrill_items::item::Content;
@@ -48,12 +49,12 @@
     }
 }
 
-async fn watch(state: &Arc<State>, cursor: Cursor, held: Option<u64>) -> (Cursor, Vec<Arc<Item>>) {
+async fn watch(state: &Arc<State>, cursor: Cursor, interest: Interest) -> (Cursor, Vec<Arc<Item>>) {
     let request = Request::Watch {
         cursor,
         announcement: announcement(1, 0),
         wait_ms: 0,
-        held,
+        interest,
         needs_departures: false,
     };
     match members::handle(state, &request).await {
@@ -154,8 +155,8 @@
                 [&fixture.first, &service("b", 3)].into_iter(),
             )),
         };
-        let held = held.map(|digest| digest.0);
-        let (cursor, items) = watch(&fixture.state, Cursor::default(), held).await;
+        let interest = held.map_or(Interest::Nothing, |hash| Interest::Items(hash.0));
+        let (cursor, items) = watch(&fixture.state, Cursor::default(), interest).await;
         assert_eq!(items.len(), case.expected, "{}", case.name);
         assert!(items.iter().all(|i| i.document.is_empty()), "{}", case.name);
         // The cursor of a watcher that requests no items does not advance.
@@ -168,11 +169,11 @@
 async fn a_later_change_is_sent_without_the_unchanged_items() {
     let fixture = fixture().await;
     let held = ItemSetHash::of([&fixture.first, &fixture.second].into_iter()).0;
-    let (cursor, _) = watch(&fixture.state, Cursor::default(), Some(held)).await;
+    let (cursor, _) = watch(&fixture.state, Cursor::default(), Interest::Items(held)).await;
     propose::change(&fixture.state, &[service("c", 1)])
         .await
         .expect("the change is accepted");
-    let (_, items) = watch(&fixture.state, cursor, Some(held)).await;
+    let (_, items) = watch(&fixture.state, cursor, Interest::Items(held)).await;
     let names: Vec<&str> = items.iter().map(|item| &*item.key.name).collect();
     assert_eq!(names, ["c"]);
 }
@@ -190,7 +191,7 @@
     for router in 1..=ROUTERS {
         announce(router, 1).await;
     }
-    let (cursor, _) = watch(&fixture.state, Cursor::default(), None).await;
+    let (cursor, _) = watch(&fixture.state, Cursor::default(), Interest::Nothing).await;
     // The gathering time then passes only when no task can make progress.
     tokio::time::pause();
     let state = Arc::clone(&fixture.state);
@@ -199,7 +200,7 @@
             cursor,
             announcement: announcement(1, 1),
             wait_ms: 60_000,
-            held: None,
+            interest: Interest::Nothing,
             needs_departures: false,
         };
         members::handle(&state, &request).await
@@ -213,3 +214,44 @@
     };
     assert_eq!(announcements.changed.len(), ROUTERS);
 }
+
+/// Guards against a change that every registry process sends to every router: a router that has items is told only
+/// their hash, at once and once for each change, and can still read what it lacks afterwards.
+#[tokio::test]
+async fn a_router_with_items_is_told_of_a_change_by_its_hash() {
+    let fixture = fixture().await;
+    let held = ItemSetHash::of([&fixture.first, &fixture.second].into_iter()).0;
+    let (read, _) = watch(&fixture.state, Cursor::default(), Interest::Items(held)).await;
+    propose::change(&fixture.state, &[service("c", 1)])
+        .await
+        .expect("the change is accepted");
+    let request = |cursor, interest, wait_ms| Request::Watch {
+        cursor,
+        announcement: announcement(1, 0),
+        wait_ms,
+        interest,
+        needs_departures: false,
+    };
+    // Without the wake-up the reply comes after the wait, beyond the limit of the test run.
+    let told = request(read, Interest::Hash(held), 3_600_000);
+    let told = members::handle(&fixture.state, &told).await;
+    let Reply::View {
+        cursor,
+        items,
+        items_hash,
+        ..
+    } = told
+    else {
+        panic!("the registry process replies with a view");
+    };
+    assert!(items.is_empty());
+    assert_ne!(items_hash, held);
+    tokio::time::pause();
+    let before = tokio::time::Instant::now();
+    let again = request(cursor, Interest::Hash(held), 60_000);
+    members::handle(&fixture.state, &again).await;
+    assert!(before.elapsed().as_secs() >= 60, "told twice of one change");
+    tokio::time::resume();
+    let (_, items) = watch(&fixture.state, read, Interest::Items(held)).await;
+    assert_eq!(items.len(), 1);
+}
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -1,4 +1,9 @@
 //! Follows the registries: receives the items in force and the announced targets by long polls.
+//!
+//! Every registry process tells this router when its items differ from the
+//! router's, and the router reads them from one process at a time. A change of a
+//! thousand routes would otherwise come once from each process, and five copies
+//! fill a link of 3 Mbit/s for more than a second.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +21,7 @@
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Announcements;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Interest;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
 use shallotrill_feed::note;
@@ -28,10 +34,10 @@
 /// Longest wait of a long poll; it also renews the announcement.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// Longest wait of a long poll before this router has items, so that it requests them soon.
+/// Longest wait of a long poll while this router lacks items, so that it requests them soon.
 const FIRST_WATCH_WAIT: Duration = Duration::from_millis(100);
 
-/// Time allowed to one registry process to send the first items, after which they are requested from
+/// Time allowed to one registry process to send items, after which they are requested from
 /// another one. Transferring a thousand routes on a link of 6 Mbit/s takes half of this time.
 const ITEMS_READ_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -197,17 +203,25 @@
 
 async fn watch_registry(state: Arc<State>, address: SocketAddr, mut stop: watch::Receiver<bool>) {
     let link = Link::new(address);
+    let mut progress = ItemsProgress::default();
     let mut cursor = Cursor::default();
     let mut last_contact = state.now();
     let mut reachable = false;
     loop {
-        let held = digest_for_request(&state, reachable);
-        let wait = held.map_or(FIRST_WATCH_WAIT, |_| WATCH_WAIT);
+        let interest = interest(&state, progress, reachable);
+        let reads_items = matches!(interest, Interest::Items(_));
         let request = Request::Watch {
-            cursor,
+            cursor: Cursor {
+                items: if reads_items {
+                    progress.read
+                } else {
+                    cursor.items
+                },
+                ..cursor
+            },
             announcement: state.announcement(),
-            wait_ms: wait.as_millis() as u32,
-            held,
+            wait_ms: watch_wait(&state, interest, progress).as_millis() as u32,
+            interest,
             needs_departures: !state.backend.lock().is_restored(),
         };
         let reply = tokio::select! {
@@ -216,8 +230,9 @@
         };
         match reply {
             Ok(Reply::View {
-                cursor: read,
+                cursor: next,
                 items,
+                items_hash,
                 announcements,
                 departures,
                 registries,
@@ -227,11 +242,18 @@
                 }
                 reachable = true;
                 last_contact = state.now();
-                cursor = read;
+                if next.session != cursor.session {
+                    progress.read = 0;
+                }
+                cursor = next;
                 if let Some(departures) = departures {
                     backend::restore(&state, &departures);
                 }
                 apply_items(&state, &items);
+                progress.differs = state.items().item_set_hash().0 != items_hash;
+                if reads_items || !progress.differs {
+                    progress.read = cursor.items;
+                }
                 merge_crashes(&state, &announcements.changed);
                 state
                     .views
@@ -239,7 +261,7 @@
                     .record_view(address, announcements, last_contact);
                 apply_targets(&state);
                 follow(&state, &registries, &stop);
-                if held.is_some() {
+                if reads_items {
                     release_items_read(&state);
                 }
             }
@@ -248,7 +270,7 @@
                     warn!(event = "registry-lost", address = address.to_string().as_str(); "long poll of the registry process failed: {other:?}");
                 }
                 reachable = false;
-                if held.is_some() {
+                if reads_items {
                     release_items_read(&state);
                 }
                 time::sleep(RETRY_INTERVAL).await;
@@ -263,19 +285,46 @@
     }
 }
 
-/// Digest of the items of this router, or `None` when no items are to be requested from this registry now.
-///
-/// A router without items requests them from one registry process at a time: all of them at once
-/// would fill its link with the same bytes. Items are requested from the other processes once it has some.
-fn digest_for_request(state: &State, reachable: bool) -> Option<u64> {
+/// What was read of the items of one registry process.
+#[derive(Clone, Copy, Debug, Default)]
+struct ItemsProgress {
+    /// Revision of the process up to which this router has its items.
+    read: u64,
+    /// Whether its items differed from those of this router at its last reply.
+    differs: bool,
+}
+
+/// What to request of the items from a registry process now.
+fn interest(state: &State, progress: ItemsProgress, reachable: bool) -> Interest {
     let items = state.items();
-    if items.is_empty() && !(reachable && reserve_items_read(state)) {
-        return None;
+    let held = items.item_set_hash().0;
+    let reads = if items.is_empty() {
+        reachable
+    } else {
+        progress.differs
+    };
+    if reads && reserve_items_read(state) {
+        Interest::Items(held)
+    } else if items.is_empty() {
+        Interest::Nothing
+    } else {
+        Interest::Hash(held)
+    }
+}
+
+/// Longest wait of the next poll. A router reads items at once, and asks again soon while it lacks some that it must
+/// read from this process unless another one sends them first.
+fn watch_wait(state: &State, interest: Interest, progress: ItemsProgress) -> Duration {
+    let has_items = !state.items().is_empty();
+    match interest {
+        Interest::Items(_) if has_items => Duration::ZERO,
+        Interest::Items(_) => WATCH_WAIT,
+        Interest::Hash(_) if !progress.differs => WATCH_WAIT,
+        Interest::Hash(_) | Interest::Nothing => FIRST_WATCH_WAIT,
     }
-    Some(items.item_set_hash().0)
 }
 
-/// Reserves the first read of the items. Returns false while another registry process is being read from.
+/// Reserves a read of the items. Returns false while another registry process is being read from.
 fn reserve_items_read(state: &State) -> bool {
     let now = state.now();
     let mut items_read_since = state.items_read_since.lock();
@@ -286,7 +335,7 @@
     true
 }
 
-/// Allows another registry process to be read from, in case this router still has no items.
+/// Allows another registry process to be read from, in case this router still lacks items.
 fn release_items_read(state: &State) {
     *state.items_read_since.lock() = None;
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -60,7 +60,7 @@
     pub items: Mutex<Arc<Table>>,
     /// Round robin of routes with several services, sorted by route name.
     pub splits: Mutex<Vec<RouteSplit>>,
-    /// Since when the first items are being read from a registry process; no other lock is held with it.
+    /// Since when items are being read from a registry process; no other lock is held with it.
     pub items_read_since: Mutex<Option<Instant>>,
     /// Announcements that each registry process reports.
     pub views: Mutex<RegistryViews>,
