soak: workspaces with keys that come and go, and an allotment

Cause: the soak sent no keys, so nothing checked whose requests run. Change: callers send keys of three workspaces, an unknown key and one that is taken away and given back; one route is public. New promises: own-workspace, revoked-keys, allotments.

--- a/crates/soak/src/backend_server.rs
+++ b/crates/soak/src/backend_server.rs
@@ -386,6 +386,8 @@
     let identity = Arc::<str>::from(header("shallotrill-attempt-id"));
     let expected = header("shallotrill-expected-instance");
     let caller = Arc::<str>::from(header("shallotrill-caller-service"));
+    let workspace = Arc::<str>::from(header("shallotrill-tenant"));
+    let has_key = request.headers().contains_key("shallotrill-credential");
     let remaining_ms = header("shallotrill-deadline-ms").parse::<u64>().ok();
     let path = request.uri().path().to_owned();
     if path == "/healthz" {
@@ -411,6 +413,8 @@
             instance: Arc::clone(&server.identity),
             service: Arc::clone(&server.service),
             caller,
+            workspace,
+            has_key,
             content: Arc::from(format!("{method} {path} {body}")),
             at_ms: run_context.now(),
             remaining_ms,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -16,6 +16,7 @@
 use crate::operator::ROUTES;
 use crate::plan::ProcessIndex;
 use crate::run::RunContext;
+use crate::workspaces;
 use shallotrill_bench::http::Connection;
 use shallotrill_bench::http::Failure;
 use shallotrill_bench::http::Request as HttpRequest;
@@ -48,12 +49,13 @@
     timeout: Duration,
 }
 
-/// Creates a random request for a route and records it as sent.
+/// Creates a random request for a route, with a key of a workspace, and records it as sent.
 pub fn new_request(
     run_context: &RunContext,
     random: &mut Pcg64,
     router: ProcessIndex,
     route: usize,
+    key: &'static str,
 ) -> TrackedRequest {
     let route = &ROUTES[route];
     let identity = Arc::<str>::from(format!("{:032x}", random.random::<u128>()));
@@ -67,12 +69,14 @@
         }
     };
     let content = format!("{method} {path} {body}");
+
     let mut http_request = HttpRequest::get(route.host, &path);
     http_request.method = method;
     http_request.body = body.into();
     http_request.headers = vec![
         ("shallotrill-attempt-id", identity.to_string()),
         ("shallotrill-deadline-ms", timeout_ms.to_string()),
+        ("shallotrill-credential", key.to_owned()),
     ];
     run_context.history.lock().requests.insert(
         Arc::clone(&identity),
@@ -80,6 +84,8 @@
             router,
             idempotency: route.idempotency,
             content: Arc::from(content),
+            key,
+            public: route.public,
             at_ms: run_context.now(),
             timeout_ms,
             outcome: None,
@@ -164,7 +170,8 @@
     let mut connection = None;
     while !*run_context.callers_stopped.borrow() {
         let route = random.random_range(0..ROUTES.len());
-        let request = new_request(&run_context, &mut random, router, route);
+        let key = workspaces::random_key(&mut random);
+        let request = new_request(&run_context, &mut random, router, route, key);
         let disconnect_after = random
             .random_bool(DISCONNECT_SHARE)
             .then(|| Duration::from_millis(random.random_range(DISCONNECT_AFTER_MS)));
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -13,6 +13,7 @@
 use crate::history::SentRequest;
 use crate::layout;
 use crate::statements;
+use crate::workspaces;
 
 /// Tolerance added to each time limit for bytes in transit and a loaded machine.
 pub const SLACK_MS: u64 = 1_000;
@@ -99,6 +100,21 @@
         text: "further attempts of requests stay within the retry budget of their service",
         check: further_attempts,
     },
+    Invariant {
+        name: "own-workspace",
+        text: "a request is executed for the workspace that holds its key, and the key reaches no backend server",
+        check: workspaces::own_workspace,
+    },
+    Invariant {
+        name: "revoked-keys",
+        text: "a key that was taken away is refused once the change has had time to take effect",
+        check: workspaces::revoked_keys,
+    },
+    Invariant {
+        name: "allotments",
+        text: "a workspace gets no more requests than its allotment allows",
+        check: workspaces::allotments,
+    },
     Invariant {
         name: "accepted-changes",
         text: "an acknowledged change is in force at the end, unless a higher version is",
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -47,6 +47,10 @@
     pub idempotency: Idempotency,
     /// Method, path and body.
     pub content: Arc<str>,
+    /// Key of a workspace that it carries.
+    pub key: &'static str,
+    /// Whether its route needs no key.
+    pub public: bool,
     /// When it was sent.
     pub at_ms: u64,
     /// Time limit of the caller.
@@ -66,6 +70,10 @@
     pub service: Arc<str>,
     /// Service of the caller, as stated by the router.
     pub caller: Arc<str>,
+    /// Workspace, as stated by the router; empty without one.
+    pub workspace: Arc<str>,
+    /// Whether the key of the caller arrived too.
+    pub has_key: bool,
     /// Method, path and body.
     pub content: Arc<str>,
     /// When it arrived.
@@ -125,6 +133,17 @@
     pub acknowledged_at_ms: Option<u64>,
 }
 
+/// A change that takes away or gives back the changing key.
+#[derive(Clone, Debug)]
+pub struct KeyChange {
+    /// Whether the key is valid after the change.
+    pub valid: bool,
+    /// When it was first sent.
+    pub sent_at_ms: u64,
+    /// When it was acknowledged; `None` if it was not.
+    pub acknowledged_at_ms: Option<u64>,
+}
+
 /// Kind of a disturbance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DisturbanceKind {
@@ -158,6 +177,8 @@
     pub arrivals: Vec<Arrival>,
     /// Changes in the order in which they were sent.
     pub changes: Vec<Change>,
+    /// Changes of keys in the order in which they were sent.
+    pub key_changes: Vec<KeyChange>,
     /// Instance ids of backend servers whose drain or deregistration was acknowledged, with the time and the router.
     pub departures: Vec<(Arc<str>, u64, ProcessIndex)>,
     /// Limits that backend servers stated.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod regressions;
 pub mod run;
 pub mod statements;
+pub mod workspaces;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -18,6 +18,7 @@
 use crate::plan::ProcessIndex;
 use crate::plan::REGISTRIES;
 use crate::run::RunContext;
+use crate::workspaces;
 use shallotrill_bench::http as client;
 use shallotrill_bench::http::Request;
 
@@ -44,6 +45,8 @@
     pub prefix: &'static str,
     /// Whether matching requests may be executed more than once.
     pub idempotency: Idempotency,
+    /// Whether matching requests need no key of a workspace.
+    pub public: bool,
     /// Initial services, as indices of [`SERVICES`]; several are a traffic split with equal weights.
     pub services: &'static [usize],
 }
@@ -55,6 +58,7 @@
         host: "shop.example",
         prefix: "/look-up/",
         idempotency: Idempotency::Idempotent,
+        public: false,
         services: &[0],
     },
     Route {
@@ -62,6 +66,7 @@
         host: "shop.example",
         prefix: "/reserve/",
         idempotency: Idempotency::NonIdempotent,
+        public: false,
         services: &[1],
     },
     Route {
@@ -69,6 +74,7 @@
         host: "pay.example",
         prefix: "/pay/",
         idempotency: Idempotency::NonIdempotent,
+        public: false,
         services: &[2],
     },
     Route {
@@ -76,6 +82,7 @@
         host: "shop.example",
         prefix: "/moving/",
         idempotency: Idempotency::NonIdempotent,
+        public: false,
         services: &[0],
     },
     Route {
@@ -83,6 +90,7 @@
         host: "pay.example",
         prefix: "/split/",
         idempotency: Idempotency::Idempotent,
+        public: true,
         services: &[0, 1],
     },
 ];
@@ -103,6 +111,7 @@
         "targetLatencyS": 0.5,
         "priority": 1,
         "maxAttempts": ATTEMPTS_MAX,
+        "public": route.public,
     });
     if let [service] = services {
         spec["service"] = json!(&**service);
@@ -147,6 +156,7 @@
             "spec": {"healthPath": "/healthz", "maxConnections": 240, "protocol": "h1", "tls": false},
         })
     }));
+    resources.extend(workspaces::initial_resources());
     resources.push(json!({
         "type": "limits",
         "metadata": {"version": 1},
@@ -193,7 +203,7 @@
 }
 
 /// Sends a change to the registry processes in turn until one accepts or refuses it; `None` when none does in time.
-async fn send_with_retries(
+pub(crate) async fn send_with_retries(
     run_context: &RunContext,
     first: ProcessIndex,
     body: &Value,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -34,6 +34,7 @@
 use crate::plan::ProcessIndex;
 use crate::plan::REGISTRIES;
 use crate::program::Program;
+use crate::workspaces;
 use shallotrill_bench::http as client;
 use shallotrill_bench::http::Request;
 
@@ -145,6 +146,7 @@
                 callers.spawn(caller::run(Arc::clone(&run_context), router, seed));
             }
         }
+        callers.spawn(workspaces::change_keys(Arc::clone(&run_context)));
         run_plan(&run_context, plan).await;
         wait_for_recovery(&run_context, plan.seed).await;
         stop_callers.send_replace(true);
@@ -476,7 +478,7 @@
     router: ProcessIndex,
     route: usize,
 ) -> Result<(), String> {
-    let request = caller::new_request(run_context, random, router, route);
+    let request = caller::new_request(run_context, random, router, route, workspaces::CONSTANT_KEY);
     let answer = caller::send(run_context, &mut None, router, &request, None).await;
     let history = run_context.history.lock();
     let name = operator::ROUTES[route].name;
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -11,11 +11,13 @@
 use shallotrill_soak::history::DisturbanceKind;
 use shallotrill_soak::history::History;
 use shallotrill_soak::history::Idempotency;
+use shallotrill_soak::history::KeyChange;
 use shallotrill_soak::history::Limit;
 use shallotrill_soak::history::Outcome;
 use shallotrill_soak::history::SentRequest;
 use shallotrill_soak::history::Statement;
 use shallotrill_soak::plan::REGISTRIES;
+use shallotrill_soak::workspaces;
 
 /// Router whose backend server belongs to the first service.
 const ROUTER: usize = REGISTRIES;
@@ -36,6 +38,8 @@
         instance: text("target-5-0"),
         service: text("catalogue"),
         caller: text("catalogue"),
+        workspace: text("north"),
+        has_key: false,
         content: text(CONTENT),
         at_ms,
         remaining_ms: Some(900),
@@ -69,6 +73,8 @@
             router: ROUTER,
             idempotency: Idempotency::NonIdempotent,
             content: text(CONTENT),
+            key: workspaces::CONSTANT_KEY,
+            public: false,
             at_ms: 10_000,
             timeout_ms: 1_000,
             outcome: Some((
@@ -128,6 +134,44 @@
     }
 }
 
+fn set_key(history: &mut History, key: &'static str) {
+    let sent = history.requests.get_mut("r1").expect("the request");
+    sent.key = key;
+}
+
+/// The request carries the changing key, which was taken away at a time.
+fn revoke(history: &mut History, at_ms: u64) {
+    set_key(history, workspaces::CHANGING_KEY);
+    history.arrivals[0].workspace = text("south");
+    history.key_changes.push(KeyChange {
+        valid: false,
+        sent_at_ms: at_ms - 10,
+        acknowledged_at_ms: Some(at_ms),
+    });
+}
+
+/// Idempotent requests of the limited workspace within four seconds.
+fn send_limited(history: &mut History, count: u64) {
+    for number in 0..count {
+        let request = text(&format!("limited-{number}"));
+        let at_ms = 20_000 + number * 4_000 / count;
+        let sent = SentRequest {
+            at_ms,
+            key: "key-of-limited",
+            idempotency: Idempotency::Idempotent,
+            outcome: None,
+            ..history.requests["r1"].clone()
+        };
+        history.requests.insert(Arc::clone(&request), sent);
+        history.arrivals.push(Arrival {
+            request,
+            workspace: text("limited"),
+            response: None,
+            ..arrival(at_ms + 10)
+        });
+    }
+}
+
 fn state_limit(history: &mut History, count: usize) {
     let statement = Statement {
         limit_millihertz: Some(1_000),
@@ -232,6 +276,52 @@
         change_history: |l| l.arrivals[0].caller = text("payments"),
         expected: Some("as-sent"),
     },
+    Case {
+        name: "another workspace",
+        change_history: |l| l.arrivals[0].workspace = text("south"),
+        expected: Some("own-workspace"),
+    },
+    Case {
+        name: "a key that reaches a backend server",
+        change_history: |l| l.arrivals[0].has_key = true,
+        expected: Some("own-workspace"),
+    },
+    Case {
+        name: "a key that nobody holds",
+        change_history: |l| {
+            set_key(l, workspaces::UNKNOWN_KEY);
+            l.arrivals[0].workspace = text("");
+        },
+        expected: Some("own-workspace"),
+    },
+    Case {
+        name: "a key that was taken away long before",
+        change_history: |l| revoke(l, 6_000),
+        expected: Some("revoked-keys"),
+    },
+    Case {
+        name: "a key that was taken away just before",
+        change_history: |l| revoke(l, 8_000),
+        expected: None,
+    },
+    Case {
+        name: "a key that was taken away during a disturbance",
+        change_history: |l| {
+            revoke(l, 6_000);
+            disturb(l, DisturbanceKind::Other, 6_500, 7_000);
+        },
+        expected: None,
+    },
+    Case {
+        name: "requests beyond an allotment",
+        change_history: |l| send_limited(l, 90),
+        expected: Some("allotments"),
+    },
+    Case {
+        name: "requests within an allotment",
+        change_history: |l| send_limited(l, 70),
+        expected: None,
+    },
     Case {
         name: "a service to which no configuration routes the request",
         change_history: |l| l.arrivals[0].service = text("payments"),
