limits: the gate keeps the rate of a cold backend server

A cold backend server crashes well above the rate of its warm-up, and nothing kept requests from it.

--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -6,6 +6,7 @@
 use crate::fairness::Accounts;
 use crate::limit::Limit;
 use crate::pace::Pace;
+use crate::pace::RecentStarts;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::ticket::Effect;
@@ -28,11 +29,19 @@
     partner: partner::Name,
 }
 
+/// Rate of a backend server while it is cold. Present also while it is warm, if it may become cold.
+#[derive(Clone, Debug)]
+struct WarmUp {
+    rate: Rate,
+    is_cold: bool,
+    recent: RecentStarts,
+}
+
 /// The gate of one backend server.
 ///
 /// A ticket starts only while fewer tickets than the limit are running, and
-/// not before the pace allows it if the backend server states a rate. A
-/// ticket whose objective can no longer be met gives way to the timely ones of
+/// not before the pace allows it if the backend server states a rate or is
+/// cold. A ticket whose objective can no longer be met gives way to the timely ones of
 /// its priority, and still runs when none of them waits. Every ticket gets
 /// exactly one final verdict, run or refused, either from
 /// [`Gate::offer`] or later in an [`Effect`].
@@ -40,7 +49,10 @@
 pub struct Gate {
     config: Config,
     limit: Limit,
-    /// Set while the backend server states a rate of requests that it accepts.
+    /// Rate of requests that the backend server states.
+    stated_rate: Option<Rate>,
+    warm_up: Option<WarmUp>,
+    /// Keeps the lower of the stated rate and that of a cold backend server; `None` without either.
     pace: Option<Pace>,
     queue: Queue,
     accounts: Accounts,
@@ -57,6 +69,8 @@
         Self {
             limit: Limit::new(&config),
             config,
+            stated_rate: None,
+            warm_up: None,
             pace: None,
             queue: Queue::default(),
             accounts: Accounts::default(),
@@ -172,12 +186,52 @@
 
     /// Sets the rate of requests that the backend server accepts; `None` when it states none.
     pub fn set_rate(&mut self, rate: Option<Rate>, now: Instant) -> Effect {
+        self.stated_rate = rate;
+        self.update_pace(now);
+        self.dispatch(now)
+    }
+
+    /// Sets the rate that the backend server accepts while it is cold, `None` without such a rate, and whether it is
+    /// cold now.
+    pub fn set_warm_up(&mut self, rate: Option<Rate>, is_cold: bool, now: Instant) -> Effect {
+        match (rate, &mut self.warm_up) {
+            (None, warm_up) => *warm_up = None,
+            (Some(rate), Some(warm_up)) => {
+                warm_up.rate = rate;
+                warm_up.is_cold = is_cold;
+            }
+            (Some(rate), warm_up) => {
+                // Nothing is known of earlier starts but the running tickets; each of them may have just started.
+                let mut recent = RecentStarts::default();
+                self.running.iter().for_each(|_| recent.record(now));
+                *warm_up = Some(WarmUp {
+                    rate,
+                    is_cold,
+                    recent,
+                });
+            }
+        }
+        self.update_pace(now);
+        self.dispatch(now)
+    }
+
+    /// Whether the rate of a cold backend server is kept.
+    pub fn is_cold(&self) -> bool {
+        self.warm_up.as_ref().is_some_and(|w| w.is_cold)
+    }
+
+    fn update_pace(&mut self, now: Instant) {
+        let cold = self.warm_up.as_ref().filter(|w| w.is_cold).map(|w| w.rate);
+        let rate = match (self.stated_rate, cold) {
+            (Some(stated), Some(cold)) => Some(stated.min(cold)),
+            (stated, cold) => stated.or(cold),
+        };
         match (rate, &mut self.pace) {
             (None, pace) => *pace = None,
+            (Some(rate), Some(pace)) if pace.rate() == rate => {}
             (Some(rate), Some(pace)) => pace.set_rate(rate, now),
             (Some(rate), pace) => *pace = Some(Pace::new(rate, now)),
         }
-        self.dispatch(now)
     }
 
     /// Time at which [`Gate::expire`] starts a ticket that waits only for the pace; `None` when there is none.
@@ -185,7 +239,8 @@
         if self.queue.waiting.is_empty() || !self.has_slot() {
             return None;
         }
-        Some(now + self.pace?.wait(0, now)?)
+        self.pace?;
+        Some(now + self.pace_wait(0, now)?)
     }
 
     /// Returns the current load with the next sequence number.
@@ -207,7 +262,7 @@
     /// The pace with the wait of a ticket behind all that wait now; `None` while no rate is set.
     pub fn pace(&self, now: Instant) -> Option<load::Pace> {
         let pace = self.pace?;
-        let wait = pace.wait(self.queue.waiting.len(), now);
+        let wait = self.pace_wait(self.queue.waiting.len(), now);
         let wait_us = wait.and_then(|wait| u32::try_from(wait.as_micros()).ok());
         Some(load::Pace {
             rate: pace.rate(),
@@ -233,10 +288,20 @@
         } else {
             Duration::from_micros(((requests_ahead as f64 + 1.0) * service_us / slots) as u64)
         };
-        let pace_wait = self.pace.map_or(Duration::ZERO, |pace| {
-            pace.wait(requests_ahead, now).unwrap_or(Duration::MAX)
-        });
-        slot_wait.max(pace_wait)
+        let pace_wait = self.pace_wait(requests_ahead, now);
+        slot_wait.max(pace_wait.unwrap_or(Duration::MAX))
+    }
+
+    /// Time until the pace allows the request after `ahead` others to start; `None` when none ever may.
+    fn pace_wait(&self, ahead: usize, now: Instant) -> Option<Duration> {
+        let paced = match &self.pace {
+            Some(pace) => pace.wait(ahead, now)?,
+            None => Duration::ZERO,
+        };
+        match &self.warm_up {
+            Some(w) if w.is_cold => Some(paced.max(w.recent.wait(w.rate, ahead, now)?)),
+            _ => Some(paced),
+        }
     }
 
     fn contains(&self, id: Id) -> bool {
@@ -249,13 +314,16 @@
     }
 
     fn may_start(&self, now: Instant) -> bool {
-        self.has_slot() && self.pace.is_none_or(|pace| pace.allows(now))
+        self.has_slot() && self.pace_wait(0, now).is_some_and(|wait| wait.is_zero())
     }
 
     fn start(&mut self, ticket: &Ticket, now: Instant) {
         if let Some(pace) = &mut self.pace {
             pace.record_start(now);
         }
+        if let Some(warm_up) = &mut self.warm_up {
+            warm_up.recent.record(now);
+        }
         let (Ok(index) | Err(index)) = self.running.binary_search_by_key(&ticket.id, |r| r.id);
         let id = ticket.id;
         let partner = ticket.partner.clone();
--- a/crates/limits/src/pace.rs
+++ b/crates/limits/src/pace.rs
@@ -4,6 +4,7 @@
 //! by the interval of the rate, and time that was not used is kept for a short
 //! burst. It needs no timer to refill, and its bound holds for any time window.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use shallotrill_model::rate::Rate;
@@ -12,6 +13,14 @@
 /// Unused time that is kept. A window of one second then has at most one and a half times the rate.
 const BURST_PERIOD: Duration = Duration::from_millis(500);
 
+/// Period over which the requests to a cold target are bounded.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// Starts of a cold target allowed in [`COLD_WINDOW`], as a ratio to its rate and beyond it. The users allow eight
+/// requests beyond the ratio; half of them are left for requests that arrive closer together than they started.
+const COLD_RATIO: f64 = 1.5;
+const COLD_SLACK: f64 = 4.0;
+
 /// Times at which requests may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
@@ -82,3 +91,49 @@
         BURST_PERIOD.saturating_sub(interval)
     }
 }
+
+/// Starts within the last second, with a bound on them while the target is cold.
+///
+/// A pace begins when a target becomes cold and knows nothing of the requests that started just before. They count
+/// towards the bound of the users, so they are kept while the target is warm too.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RecentStarts {
+    /// In ascending order.
+    starts: VecDeque<Instant>,
+}
+
+impl RecentStarts {
+    /// Records that a request starts.
+    pub fn record(&mut self, now: Instant) {
+        self.prune(now);
+        self.starts.push_back(now);
+    }
+
+    /// Removes the starts that no window contains any longer.
+    fn prune(&mut self, now: Instant) {
+        let is_past = |start: &Instant| now.since(*start) >= COLD_WINDOW;
+        while self.starts.front().is_some_and(is_past) {
+            self.starts.pop_front();
+        }
+    }
+
+    /// Time until the request after `ahead` others may start at a cold target of this rate; `None` when none ever
+    /// may.
+    pub fn wait(&self, rate: Rate, ahead: usize, now: Instant) -> Option<Duration> {
+        if rate.millihertz() == 0 {
+            return None;
+        }
+        let allowed = (COLD_RATIO * rate.per_second() + COLD_SLACK) as usize;
+        let past = self
+            .starts
+            .partition_point(|start| now.since(*start) >= COLD_WINDOW);
+        let count = self.starts.len() - past + ahead;
+        if count < allowed {
+            return Some(Duration::ZERO);
+        }
+        // The start that must leave the window first; later ones are bounded by the pace.
+        let index = (past + count - allowed).min(self.starts.len().saturating_sub(1));
+        let blocking = self.starts.get(index);
+        Some(blocking.map_or(Duration::ZERO, |start| (*start + COLD_WINDOW).since(now)))
+    }
+}
