routing: the choice of a target knows the pace of cold ones and leaves out evacuated zones

Requests were sent to cold targets in crowds only to be refused by their gates, or not at all while the others were overloaded. The share of a cold target now follows from its rate and the demand; its pace counts before its first report; when all targets of a service are cold, what exceeds their pace is refused before it is sent.

--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -203,7 +203,9 @@
             (Some(rate), warm_up) => {
                 // Nothing is known of earlier starts but the running tickets; each of them may have just started.
                 let mut recent = RecentStarts::default();
-                self.running.iter().for_each(|_| recent.record(now));
+                for _ in &self.running {
+                    recent.record(now);
+                }
                 *warm_up = Some(WarmUp {
                     rate,
                     is_cold,
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -95,6 +95,13 @@
         /// Number of draining targets.
         draining: usize,
     },
+    /// All targets that are not draining are in evacuated zones.
+    AllEvacuated {
+        /// Number of targets in evacuated zones.
+        evacuated: usize,
+        /// Number of draining targets.
+        draining: usize,
+    },
     /// The query excludes all targets that are not draining.
     AllExcluded {
         /// Number of excluded targets.
@@ -119,6 +126,13 @@
             Self::UnknownService(name) => write!(f, "the service {name} is unknown"),
             Self::NoTargets => f.write_str("the service has no targets"),
             Self::AllDraining { draining } => write!(f, "all {draining} targets are draining"),
+            Self::AllEvacuated {
+                evacuated,
+                draining,
+            } => write!(
+                f,
+                "{evacuated} targets are in evacuated zones and {draining} are draining"
+            ),
             Self::AllExcluded { excluded, draining } => write!(
                 f,
                 "{excluded} targets were tried already and {draining} are draining"
--- a/crates/routing/src/draw.rs
+++ b/crates/routing/src/draw.rs
@@ -210,13 +210,20 @@
             return;
         }
         let service = &self.table.services[self.service];
-        let warm_up_share = entry.warm_up_share(config, service.earliest_ready, self.now);
+        let cold_share = service.cold_share(self.table.processes, self.now);
+        let warm_up_share =
+            entry.warm_up_share(config, service.earliest_ready, cold_share, self.now);
         if !filter.allow_warming_up && warm_up_share < 1.0 && random_unit(random) >= warm_up_share {
             return;
         }
         let estimate = score::estimate(entry, service, config, self.now);
         let round_trip = self.table.round_trip_us(entry);
-        let score = score::score(&estimate, entry, round_trip, warm_up_share);
+        let score = score::score(
+            &estimate,
+            entry,
+            round_trip,
+            entry.score_share(warm_up_share),
+        );
         self.candidate_indices[self.candidates.len()] = index;
         self.candidates.push(Candidate {
             instance: entry.target.instance.clone(),
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -7,6 +7,7 @@
 use crate::sample::Sample;
 use shallotrill_model::load::Pace;
 use shallotrill_model::load::Report;
+use shallotrill_model::rate::Rate;
 use shallotrill_model::target::State;
 use shallotrill_model::target::Target;
 use shallotrill_model::time::Instant;
@@ -45,11 +46,11 @@
     pub(crate) last_recovery: Option<Instant>,
     /// When the target's gate last refused a local request.
     pub(crate) last_refused: Option<Instant>,
-    /// Set while the backend server states a limit.
+    /// Set while the backend server states a limit or is cold.
     next_start: Option<NextStart>,
 }
 
-/// When a target whose backend server states a limit is expected to start one more request.
+/// When a target whose backend server states a limit or is cold is expected to start one more request.
 #[derive(Clone, Copy, Debug)]
 struct NextStart {
     at: Instant,
@@ -89,6 +90,21 @@
         });
     }
 
+    /// Assumes the pace of a cold target that is starting and has not reported its own.
+    pub(crate) fn assume_pace(&mut self, rate: Rate, now: Instant) {
+        let unknown = self.report.is_none() && self.next_start.is_none();
+        if self.target.state == State::Starting && unknown {
+            let pace = Pace { rate, wait_us: 0 };
+            self.reported_at = now;
+            self.apply_pace(Some(pace), now);
+        }
+    }
+
+    /// Whether the target keeps a pace, reported or assumed.
+    pub(crate) const fn is_paced(&self) -> bool {
+        self.next_start.is_some()
+    }
+
     /// Time that a request waits for the pace of the target.
     pub(crate) fn pace_wait(&self, now: Instant) -> Duration {
         self.next_start
@@ -108,6 +124,8 @@
             self.ready_since = None;
         } else if self.ready_since.is_none() {
             self.ready_since = Some(now);
+            // It is warm; a limit that its backend server states comes with the next report.
+            self.next_start = None;
         }
         self.target = target.clone();
     }
@@ -220,19 +238,31 @@
         self.local_failure_rate.max(reported).min(1.0)
     }
 
+    /// Factor of the score that follows from the ramp-up share. The share of a cold target bounds how often it is
+    /// drawn; its pace and its latency are in the estimate already.
+    pub(crate) fn score_share(&self, warm_up_share: f64) -> f64 {
+        if self.is_paced() { 1.0 } else { warm_up_share }
+    }
+
     /// Ramp-up factor of this target, relative to that of the target that has been ready longest, since `earliest_ready`.
+    /// It is at least `cold_share` if that is known, and exactly that while the target starts beside ready ones.
     ///
     /// It is relative, because a node that has just started sees all targets as new.
     pub(crate) fn warm_up_share(
         &self,
         config: &Config,
         earliest_ready: Option<Instant>,
+        cold_share: Option<f64>,
         now: Instant,
     ) -> f64 {
+        if let (None, Some(_), Some(share)) = (self.ready_since, earliest_ready, cold_share) {
+            return share;
+        }
         let share = |since: Option<Instant>| {
             let age = since.map_or(Duration::ZERO, |since| now.since(since));
             (age.as_secs_f64() / config.warm_up_period.as_secs_f64()).clamp(WARM_UP_SHARE_MIN, 1.0)
         };
-        share(self.ready_since) / share(earliest_ready).max(share(self.ready_since))
+        let relative = share(self.ready_since) / share(earliest_ready).max(share(self.ready_since));
+        relative.max(cold_share.unwrap_or(0.0))
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,9 +5,11 @@
 //! report causes no herding and a target that fails fast attracts no load.
 
 pub mod choice;
+mod cold;
 pub mod config;
 mod draw;
 mod entry;
+mod evacuation;
 mod member;
 pub mod policy;
 pub mod sample;
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -1,5 +1,6 @@
 //! Targets of one service, grouped by availability zone.
 
+use crate::cold::WarmUp;
 use shallotrill_model::region;
 use shallotrill_model::service;
 use shallotrill_model::time::Instant;
@@ -12,7 +13,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct EntryIndex(pub(crate) usize);
 
-/// A target that is not draining, ordered by its rank in the subsets of this process.
+/// A target that is neither draining nor in an evacuated zone, ordered by its rank in the subsets of this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Member {
     /// Equal for all targets when no subsets are configured.
@@ -37,7 +38,7 @@
     }
 }
 
-/// Targets of a service in one availability zone that are not draining.
+/// Targets of a service in one availability zone that may be chosen.
 #[derive(Clone, Debug)]
 pub(crate) struct ZoneGroup {
     pub(crate) region: region::Name,
@@ -51,7 +52,8 @@
 pub(crate) struct Service {
     pub(crate) name: service::Name,
     pub(crate) groups: Vec<ZoneGroup>,
-    pub(crate) draining: Vec<EntryIndex>,
+    /// Targets that are draining or in an evacuated zone.
+    pub(crate) withheld: Vec<EntryIndex>,
     pub(crate) round_robin_cursor: usize,
     /// When the longest-ready target became ready; `None` when no target is ready.
     pub(crate) earliest_ready: Option<Instant>,
@@ -59,6 +61,8 @@
     pub(crate) median_load: Median,
     /// Running median of the reported latency, in microseconds.
     pub(crate) median_latency_us: Median,
+    /// Set when a rate is stated for its cold targets.
+    pub(crate) warm_up: Option<WarmUp>,
 }
 
 impl Service {
@@ -66,41 +70,42 @@
         Self {
             name,
             groups: Vec::new(),
-            draining: Vec::new(),
+            withheld: Vec::new(),
             round_robin_cursor: 0,
             earliest_ready: None,
             median_load: Median::default(),
             median_latency_us: Median::default(),
+            warm_up: None,
         }
     }
 
-    /// Number of targets that are not draining.
+    /// Number of targets that are neither draining nor evacuated.
     pub(crate) fn len(&self) -> usize {
         self.groups.iter().map(|group| group.members.len()).sum()
     }
 
-    /// Targets that are not draining, in the order of their groups.
+    /// Targets that are neither draining nor evacuated, in the order of their groups.
     pub(crate) fn members(&self) -> impl Iterator<Item = EntryIndex> + '_ {
         self.groups
             .iter()
             .flat_map(|group| group.members.iter().map(|member| member.index))
     }
 
-    /// Targets that are not draining, each once, starting at position `start` and wrapping around.
+    /// Targets that are neither draining nor evacuated, each once, starting at position `start` and wrapping around.
     pub(crate) fn members_from(&self, start: usize) -> impl Iterator<Item = EntryIndex> + '_ {
         self.members().skip(start).chain(self.members().take(start))
     }
 
-    /// Adds a target to the group of its zone, or to the draining targets.
+    /// Adds a target to the group of its zone, or to those that are draining or evacuated.
     pub(crate) fn insert(
         &mut self,
         member: Member,
         region: &region::Name,
         zone: &zone::Name,
-        draining: bool,
+        withheld: bool,
     ) {
-        if draining {
-            insert_sorted(&mut self.draining, member.index);
+        if withheld {
+            insert_sorted(&mut self.withheld, member.index);
             return;
         }
         let found = self
@@ -118,9 +123,9 @@
         insert_sorted(&mut self.groups[position].members, member);
     }
 
-    /// Removes a target from its group or from the draining targets.
+    /// Removes a target from its group or from the withheld ones.
     pub(crate) fn remove(&mut self, index: EntryIndex) {
-        remove_sorted(&mut self.draining, index);
+        remove_sorted(&mut self.withheld, index);
         for group in &mut self.groups {
             group.members.retain(|member| member.index != index);
         }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -173,8 +173,9 @@
 
 /// Returns why no target of the service is eligible.
 fn refusal_reason(table: &Table, service: usize, query: &Query<'_>) -> Refusal {
-    let Service { draining, .. } = &table.services[service];
-    let draining = draining.len();
+    let evacuated = table.evacuated_count(service);
+    let Service { withheld, .. } = &table.services[service];
+    let draining = withheld.len() - evacuated;
     let members = table.services[service].members();
     let (mut excluded_count, mut failing) = (0, 0);
     for entry in members.filter_map(|index| table.entry(index)) {
@@ -185,6 +186,10 @@
         }
     }
     match (failing, excluded_count, draining) {
+        (0, 0, _) if evacuated > 0 => Refusal::AllEvacuated {
+            evacuated,
+            draining,
+        },
         (0, 0, 0) => Refusal::NoTargets,
         (0, 0, draining) => Refusal::AllDraining { draining },
         (0, excluded, draining) => Refusal::AllExcluded { excluded, draining },
@@ -206,12 +211,18 @@
     let entry = table.entry(index)?;
     let service = &table.services[service];
     let estimate = score::estimate(entry, service, &table.config, now);
-    let warm_up_share = entry.warm_up_share(&table.config, service.earliest_ready, now);
+    let cold_share = service.cold_share(table.processes, now);
+    let warm_up_share = entry.warm_up_share(&table.config, service.earliest_ready, cold_share, now);
     Some(Candidate {
         instance: entry.target.instance.clone(),
         estimate,
         age: score::age(entry, now),
-        score: score::score(&estimate, entry, table.round_trip_us(entry), warm_up_share),
+        score: score::score(
+            &estimate,
+            entry,
+            table.round_trip_us(entry),
+            entry.score_share(warm_up_share),
+        ),
         reason,
     })
 }
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::choice::Estimate;
+use crate::cold;
 use crate::config::Config;
 use crate::entry::Entry;
 use crate::member::Service;
@@ -50,11 +51,21 @@
         entry.target.slots.max(1)
     };
     let reported_ahead = f64::from(report.in_flight) + f64::from(report.queued);
-    let median_ahead = service.median_load.value * f64::from(limit);
+    // A cold target without a report has just come back, so it does not have the load of the others.
+    let is_new_and_cold = entry.report.is_none() && entry.is_paced();
+    let median_load = if is_new_and_cold {
+        0.0
+    } else {
+        service.median_load.value
+    };
+    let median_ahead = median_load * f64::from(limit);
     let requests_ahead = reported_ahead * report_weight
         + median_ahead * (1.0 - report_weight)
         + entry.unreported_requests() as f64;
-    let latency_us = latency_us(entry, service, config, age);
+    let mut latency_us = latency_us(entry, service, config, age);
+    if is_new_and_cold {
+        latency_us *= cold::LATENCY_RATIO;
+    }
     let oldest_us = entry.oldest_request_age(now).as_micros() as f64;
     // A gate that refused a request has no free slot for this node, even if its report shows one.
     let refused = entry.last_refused.map_or(0.0, |refused_at| {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -15,6 +15,7 @@
 use shallotrill_model::instance;
 use shallotrill_model::load::Pace;
 use shallotrill_model::load::Report;
+use shallotrill_model::rate::Rate;
 use shallotrill_model::service;
 use shallotrill_model::target::State;
 use shallotrill_model::target::Target;
@@ -38,10 +39,16 @@
     /// Entries by index. An entry of a removed target is `None` until its index is reused.
     pub(crate) entries: Vec<Option<Entry>>,
     free_indices: Vec<EntryIndex>,
-    instances: Vec<(instance::Name, EntryIndex)>,
+    pub(crate) instances: Vec<(instance::Name, EntryIndex)>,
     zone_round_trips_us: Vec<(zone::Name, f64)>,
     /// Incarnations that stated in a response that they are leaving, sorted by instance.
     leaving: Vec<Leaving>,
+    /// Availability zones whose targets are not chosen, sorted.
+    pub(crate) evacuated: Vec<zone::Name>,
+    /// Rates of cold targets, sorted by service.
+    pub(crate) warm_up_rates: Vec<(service::Name, Rate)>,
+    /// Number of processes that send requests to the targets.
+    pub(crate) processes: usize,
 }
 
 /// An incarnation that is leaving.
@@ -63,6 +70,9 @@
             instances: Vec::new(),
             zone_round_trips_us: Vec::new(),
             leaving: Vec::new(),
+            evacuated: Vec::new(),
+            warm_up_rates: Vec::new(),
+            processes: 1,
         }
     }
 
@@ -85,7 +95,7 @@
             }
         }
         for name in changed {
-            self.refresh_earliest_ready(name);
+            self.refresh_service(name, now);
         }
     }
 
@@ -180,8 +190,15 @@
 
     /// Applies the pace that came with a load report which was applied; `None` when there was none.
     pub fn apply_pace(&mut self, instance: &instance::Name, pace: Option<Pace>, now: Instant) {
-        if let Some(entry) = self.entry_mut(instance) {
-            entry.apply_pace(pace, now);
+        let Some(entry) = self.entry_mut(instance) else {
+            return;
+        };
+        entry.apply_pace(pace, now);
+        let (wait, name) = (entry.pace_wait(now), entry.target.service.clone());
+        if pace.is_some()
+            && let Some(service) = self.service_mut(&name)
+        {
+            service.record_pace_wait(wait, now);
         }
     }
 
@@ -228,10 +245,11 @@
         now: Instant,
         random: &mut dyn FnMut() -> u64,
     ) -> Result<Choice, Refusal> {
+        self.record_demand(query.service, now);
         (self.config.policy.choose)(self, query, now, random)
     }
 
-    /// Number of targets of a service that are not draining; zero for an unknown service.
+    /// Number of targets of a service that are neither draining nor evacuated; zero for an unknown service.
     pub fn target_count(&self, service: &service::Name) -> usize {
         let index = self.service_index(service);
         index.map_or(0, |index| self.services[index].len())
@@ -279,11 +297,19 @@
         self.entries[index.0].as_mut()
     }
 
-    fn service_mut(&mut self, name: &service::Name) -> Option<&mut Service> {
+    pub(crate) fn service_mut(&mut self, name: &service::Name) -> Option<&mut Service> {
         let position = self.service_index(name)?;
         Some(&mut self.services[position])
     }
 
+    /// Recomputes what depends on the targets of a service.
+    pub(crate) fn refresh_service(&mut self, name: &service::Name, now: Instant) {
+        if let Some(position) = self.service_index(name) {
+            self.refresh_warm_up(position, now);
+        }
+        self.refresh_earliest_ready(name);
+    }
+
     /// Recomputes since when the longest-ready target of a service is ready.
     fn refresh_earliest_ready(&mut self, name: &service::Name) {
         let Some(position) = self.service_index(name) else {
@@ -331,7 +357,7 @@
     }
 
     /// Adds an entry to its service, which is created when it does not exist.
-    fn insert_into_service(&mut self, index: EntryIndex, target: &Target) {
+    pub(crate) fn insert_into_service(&mut self, index: EntryIndex, target: &Target) {
         let found = self
             .services
             .binary_search_by(|service| service.name.cmp(&target.service));
@@ -340,9 +366,9 @@
                 .insert(position, Service::new(target.service.clone()));
             position
         });
-        let draining = target.state == State::Draining;
+        let withheld = self.is_withheld(target.state, &target.zone);
         let rank = self.config.subset.map_or(0, |s| s.rank(&target.instance));
         let member = Member { rank, index };
-        self.services[position].insert(member, &target.region, &target.zone, draining);
+        self.services[position].insert(member, &target.region, &target.zone, withheld);
     }
 }
