router: cold backend servers are limited at their gate and announced as starting

The router knew from the announcement that its backend server is cold and did nothing with it. A restarted router counts a target without a statement as cold, and admits nothing to one that states it is cold until the items are known. In an evacuated zone the gate refuses waiting and new requests as not run. The tests of router and platform pass.

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -9,6 +9,9 @@
 use log::info;
 use tokio::sync::oneshot;
 
+use crate::cold;
+use crate::cold::Rule;
+use crate::cold::Statements;
 use crate::forwarded::Denial;
 use crate::retired;
 use crate::retired::Reason;
@@ -58,8 +61,8 @@
     pub draining: bool,
     /// Requests that it runs concurrently.
     pub slots: u32,
-    /// Remaining time of its warm-up, during which it is slow; zero when it is warm.
-    pub warm_up_remaining: Duration,
+    /// Remaining time for which it is cold; zero when it is warm, `None` when that is not stated.
+    pub warm_up_remaining: Option<Duration>,
 }
 
 /// Why an announcement is refused.
@@ -94,6 +97,12 @@
     waiting: Vec<(ticket::Id, oneshot::Sender<Result<(), Denial>>)>,
     slowness_report: SlownessReport,
     stated_limit: StatedLimit,
+    pub(crate) cold: Statements,
+    pub(crate) cold_rule: Rule,
+    /// Whether it was cold when the time was last applied.
+    pub(crate) is_cold: bool,
+    /// Whether its zone is evacuated.
+    pub(crate) evacuated: bool,
     /// Set when it has announced or stated in a response that it is leaving. An incarnation does not come back.
     leaving: bool,
 }
@@ -106,6 +115,29 @@
     requests: u64,
 }
 
+/// What limits the rate of requests to the backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RateLimit {
+    /// Nothing.
+    #[default]
+    None,
+    /// A limit that it states.
+    Stated,
+    /// It is cold.
+    Cold,
+}
+
+impl RateLimit {
+    /// The name in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Stated => "stated",
+            Self::Cold => "cold",
+        }
+    }
+}
+
 /// Change of the limit that the backend server states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RateChange {
@@ -147,6 +179,10 @@
     restored: bool,
     /// The latest announcement of a backend server that accepts requests, received before they were.
     pending: Option<ServerAnnouncement>,
+    /// What the configuration states about cold targets.
+    pub(crate) cold_rule: Rule,
+    /// Whether the zone of this router is evacuated.
+    pub(crate) evacuated: bool,
 }
 
 /// Effect of an announcement.
@@ -177,10 +213,8 @@
                 if announcement.sequence <= known.sequence {
                     return Change::None;
                 }
-                let changed = known.draining != announcement.draining
-                    || known.slots != announcement.slots
-                    || known.warm_up_remaining.is_zero()
-                        != announcement.warm_up_remaining.is_zero();
+                let mut changed =
+                    known.draining != announcement.draining || known.slots != announcement.slots;
                 if announcement.slots != known.slots {
                     let slots = usable_slots(announcement.slots);
                     let effect = current.gate.resize(slots, queue_length(slots), now);
@@ -189,6 +223,8 @@
                 if announcement.draining {
                     current.leave();
                 }
+                current.cold.announce(announcement.warm_up_remaining, now);
+                changed |= current.refresh_cold(now);
                 current.announcement = announcement;
                 return if changed {
                     Change::Target
@@ -201,7 +237,12 @@
             }
         }
         self.retire_current();
-        self.current = Some(ServerState::new(announcement, now));
+        let mut server = ServerState::new(announcement, now);
+        server.set_rule(self.cold_rule, now);
+        if self.evacuated {
+            server.set_evacuated(true);
+        }
+        self.current = Some(server);
         Change::Incarnation
     }
 
@@ -314,6 +355,8 @@
             .service_time(INITIAL_SERVICE_TIME)
             .tolerance(LATENCY_TOLERANCE_RATIO);
         let draining = announcement.draining;
+        let mut cold = Statements::new(now);
+        cold.announce(announcement.warm_up_remaining, now);
         let mut server = Self {
             announcement,
             incarnation,
@@ -328,6 +371,10 @@
                 since: now,
                 requests: 0,
             },
+            cold,
+            cold_rule: Rule::default(),
+            is_cold: false,
+            evacuated: false,
             leaving: false,
         };
         if draining {
@@ -378,10 +425,14 @@
         self.stated_limit.rate
     }
 
-    /// Counts a request that is sent. Returns whether the backend server states a limit.
-    pub const fn record_request(&mut self) -> bool {
+    /// Counts a request that is sent. Returns what limits the rate of requests.
+    pub const fn record_request(&mut self) -> RateLimit {
         self.stated_limit.requests += 1;
-        self.stated_limit.rate.is_some()
+        match self.stated_limit.rate {
+            _ if self.is_cold => RateLimit::Cold,
+            Some(_) => RateLimit::Stated,
+            None => RateLimit::None,
+        }
     }
 
     /// Records the reported slowness of the machine, in percent of the usual request duration.
@@ -488,9 +539,14 @@
     }
     let now = state.now();
     let reported = announcement.clone();
-    let change = {
+    let (change, cold) = {
         let mut backend = state.backend.lock();
+        let was_cold = backend.current.as_ref().is_some_and(ServerState::is_cold);
         let change = backend.receive(announcement, now);
+        let was_cold = was_cold && change != Change::Incarnation;
+        let current = backend.current.as_ref();
+        let cold = current.filter(|c| c.is_cold() != was_cold);
+        let cold = cold.map(|c| (c.is_cold(), c.cold_rate()));
         let slots = backend.current.as_ref().map_or(1, |l| l.announcement.slots);
         let limit = slots.saturating_mul(2).max(1) as usize;
         if change == Change::Target {
@@ -500,9 +556,14 @@
             state.pool.connect_to(state.settings.backend, true, limit);
             state.probes.connect_to(state.settings.backend, true, 1);
             state.metrics.set_backend_limit(None);
+            state.metrics.backend_cold.set(0);
         }
-        change
+        (change, cold)
     };
+    if let Some((is_cold, rate)) = cold {
+        state.pace_changed.notify_one();
+        cold::report(state, reported.instance.as_str(), is_cold, rate);
+    }
     if change != Change::None {
         info!(
             event = "backend-changed",
@@ -511,7 +572,7 @@
             sequence = reported.sequence,
             draining = reported.draining,
             slots = reported.slots,
-            cold_ms = reported.warm_up_remaining.as_millis() as u64;
+            cold_ms = reported.warm_up_remaining.unwrap_or_default().as_millis() as u64;
             "the local backend server has changed"
         );
         state.publish();
@@ -561,10 +622,10 @@
     let known = &current.announcement;
     let offer = if current.is_draining() {
         target::State::Draining
-    } else if known.warm_up_remaining.is_zero() {
-        target::State::Ready
-    } else {
+    } else if current.is_cold() {
         target::State::Starting
+    } else {
+        target::State::Ready
     };
     Some(Target {
         service: known.service.clone(),
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -16,6 +16,7 @@
 
 use crate::attempt;
 use crate::crashes;
+use crate::evacuation;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
 use crate::forwarded::Workspace;
@@ -254,7 +255,7 @@
         if remaining < REMAINING_MIN {
             return give_up(state, pending, progress, remaining);
         }
-        let Some(choice) = choose(state, pending, &progress) else {
+        let Some(choice) = choose(state, pending, &progress, remaining) else {
             if progress.gate_refusals > 0 && !progress.second_round {
                 progress.second_round = true;
                 progress.tried.clone_from(&progress.reached);
@@ -305,7 +306,12 @@
     }
 }
 
-fn choose(state: &State, pending: &PendingRequest, progress: &Progress) -> Option<Choice> {
+fn choose(
+    state: &State,
+    pending: &PendingRequest,
+    progress: &Progress,
+    remaining: Duration,
+) -> Option<Choice> {
     let now = state.now();
     let query = Query {
         service: &pending.service,
@@ -313,14 +319,26 @@
         // Only a request that can be retried is sent to a failing target.
         priority: u8::from(pending.route.class == Class::NonIdempotent),
     };
+    let mut random = || rand::rng().next_u64();
+    let wait_max = remaining.mul_f64(SLOT_WAIT_SHARE);
     let mut routing = state.routing.lock();
-    match routing.choose(&query, now, &mut || rand::rng().next_u64()) {
+    let (service, tried) = (&pending.service, &progress.tried);
+    if let Some(wait) = routing.excessive_cold_wait(service, tried, wait_max, now, &mut random) {
+        drop(routing);
+        state.metrics.cold_refusals.inc();
+        if state.routine_log_quota.allows(now) {
+            info!(event = "service-cold", request = pending.id.as_str(), service = pending.service.as_str(), wait_ms = wait.as_millis() as u64; "all targets of the service are cold and too busy");
+        }
+        return None;
+    }
+    match routing.choose(&query, now, &mut random) {
         Ok(choice) => {
             routing.request_started(&choice.instance, now);
             Some(choice)
         }
         Err(refusal) => {
             drop(routing);
+            evacuation::report(state, &pending.service, &refusal);
             info!(event = "no-target", request = pending.id.as_str(), service = pending.service.as_str(); "no target can be chosen: {refusal}");
             None
         }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 
 use crate::backend;
+use crate::evacuation;
 use crate::state::State;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
@@ -327,6 +328,7 @@
     let mut held = state.items.lock();
     let mut table = (**held).clone();
     if table.apply(items) {
+        evacuation::apply(state, &table, items);
         *held = Arc::new(table);
         drop(held);
         note::log_effective_items(items);
@@ -353,6 +355,7 @@
     for name in &difference.removed {
         routing.remove(name);
     }
+    routing.set_process_count(views.routers);
     routing.apply(&difference.changed, now);
     drop(routing);
     drop(views);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,9 +9,11 @@
 
 pub mod attempt;
 pub mod backend;
+pub mod cold;
 pub mod crashes;
 pub mod departure;
 pub mod entry;
+pub mod evacuation;
 pub mod follow;
 pub mod forwarded;
 pub mod grace;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::IntCounter;
 use prometheus::IntGauge;
 
+use crate::backend::RateLimit;
 use crate::forwarded::Denial;
 use shallotrill_model::rate::Rate;
 use shallotrill_process::metrics::Counters;
@@ -39,6 +40,16 @@
     pub probes: IntCounter,
     backend_requests: Counters,
     backend_limit: IntGauge,
+    /// Whether the backend server is cold, as 0 or 1.
+    pub backend_cold: IntGauge,
+    /// Requests refused because all targets of their service are cold and too busy.
+    pub cold_refusals: IntCounter,
+    /// Whether the zone of this router is evacuated, as 0 or 1.
+    pub evacuated: IntGauge,
+    /// Number of evacuated zones.
+    pub evacuated_zones: IntGauge,
+    /// Requests refused because all targets of their service are in evacuated zones.
+    pub evacuated_refusals: IntCounter,
     /// Requests refused because they crash backend servers.
     pub quarantined: IntCounter,
     /// Log lines of answered requests that the rate limit suppressed.
@@ -90,13 +101,33 @@
             )?,
             backend_requests: registry.counters(
                 "shallotrill_router_backend_requests_total",
-                "Requests sent to the backend server, by whether it states a limit.",
-                LabelSet::new("limit", 2),
+                "Requests sent to the backend server, by what limits their rate.",
+                LabelSet::new("limit", 3),
             )?,
             backend_limit: registry.gauge(
                 "shallotrill_router_backend_limit_millihertz",
                 "Requests per thousand seconds that the backend server accepts; -1 without a limit.",
             )?,
+            backend_cold: registry.gauge(
+                "shallotrill_router_backend_cold",
+                "Whether the backend server is cold.",
+            )?,
+            cold_refusals: registry.counter(
+                "shallotrill_router_cold_refusals_total",
+                "Requests refused because all targets of their service are cold and too busy.",
+            )?,
+            evacuated: registry.gauge(
+                "shallotrill_router_evacuated",
+                "Whether the zone of this router is evacuated.",
+            )?,
+            evacuated_zones: registry.gauge(
+                "shallotrill_router_evacuated_zones",
+                "Availability zones whose targets take no requests.",
+            )?,
+            evacuated_refusals: registry.counter(
+                "shallotrill_router_evacuated_refusals_total",
+                "Requests refused because all targets of their service are in evacuated zones.",
+            )?,
             quarantined: registry.counter(
                 "shallotrill_router_quarantined_total",
                 "Requests refused because they crash backend servers.",
@@ -133,9 +164,8 @@
     }
 
     /// Counts a request that is sent to the backend server.
-    pub fn record_backend_request(&self, limited: bool) {
-        let label = if limited { "stated" } else { "none" };
-        self.backend_requests.of(label).inc();
+    pub fn record_backend_request(&self, limit: RateLimit) {
+        self.backend_requests.of(limit.as_str()).inc();
     }
 
     /// Records the time that a request waited for a slot.
--- a/crates/router/src/names.rs
+++ b/crates/router/src/names.rs
@@ -24,6 +24,8 @@
     pub not_run: HeaderName,
     /// Service on whose instance a request was received.
     pub caller: HeaderName,
+    /// Remaining time for which the backend server is cold, in a health response, in milliseconds.
+    pub cold_ms: HeaderName,
     /// Key of a workspace in a request of a caller; never passed on.
     pub credential: HeaderName,
     /// Name of the workspace of a request, for the backend server.
@@ -42,6 +44,7 @@
             leaving: HeaderName::from_static("shallotrill-backend-leaving"),
             not_run: HeaderName::from_static("shallotrill-backend-not-run"),
             caller: HeaderName::from_static("shallotrill-caller"),
+            cold_ms: HeaderName::from_static("shallotrill-backend-cold-ms"),
             credential: HeaderName::from_static("shallotrill-key"),
             workspace: HeaderName::from_static("shallotrill-workspace"),
         }
--- a/crates/router/src/notice.rs
+++ b/crates/router/src/notice.rs
@@ -1,5 +1,7 @@
 //! Reads what the local backend server states about itself in the headers of its responses.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -7,6 +9,7 @@
 use log::warn;
 
 use crate::backend::RateChange;
+use crate::cold;
 use crate::names::Names;
 use crate::state::State;
 use shallotrill_model::incarnation::Incarnation;
@@ -20,6 +23,8 @@
     pub slowness: Option<u32>,
     /// Requests that it accepts from all routers together.
     pub limit: Limit,
+    /// Remaining time for which it is cold; `None` when that is not stated.
+    pub cold: Option<Duration>,
     /// Whether it is leaving and takes no further requests.
     pub leaving: bool,
 }
@@ -43,6 +48,9 @@
         Self {
             slowness,
             limit: headers.get(&names.limit).map_or(Limit::Absent, limit),
+            cold: text(headers, &names.cold_ms)
+                .and_then(|text| text.trim().parse().ok())
+                .map(Duration::from_millis),
             leaving: is_leaving(names, headers),
         }
     }
@@ -83,6 +91,9 @@
         if let Some(slowness) = notice.slowness {
             server.record_slowness(slowness, now);
         }
+        if let Some(remaining) = notice.cold {
+            server.cold.respond(remaining, now);
+        }
         let change = match &notice.limit {
             Limit::Absent => server.set_rate_limit(None, now),
             Limit::Stated(rate) => server.set_rate_limit(Some(*rate), now),
@@ -93,6 +104,9 @@
         }
         (change, notice.leaving && server.leave())
     };
+    if notice.cold.is_some() {
+        cold::refresh(state);
+    }
     if left {
         info!(event = "backend-leaving", instance = instance.as_str(); "the backend server states that it is leaving");
         state.publish();
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::cold;
 use crate::notice;
 use crate::state::State;
 use shallotrill_backend::pool::OnSilence;
@@ -58,6 +59,7 @@
             () = time::sleep(PROBE_INTERVAL) => {}
             () = listen::stopped(&mut stop) => return,
         }
+        cold::refresh(&state);
         let now = state.now();
         if let Some(probe) = due_probe(&state, last_sent, now) {
             last_sent = Some(now);
@@ -77,7 +79,7 @@
 }
 
 /// The probe to send now; `None` when it is not needed: no backend server accepts requests, its last
-/// slowness report is recent, or it states a limit and was probed recently.
+/// slowness report is recent and it was asked recently whether it is cold, or it states a limit and was probed recently.
 fn due_probe(state: &State, last_sent: Option<Instant>, now: Instant) -> Option<Probe> {
     let items = state.items();
     let path = &items.service(&state.settings.service)?.health_path;
@@ -85,7 +87,9 @@
     let (instance, incarnation) = {
         let backend = state.backend.lock();
         let server = backend.current.as_ref()?;
-        if server.is_draining() || server.slowness_age(now) < REPORT_AGE_MIN {
+        let is_reported = server.slowness_age(now) < REPORT_AGE_MIN;
+        if server.is_draining() || (is_reported && !server.cold.is_check_due(server.cold_rule, now))
+        {
             return None;
         }
         let limit = server.stated_limit();
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -158,7 +158,7 @@
     let may_send = || {
         let mut backend = state.backend.lock();
         let server = backend.matching(&forwarded.instance, forwarded.incarnation);
-        server.is_some_and(|server| !server.is_draining())
+        server.is_some_and(|server| !server.is_withheld())
     };
     let sent = state
         .pool
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -180,12 +180,12 @@
 
     /// Counts a request that is sent to the local backend server.
     pub fn record_backend_request(&self, instance: &instance::Name, incarnation: Incarnation) {
-        let limited = {
+        let limit = {
             let mut backend = self.backend.lock();
             let server = backend.matching(instance, incarnation);
-            server.is_some_and(ServerState::record_request)
+            server.map(ServerState::record_request).unwrap_or_default()
         };
-        self.metrics.record_backend_request(limited);
+        self.metrics.record_backend_request(limit);
     }
 
     /// Counts a first attempt towards the retry budget of a service.
--- a/crates/router/tests/backend.rs
+++ b/crates/router/tests/backend.rs
@@ -39,7 +39,7 @@
         sequence,
         draining,
         slots: 10,
-        warm_up_remaining: Duration::ZERO,
+        warm_up_remaining: Some(Duration::ZERO),
     }
 }
 
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -380,7 +380,7 @@
         sequence,
         draining,
         slots: 4,
-        warm_up_remaining: Duration::ZERO,
+        warm_up_remaining: Some(Duration::ZERO),
     };
     backend::announce(&router.state(), announcement).expect("the change is accepted");
 }
