registry: operators start and end the evacuation of a zone

POST /api/Evacuations.Start/ZONE and .../Finish/ZONE are agreed on as a change of one item is. The operator states no version; the proposer uses the one after the version that a quorum has accepted, and an order that matches it proposes the same item again and changes nothing. An unknown zone is answered with 400 and the zones of the settings file.

--- a/crates/items/src/lib.rs
+++ b/crates/items/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ballot;
 pub mod change;
 pub mod check;
+pub mod evacuation;
 mod holder;
 pub mod item;
 pub mod item_set_hash;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod announcements;
 pub mod departures;
+pub mod evacuations;
 pub mod members;
 pub mod metrics;
 pub mod propose;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -25,6 +25,7 @@
 use shallotrill_feed::message::Request;
 use shallotrill_feed::note;
 use shallotrill_items::ballot::Ballot;
+use shallotrill_items::item::Content;
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Entry;
@@ -472,6 +473,12 @@
     let now = state.now();
     let consensus = state.consensus.lock();
     state.metrics.routers.set(count(routers));
+    let evacuations = consensus.replica.committed();
+    let evacuations = evacuations.filter(|item| item.content == Content::Evacuation);
+    state
+        .metrics
+        .evacuated_zones
+        .set(count(evacuations.count()));
     let votes = consensus.roster.own().votes;
     state.metrics.votes.set(i64::from(votes));
     let quorum = consensus.roster.quorum(now);
--- a/crates/registry/src/metrics.rs
+++ b/crates/registry/src/metrics.rs
@@ -13,6 +13,9 @@
     /// Registry that encodes the metrics.
     pub registry: Registry,
     changes: Counters,
+    evacuation_orders: Counters,
+    /// Number of evacuated zones.
+    pub evacuated_zones: IntGauge,
     /// Whether this process is a voter, as 0 or 1.
     pub votes: IntGauge,
     /// Number of replicas that must accept a change.
@@ -37,6 +40,15 @@
                 "Changes of operators by outcome.",
                 LabelSet::new("outcome", 4),
             )?,
+            evacuation_orders: registry.counters(
+                "shallotrill_registry_evacuation_orders_total",
+                "Orders to start or end an evacuation by outcome.",
+                LabelSet::new("outcome", 3),
+            )?,
+            evacuated_zones: registry.gauge(
+                "shallotrill_registry_evacuated_zones",
+                "Availability zones that are evacuated.",
+            )?,
             votes: registry.gauge("shallotrill_registry_votes", "Whether this process votes.")?,
             quorum: registry.gauge(
                 "shallotrill_registry_quorum",
@@ -54,6 +66,11 @@
         })
     }
 
+    /// Counts an order to start or end an evacuation by its outcome.
+    pub fn record_evacuation_order(&self, outcome: &str) {
+        self.evacuation_orders.of(outcome).inc();
+    }
+
     /// Counts a change by its outcome.
     pub fn record_change(&self, outcome: &str) {
         self.changes.of(outcome).inc();
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -122,9 +122,10 @@
 }
 
 /// Decides what to propose, given what a quorum has accepted and the ballots of the proposals that were settled.
-type Decide<'a> = dyn Fn(&QuorumRead, &[Ballot]) -> Plan + Send + Sync + 'a;
+pub(crate) type Decide<'a> = dyn Fn(&QuorumRead, &[Ballot]) -> Plan + Send + Sync + 'a;
 
-async fn propose(
+/// Has a quorum accept what `decide` proposes for the registers of `keys`, and returns that.
+pub(crate) async fn propose(
     state: &Arc<State>,
     mut keys: Vec<Key>,
     decide: &Decide<'_>,
--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use shallotrill_model::zone;
 use shallotrill_process::clock::Clock;
 
 /// Settings of a registry process.
@@ -19,6 +20,8 @@
     /// Whether the whole system starts for the first time. Then an empty disk has lost nothing, and
     /// the process may vote at once.
     pub first_start: bool,
+    /// Availability zones of the deployment, sorted; operators may evacuate them.
+    pub zones: Vec<zone::Name>,
     /// Data folder for the state that must survive a restart.
     pub folder: PathBuf,
     /// The clock of the process.
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -22,6 +22,7 @@
 use shallotrill_items::replica::Proposed;
 use shallotrill_items::route::Service;
 use shallotrill_model::instance;
+use shallotrill_model::zone;
 use shallotrill_process::clock::Clock;
 use shallotrill_registry::members;
 use shallotrill_registry::propose;
@@ -42,11 +43,16 @@
     address: SocketAddr,
 }
 
+fn zone_name(name: &str) -> zone::Name {
+    zone::Name::new(name).expect("a valid name")
+}
+
 async fn start(seeds: Vec<SocketAddr>, first_start: bool, folder: TempDir) -> Member {
     let settings = Settings {
         listen: "127.0.0.1:0".parse().expect("an address"),
         advertised: None,
         seeds,
+        zones: vec![zone_name("bodo"), zone_name("narvik")],
         tolerated_disks: 2,
         first_start,
         folder: folder.path().to_owned(),
--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -120,6 +120,7 @@
         listen: "127.0.0.1:0".parse().expect("an address"),
         advertised: None,
         seeds: Vec::new(),
+        zones: Vec::new(),
         tolerated_disks: 0,
         first_start: true,
         folder: folder.path().to_owned(),
--- a/crates/router/tests/path/departures.rs
+++ b/crates/router/tests/path/departures.rs
@@ -60,7 +60,7 @@
 
 impl Fixture {
     /// Restarts the last router with the same address.
-    async fn restart_last(&mut self) {
+    pub(crate) async fn restart_last(&mut self) {
         let router = self.routers.pop().expect("a router");
         let before = router.state().settings.clone();
         router.stop().await;
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! The path of a request from end to end: a registry process, routers, and backend servers that misbehave.
 
+mod cold;
 mod departures;
 mod endless;
 mod gates;
@@ -86,10 +87,11 @@
 const BARE_503: Reply = "HTTP/1.1 503 x\r\nshallotrill-request: {id}\r\nContent-Length: 0\r\n\r\n";
 const LIMITED: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-limit: 5\r\nContent-Length: 4\r\n\r\nbody";
 const LEAVING: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-leaving: 1\r\nContent-Length: 4\r\n\r\nbody";
+const COLD: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-cold-ms: 20000\r\nContent-Length: 4\r\n\r\nbody";
 const NO_LENGTH: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nConnection: close\r\n\r\nbody";
 
 /// Replies after which the backend server keeps the connection open.
-const KEPT_OPEN: &[Reply] = &[COMPLETE, SHED, FAILED, LIMITED, LEAVING];
+const KEPT_OPEN: &[Reply] = &[COMPLETE, SHED, FAILED, LIMITED, LEAVING, COLD];
 
 struct Case {
     name: &'static str,
@@ -364,6 +366,7 @@
         advertised: None,
         first_start: seeds.is_empty(),
         seeds,
+        zones: vec![zone::Name::new("bodo").expect("a valid name")],
         tolerated_disks: 0,
         folder: folder.path().to_owned(),
         clock: Clock::start(),
--- a/crates/shallotctl/src/options.rs
+++ b/crates/shallotctl/src/options.rs
@@ -18,7 +18,7 @@
 usage: shallotctl [OPTION]... STATEMENT...
        shallotctl [OPTION]... -
        shallotctl help [STATEMENT]
-       shallotctl --registry ADDR [OPTION]... show items|registries|routers
+       shallotctl --registry ADDR [OPTION]... show items|registries|routers|evacuations
 
   -                  reads statements from standard input, one per line; stops at the first that fails
   --control ADDR     IP address and port of a control process; may be repeated; tried in order
@@ -102,7 +102,7 @@
             Self::Statement => write!(f, "a statement is required"),
             Self::View(found) => write!(
                 f,
-                "registry processes do not support {found:?}: expected show items, show registries or show routers"
+                "registry processes do not support {found:?}: expected show items, show registries, show routers or show evacuations"
             ),
         }
     }
--- a/crates/shallotctl/src/registry.rs
+++ b/crates/shallotctl/src/registry.rs
@@ -12,6 +12,7 @@
 use shallotrill_feed::message::RegistryStatus;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
+use shallotrill_items::item;
 use shallotrill_items::item::Content;
 use shallotrill_items::replica::Entry;
 use shallotrill_language::result_table::Cell;
@@ -31,6 +32,8 @@
     Registries,
     /// Routers with their backend servers.
     Routers,
+    /// Availability zones that were ever evacuated.
+    Evacuations,
 }
 
 impl View {
@@ -40,6 +43,7 @@
             "show items" => Some(Self::Items),
             "show registries" => Some(Self::Registries),
             "show routers" => Some(Self::Routers),
+            "show evacuations" => Some(Self::Evacuations),
             _ => None,
         }
     }
@@ -70,6 +74,13 @@
                 ("state", Kind::Text),
                 ("silent", Kind::Duration),
             ],
+            Self::Evacuations => &[
+                ("registry", Kind::Text),
+                ("zone", Kind::Text),
+                ("evacuated", Kind::Flag),
+                ("version", Kind::Count),
+                ("settled", Kind::Flag),
+            ],
         }
     }
 
@@ -78,6 +89,7 @@
             Self::Items => status.entries.iter().map(item_row).collect(),
             Self::Registries => registry_rows(status),
             Self::Routers => router_rows(status),
+            Self::Evacuations => evacuation_rows(status),
         }
     }
 }
@@ -144,6 +156,22 @@
     }
 }
 
+fn evacuation_rows(status: &RegistryStatus) -> Vec<Vec<Cell>> {
+    let entries = status.entries.iter();
+    let zones = entries.filter(|entry| entry.key.kind == item::Kind::Evacuation);
+    let row = |entry: &Entry| {
+        let accepted = entry.accepted.as_ref().map(|accepted| &accepted.item);
+        let item = entry.committed.as_ref();
+        vec![
+            Cell::Text(entry.key.name.to_string()),
+            Cell::Flag(item.is_some_and(|item| item.content == Content::Evacuation)),
+            item.map_or(Cell::Empty, |item| Cell::Count(item.version)),
+            Cell::Flag(accepted.is_none() || accepted == item),
+        ]
+    };
+    zones.map(row).collect()
+}
+
 fn registry_rows(status: &RegistryStatus) -> Vec<Vec<Cell>> {
     let queried = std::iter::once((status.member, 0));
     let all = queried.chain(status.others.iter().copied());
--- a/crates/shallotctl/tests/registry.rs
+++ b/crates/shallotctl/tests/registry.rs
@@ -38,10 +38,19 @@
         content: Content::Removed,
         document: "".into(),
     };
+    let evacuation = Item {
+        key: Key {
+            kind: Kind::Evacuation,
+            name: "bodo".into(),
+        },
+        version: 3,
+        content: Content::Evacuation,
+        document: "".into(),
+    };
     let mut replica = Replica::default();
     replica.commit(
         shallotrill_items::ballot::Ballot::default(),
-        &[Arc::new(removal)],
+        &[Arc::new(removal), Arc::new(evacuation)],
     );
     RegistryStatus {
         member: member(1, true),
@@ -102,6 +111,13 @@
         output: &["version", "route 'r-old'", "9"],
         error: "",
     },
+    Case {
+        name: "evacuations",
+        arguments: "--json --registry {UP} show evacuations",
+        code: 0,
+        output: &[r#""zone":"bodo""#, r#""evacuated":true"#, r#""version":3"#],
+        error: "",
+    },
     Case {
         name: "registry processes",
         arguments: "--registry {UP} show registries",
@@ -135,7 +151,7 @@
         arguments: "--registry {UP} show services",
         code: 2,
         output: &[],
-        error: "expected show items, show registries or show routers",
+        error: "expected show items, show registries, show routers or show evacuations",
     },
 ];
 
