--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -108,11 +108,11 @@
         }
     }
 
-    /// Whether a health check is due that asks whether the backend server has become cold.
-    pub fn is_check_due(&self, rule: Rule, now: Instant) -> bool {
-        let is_recent = self
-            .last_response
-            .is_some_and(|at| now.since(at) < CHECK_INTERVAL);
+    /// Whether a health check is due that asks whether the backend server has become cold. `last_sent` is the last
+    /// one, whose response may have stated nothing.
+    pub fn is_check_due(&self, rule: Rule, last_sent: Option<Instant>, now: Instant) -> bool {
+        let last = self.last_response.max(last_sent);
+        let is_recent = last.is_some_and(|at| now.since(at) < CHECK_INTERVAL);
         matches!(rule, Rule::Stated(_)) && !is_recent
     }
 }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -88,7 +88,8 @@
         let backend = state.backend.lock();
         let server = backend.current.as_ref()?;
         let is_reported = server.slowness_age(now) < REPORT_AGE_MIN;
-        if server.is_draining() || (is_reported && !server.cold.is_check_due(server.cold_rule, now))
+        if server.is_draining()
+            || (is_reported && !server.cold.is_check_due(server.cold_rule, last_sent, now))
         {
             return None;
         }
