--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -50,18 +50,26 @@
 /// Time after which a change of a target is known to all routers.
 const ANNOUNCED_AFTER_MS: u64 = 100;
 
+/// What targets are before they are cold.
+#[derive(PartialEq)]
+enum Before {
+    Absent,
+    Evacuated,
+    Warm,
+}
+
 struct Case {
     name: &'static str,
-    /// Targets that are down, or in a zone that is evacuated, until they come back cold.
+    /// Targets that become cold.
     returning: fn(usize) -> bool,
-    /// When they come back and how long they are cold.
+    /// When they do and for how long.
     back_ms: u64,
     cold_ms: u64,
-    /// Whether they are known as evacuated until then, rather than as absent.
-    is_evacuation: bool,
+    /// What they are until then.
+    before: Before,
     /// Time at which the routers beside the returning targets restart.
     restart_ms: Option<u64>,
-    /// Requests per second before and after they come back.
+    /// Requests per second before and after that.
     rates: (f64, f64),
     /// Highest number of refusals by gates while they are cold, as a share of the requests in that time.
     refusals_max: f64,
@@ -77,7 +85,7 @@
         returning: |target| target % ZONES.len() == 0,
         back_ms: 3_000,
         cold_ms: 4_000,
-        is_evacuation: false,
+        before: Before::Absent,
         restart_ms: None,
         rates: (300.0, 510.0),
         refusals_max: 0.1,
@@ -88,7 +96,7 @@
         returning: |target| target % ZONES.len() == 0,
         back_ms: 3_000,
         cold_ms: 4_000,
-        is_evacuation: true,
+        before: Before::Evacuated,
         restart_ms: None,
         rates: (300.0, 510.0),
         refusals_max: 0.1,
@@ -99,18 +107,29 @@
         returning: |_| true,
         back_ms: 0,
         cold_ms: 6_000,
-        is_evacuation: false,
+        before: Before::Absent,
         restart_ms: None,
         rates: (300.0, 510.0),
         refusals_max: 0.6,
         used_min: 0.8,
     },
+    Case {
+        name: "all targets of a zone become cold again under load",
+        returning: |target| target % ZONES.len() == 0,
+        back_ms: 3_000,
+        cold_ms: 4_000,
+        before: Before::Warm,
+        restart_ms: None,
+        rates: (450.0, 450.0),
+        refusals_max: 0.1,
+        used_min: 0.5,
+    },
     Case {
         name: "the routers restart while their targets are cold",
         returning: |target| target % ZONES.len() == 0,
         back_ms: 3_000,
         cold_ms: 4_000,
-        is_evacuation: false,
+        before: Before::Absent,
         restart_ms: Some(5_000),
         rates: (300.0, 510.0),
         refusals_max: 0.1,
@@ -218,10 +237,11 @@
     fn new(case: &'case Case) -> Self {
         let mut tables: Vec<Table> = (0..ROUTERS).map(table).collect();
         for table in &mut tables {
-            let known = (0..TARGETS).filter(|t| case.is_evacuation || !(case.returning)(*t));
+            let is_known = |t: &usize| case.before != Before::Absent || !(case.returning)(*t);
+            let known = (0..TARGETS).filter(is_known);
             let known: Vec<_> = known.map(|t| target(t, State::Ready)).collect();
             table.apply(&known, Instant(0));
-            if case.is_evacuation {
+            if case.before == Before::Evacuated {
                 table.set_evacuated_zones(&[zone(0)], Instant(0));
             }
         }
@@ -263,7 +283,11 @@
         let end_ms = case.back_ms + case.cold_ms;
         if now_ms == case.back_ms {
             for target in &returning {
-                self.gates[*target] = gate(true, now);
+                if case.before != Before::Warm {
+                    self.gates[*target] = gate(false, now);
+                }
+                let effect = self.gates[*target].set_warm_up(Some(cold_rate()), true, now);
+                self.start_all(effect.run, now_ms);
             }
         }
         if now_ms == case.back_ms + ANNOUNCED_AFTER_MS {
