--- a/crates/shallotctl/src/registry.rs
+++ b/crates/shallotctl/src/registry.rs
@@ -162,11 +162,14 @@
     let row = |entry: &Entry| {
         let accepted = entry.accepted.as_ref().map(|accepted| &accepted.item);
         let item = entry.committed.as_ref();
+        // The end of an evacuation that never started leaves a register without a committed item.
+        let is_settled =
+            accepted.is_none_or(|a| Some(a) == item || (item.is_none() && a.is_absent()));
         vec![
             Cell::Text(entry.key.name.to_string()),
             Cell::Flag(item.is_some_and(|item| item.content == Content::Evacuation)),
             item.map_or(Cell::Empty, |item| Cell::Count(item.version)),
-            Cell::Flag(accepted.is_none() || accepted == item),
+            Cell::Flag(is_settled),
         ]
     };
     zones.map(row).collect()
