limits: allotments of workspaces are granted by a ledger and spent from shares

A workspace may send its rate and burst over all routers together, and no router knows alone how much that leaves. The owner of a workspace's count (`allotment::ledger`) grants credit from a bucket; a router (`allotment::share`) spends it, requests more ahead of need, and reports what it did not use.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -3,6 +3,7 @@
 //! Only the target's node knows the exact load of the target, so it makes the
 //! final decision on each request. A refusal proves that the request did not run.
 
+pub mod allotment;
 pub mod config;
 mod fairness;
 pub mod gate;
