registry: a registry process grants credit of the workspaces that it owns

Routers need one place that counts the requests of a workspace. A registry process keeps a bucket for each committed workspace with an allotment, reads the limits again when its registers change, and counts the routers that it has heard from. `Request::Credit` and `Reply::Credit` are appended to the messages. A task of its own observes the routers: a disk that delays the other maintenance would be taken for a suspension, which empties the buckets.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -16,6 +16,8 @@
 use shallotrill_items::replica::Proposal;
 use shallotrill_items::replica::Proposed;
 use shallotrill_items::roster::Member;
+use shallotrill_limits::allotment::Answer;
+use shallotrill_limits::allotment::Ask;
 use shallotrill_model::instance;
 use shallotrill_model::target::Target;
 use shallotrill_retry::containment::CrashRecord;
@@ -169,6 +171,15 @@
         /// Committed items.
         items: Vec<Arc<Item>>,
     },
+    /// A router requests credit of workspaces whose owner the registry process is.
+    Credit {
+        /// Address of the router.
+        router: SocketAddr,
+        /// Start time of the router process; requests of an earlier session than the announced one are refused.
+        session: u64,
+        /// One request for each workspace.
+        asks: Vec<Ask>,
+    },
 }
 
 /// Changes of the registers and departures of a registry process since the cursor of a reader.
@@ -215,6 +226,10 @@
     Done,
     /// The voter has promised a higher ballot, so it rejects the proposal; contains that ballot.
     Overtaken(Ballot),
-    /// The process cannot execute the request: it is not a voter, or its disk rejects writes.
+    /// The process cannot execute the request: it is not a voter, its disk rejects writes, or the session of the
+    /// router has ended.
     Unable,
+    /// Reply to [`Request::Credit`], in the order of the requests; `None` for a workspace of whose allotment the
+    /// process does not know.
+    Credit(Vec<Option<Answer>>),
 }
--- a/crates/limits/src/allotment/ledger.rs
+++ b/crates/limits/src/allotment/ledger.rs
@@ -173,6 +173,10 @@
     /// restarted; a lowered limit applies at once, as each request fills its bucket up to the limit in force.
     pub fn set_limits(&mut self, limits: &[(workspace::Name, Limit)], now: Instant) {
         let share = self.presence.share();
+        if self.buckets.is_empty() {
+            // Nothing is observed without buckets.
+            self.observed_at = now;
+        }
         let known = std::mem::take(&mut self.buckets);
         let mut known = known.into_iter().peekable();
         for (workspace, limit) in limits {
--- a/crates/limits/src/allotment/share.rs
+++ b/crates/limits/src/allotment/share.rs
@@ -253,7 +253,8 @@
         let (waiting, expected) = if now < self.refuse_until {
             (0, 0)
         } else {
-            (self.waiting, expected)
+            // Held units are for requests that have been woken and have not taken them yet.
+            (self.waiting.saturating_sub(held), expected)
         };
         let is_due = now >= self.next_ask && (expected > 0 || self.unused > 0);
         (waiting > 0 || self.ahead > 0 || is_due).then_some((waiting, expected))
--- a/crates/registry/src/announcements.rs
+++ b/crates/registry/src/announcements.rs
@@ -78,6 +78,14 @@
         leases.map(move |k| (&k.announcement, now.since(k.renewed)))
     }
 
+    /// Session of the router process at this address; `None` when it is not announced.
+    pub fn session(&self, router: SocketAddr) -> Option<u64> {
+        let index = self
+            .leases
+            .binary_search_by(|k| k.announcement.router.cmp(&router));
+        index.ok().map(|i| self.leases[i].announcement.session)
+    }
+
     /// Changes after a revision. The complete table when `revision` is zero, which means that the
     /// watcher has received nothing yet, or when removals after it were discarded.
     pub fn since(&self, revision: u64) -> Announcements {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -6,6 +6,7 @@
 //! other members. The command `shallotrill platform` starts registry processes
 //! and routers; `shallotrill run` starts the control and node roles instead.
 
+pub mod allotments;
 pub mod announcements;
 pub mod departures;
 pub mod members;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::allotments;
 use crate::state::ConsensusState;
 use crate::state::Peer;
 use crate::state::State;
@@ -116,6 +117,11 @@
             commit(state, *ballot, items);
             Reply::Done
         }
+        Request::Credit {
+            router,
+            session,
+            asks,
+        } => allotments::reply(state, *router, *session, asks),
     }
 }
 
--- a/crates/registry/src/metrics.rs
+++ b/crates/registry/src/metrics.rs
@@ -19,6 +19,9 @@
     pub quorum: IntGauge,
     /// Number of announced routers.
     pub routers: IntGauge,
+    credit: Counters,
+    /// Number of workspaces with an allotment.
+    pub allotments: IntGauge,
     /// Number of items with an accepted proposal that is not known to be committed.
     pub uncommitted: IntGauge,
 }
@@ -46,6 +49,15 @@
                 "shallotrill_registry_routers",
                 "Routers that have announced themselves.",
             )?,
+            credit: registry.counters(
+                "shallotrill_registry_credit_total",
+                "Units of credit that routers requested, by outcome.",
+                LabelSet::new("outcome", 4),
+            )?,
+            allotments: registry.gauge(
+                "shallotrill_registry_allotments",
+                "Workspaces with an allotment.",
+            )?,
             uncommitted: registry.gauge(
                 "shallotrill_registry_unsettled",
                 "Items whose last proposal is not known to be settled.",
@@ -54,6 +66,13 @@
         })
     }
 
+    /// Counts units of credit by their outcome.
+    pub fn record_credit(&self, outcome: &str, units: u32) {
+        if units > 0 {
+            self.credit.of(outcome).inc_by(u64::from(units));
+        }
+    }
+
     /// Counts a change by its outcome.
     pub fn record_change(&self, outcome: &str) {
         self.changes.of(outcome).inc();
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::sync::watch;
 
+use crate::allotments;
 use crate::announcements;
 use crate::departures;
 use crate::members;
@@ -96,6 +97,7 @@
         proposer: Identity(rand::random()),
         clock,
         announcements: Mutex::new(Rank::Membership, announcements::Table::default()),
+        allotments: Mutex::new(Rank::Budget, allotments::Table::new(clock.now())),
         departures: Mutex::new(Rank::Report, departures),
         peers: Mutex::new(Rank::Pool, Vec::new()),
         confirming: AsyncMutex::new(()),
@@ -127,6 +129,7 @@
     ));
     let seeds = state.settings.seeds.clone();
     members::follow(&state, &seeds);
+    tokio::spawn(allotments::maintain(Arc::clone(&state), stopped.clone()));
     tokio::spawn(members::maintain(Arc::clone(&state), stopped));
     info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = own.votes; "registry process is listening for other processes");
     Ok(Registry { state })
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::sync::watch;
 
+use crate::allotments;
 use crate::announcements;
 use crate::departures;
 use crate::metrics::Metrics;
@@ -64,7 +65,7 @@
 
 /// Shared state of a registry process.
 ///
-/// Lock order: `announcements`, `peers`, `departures`, `consensus`, then the locks of a [`Peer`].
+/// Lock order: `announcements`, `allotments`, `peers`, `departures`, `consensus`, then the locks of a [`Peer`].
 #[derive(Debug)]
 pub struct State {
     /// Settings of this process.
@@ -78,6 +79,8 @@
     pub clock: Clock,
     /// Announcements of routers with their leases.
     pub announcements: Mutex<announcements::Table>,
+    /// Credit of the workspaces with an allotment.
+    pub allotments: Mutex<allotments::Table>,
     /// Departures that routers have acknowledged to their backend servers.
     pub departures: Mutex<departures::Table>,
     /// Other registry processes, sorted by address.
