router: requests of a workspace take a unit of its allotment

A router admitted every request of a workspace. It now takes a unit before the body is read, requests credit from the registry process that owns the count, and answers 429 with `Retry-After` when the owner has none and 503 when no owner can be reached. A request that is refused as not run returns its unit. Workspaces without an allotment send no message.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -14,6 +14,8 @@
 use log::info;
 use rand::Rng;
 
+use crate::allotment;
+use crate::allotment::Credit;
 use crate::attempt;
 use crate::crashes;
 use crate::forwarded::Denial;
@@ -72,6 +74,8 @@
     route: Arc<Route>,
     route_version: u64,
     workspace: Option<Arc<ActiveWorkspace>>,
+    /// Unit of the allotment of the workspace; `None` without an allotment.
+    credit: Option<Credit>,
     service: service::Name,
     received_at: Instant,
     timeout: Duration,
@@ -108,7 +112,7 @@
 
 /// Validates a request, finds its route and reads its body. An error is the response to the caller.
 async fn accept(
-    state: &State,
+    state: &Arc<State>,
     request: Request<Incoming>,
     received_at: Instant,
     id: &str,
@@ -154,6 +158,7 @@
     let timeout = deadline.min(route.timeout);
     let body_bytes_max = items.limits().map_or(BODY_BYTES_DEFAULT, |l| l.body_bytes);
     let host = host.into();
+    let credit = take_credit(state, workspace.as_deref(), timeout, id).await?;
     let body = match body::collect(incoming, body_bytes_max, timeout).await {
         Ok(body) => body,
         Err(body::Error::TooLarge(_)) => {
@@ -196,6 +201,7 @@
         route,
         route_version,
         workspace,
+        credit,
         service,
         received_at,
         timeout,
@@ -203,6 +209,37 @@
     })
 }
 
+/// Takes a unit of the allotment of a workspace. An error is the response to the caller.
+async fn take_credit(
+    state: &Arc<State>,
+    workspace: Option<&ActiveWorkspace>,
+    timeout: Duration,
+    id: &str,
+) -> Result<Option<Credit>, Response<Body>> {
+    let Some(active) = workspace else {
+        return Ok(None);
+    };
+    let (status, wait, reason) = match allotment::take(state, active, timeout / 2).await {
+        Ok(credit) => return Ok(credit),
+        Err(allotment::Refusal::Exhausted(wait)) => (
+            StatusCode::TOO_MANY_REQUESTS,
+            wait,
+            "the workspace has used its allotment",
+        ),
+        Err(allotment::Refusal::NoOwner(wait)) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            wait,
+            "no registry process grants credit of the workspace",
+        ),
+    };
+    // A workspace may send many times its allotment, so the lines are limited.
+    if state.routine_log_quota.allows(state.now()) {
+        info!(event = "allotment-refused", request = id, workspace = active.name.as_str(), status = status.as_u16(), retry_after_ms = wait.as_millis() as u64; "request refused: {reason}");
+    }
+    let wait = format!("{:.3}", wait.as_secs_f64());
+    Err(with_retry_after(response(status, reason), &wait))
+}
+
 /// The request has no key, or one that no workspace holds.
 struct UnknownKey;
 
@@ -267,6 +304,9 @@
             return give_up(state, pending, progress, remaining);
         }
         let forwarded = forwarded(state, pending, &choice, &progress, remaining);
+        if let Some(credit) = &pending.credit {
+            credit.record_use();
+        }
         let sent = attempt::send(state, pending.message.clone(), &forwarded, &choice).await;
         match sent {
             Ok(response) if !may_retry(pending, &progress, &response) => {
@@ -499,6 +539,9 @@
         "request failed after its last attempt: {reason}"
     );
     if !progress.may_have_run {
+        if let Some(credit) = &pending.credit {
+            credit.release();
+        }
         let refused = after::Refused {
             elapsed: state.now().since(pending.received_at),
             objective: pending.route.objective,
@@ -516,7 +559,11 @@
 }
 
 fn unavailable(id: &str, retry_after: &str, reason: &str) -> Response<Body> {
-    let mut response = refuse(id, StatusCode::SERVICE_UNAVAILABLE, reason);
+    let refused = refuse(id, StatusCode::SERVICE_UNAVAILABLE, reason);
+    with_retry_after(refused, retry_after)
+}
+
+fn with_retry_after(mut response: Response<Body>, retry_after: &str) -> Response<Body> {
     // A number is a valid header value.
     if let Ok(value) = HeaderValue::from_str(retry_after) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
@@ -536,6 +583,10 @@
 
 fn refuse(id: &str, status: StatusCode, reason: &str) -> Response<Body> {
     info!(event = "request-ended", request = id, status = status.as_u16(); "request ends without a response of a backend server: {reason}");
+    response(status, reason)
+}
+
+fn response(status: StatusCode, reason: &str) -> Response<Body> {
     let text = format!("{reason}\n");
     let mut response = Response::new(body::full(Bytes::from(text)));
     *response.status_mut() = status;
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -55,6 +55,8 @@
 struct View {
     registry: SocketAddr,
     last_contact: Option<Instant>,
+    /// Since when every poll has been answered; `None` after a failed one.
+    contact_since: Option<Instant>,
     /// Sorted by the address of the router.
     announcements: Vec<Announcement>,
 }
@@ -66,6 +68,17 @@
     }
 }
 
+/// Contact to a registry process by long polls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Contact {
+    /// Address of the registry process.
+    pub registry: SocketAddr,
+    /// Time of the last reply.
+    pub last: Option<Instant>,
+    /// Since when every poll has been answered; `None` after a failed one.
+    pub since: Option<Instant>,
+}
+
 /// Announcements that all registry processes report, and the targets that follow from them.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryViews {
@@ -99,6 +112,7 @@
         let view = View {
             registry,
             last_contact: None,
+            contact_since: None,
             announcements: Vec::new(),
         };
         self.views.insert(index, view);
@@ -114,11 +128,27 @@
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
             let view = &mut self.views[index];
             view.last_contact = Some(now);
+            view.contact_since.get_or_insert(now);
             self.changed |= !announcements.is_empty();
             announcements.apply(&mut view.announcements);
         }
     }
 
+    fn record_lost(&mut self, registry: SocketAddr) {
+        if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
+            self.views[index].contact_since = None;
+        }
+    }
+
+    /// All known registry processes, with the time of the last contact and the start of the uninterrupted contact.
+    pub fn contacts(&self) -> impl Iterator<Item = Contact> {
+        self.views.iter().map(|view| Contact {
+            registry: view.registry,
+            last: view.last_contact,
+            since: view.contact_since,
+        })
+    }
+
     /// Addresses of all known registry processes.
     pub fn registries(&self) -> Vec<SocketAddr> {
         self.views.iter().map(|view| view.registry).collect()
@@ -248,6 +278,7 @@
                     warn!(event = "registry-lost", address = address.to_string().as_str(); "long poll of the registry process failed: {other:?}");
                 }
                 reachable = false;
+                state.views.lock().record_lost(address);
                 if held.is_some() {
                     release_items_read(&state);
                 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 //! The command `shallotrill platform` starts routers and registry processes;
 //! `shallotrill run` starts the node and control roles instead.
 
+pub mod allotment;
 pub mod attempt;
 pub mod backend;
 pub mod crashes;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -41,6 +41,9 @@
     backend_limit: IntGauge,
     /// Requests refused because they crash backend servers.
     pub quarantined: IntCounter,
+    allotments: Counters,
+    /// Messages in which credit was requested.
+    pub credit_requests: IntCounter,
     /// Log lines of answered requests that the rate limit suppressed.
     pub log_suppressed: IntGauge,
     /// Reachable registry processes.
@@ -101,6 +104,15 @@
                 "shallotrill_router_quarantined_total",
                 "Requests refused because they crash backend servers.",
             )?,
+            allotments: registry.counters(
+                "shallotrill_router_allotment_total",
+                "Requests of workspaces with an allotment, by what was decided.",
+                LabelSet::new("decision", 6),
+            )?,
+            credit_requests: registry.counter(
+                "shallotrill_router_credit_requests_total",
+                "Messages that request credit from registry processes.",
+            )?,
             log_suppressed: registry.gauge(
                 "shallotrill_router_log_left_out",
                 "Lines of answered requests that were left out of the log.",
@@ -127,6 +139,11 @@
         self.latency.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a decision about a request of a workspace with an allotment.
+    pub fn record_allotment(&self, decision: &str) {
+        self.allotments.of(decision).inc();
+    }
+
     /// Counts an attempt that was denied.
     pub fn record_denial(&self, denial: Denial) {
         self.denials.of(denial.as_str()).inc();
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -21,6 +21,7 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
+use crate::allotment;
 use crate::backend::Backend;
 use crate::crashes::Crashes;
 use crate::entry;
@@ -236,6 +237,8 @@
         pace_changed: Notify::new(),
         router_count: AtomicUsize::new(1),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
+        allotments: Mutex::new(Rank::Budget, allotment::Table::default()),
+        credit_changed: Notify::new(),
         crashes: Mutex::new(Rank::Report, Crashes::default()),
         crash_check_running: AtomicBool::new(false),
         metrics: Metrics::new()?,
@@ -270,6 +273,7 @@
         let _ = state.pool.counts();
         follow::apply_targets(&state);
         state.configure_budgets();
+        allotment::maintain(&state);
         let suppressed = state.routine_log_quota.suppressed();
         state.metrics.log_suppressed.set(metrics::count(suppressed));
         let reachable = state.views.lock().reachable_registries(state.now());
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::allotment;
 use crate::backend;
 use crate::backend::Backend;
 use crate::backend::ServerState;
@@ -48,7 +49,8 @@
     split: WeightedSplit,
 }
 
-/// Shared state. Lock order: `items`, `views`, `splits`, `routing`, `backend`, `budgets`, `crashes`.
+/// Shared state. Lock order: `items`, `views`, `splits`, `routing`, `backend`, `budgets` or `allotments`,
+/// `crashes`.
 pub struct State {
     /// Settings of this router.
     pub settings: Settings,
@@ -74,6 +76,10 @@
     pub router_count: AtomicUsize,
     /// Retry budget of each service, sorted by name.
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
+    /// Credit of the workspaces with an allotment that are in use here.
+    pub allotments: Mutex<allotment::Table>,
+    /// Notified when credit has arrived or a registry process has not replied to a request for it.
+    pub credit_changed: Notify,
     /// Crash records and quarantine.
     pub crashes: Mutex<Crashes>,
     /// A check is running whether the backend server has crashed.
