limits: an owner that misses up to 5% of the routers grants the whole rate

Routers renew their announcement every second, and an owner counts those of the last 1.3 s. A few late renewals on busy instances would lower the rate of every workspace.

--- a/crates/limits/src/allotment/presence.rs
+++ b/crates/limits/src/allotment/presence.rs
@@ -8,6 +8,10 @@
 /// Time for which the highest number of routers counts.
 const MEMORY_PERIOD: Duration = Duration::from_secs(10);
 
+/// From this share on, all routers count as heard from. Some renew their announcement late on busy instances, and a
+/// partition that cuts off fewer lets their owner grant no more than this beyond the rate.
+const WHOLE_SHARE_MIN: f64 = 0.95;
+
 /// Number of routers that an owner hears from, compared with the highest recent number.
 #[derive(Clone, Debug, Default)]
 pub struct Presence {
@@ -43,12 +47,13 @@
         self.counts.front().map_or(0, |(_, count)| *count)
     }
 
-    /// Share of those routers that are heard from at present; zero without any.
+    /// Share of those routers that are heard from at present, or 1 when almost all are; zero without any.
     pub fn share(&self) -> f64 {
         let current = self.counts.back().map_or(0, |(_, count)| *count);
         if current == 0 {
             return 0.0;
         }
-        f64::from(current) / f64::from(self.highest())
+        let share = f64::from(current) / f64::from(self.highest());
+        if share >= WHOLE_SHARE_MIN { 1.0 } else { share }
     }
 }
--- a/crates/limits/tests/allotment.rs
+++ b/crates/limits/tests/allotment.rs
@@ -120,6 +120,15 @@
             Asks(waiting(200), 15, false),
         ],
     },
+    LedgerCase {
+        name: "an owner that misses a few routers has all of the credit",
+        limit: (100, 100),
+        steps: &[
+            Step::Run(3_000, 100),
+            Step::Run(3_000, 96),
+            Asks(waiting(200), 100, false),
+        ],
+    },
     LedgerCase {
         name: "units of other owners are subtracted unless they were spent before this one began",
         limit: (100, 100),
