--- a/crates/limits/tests/allotment_replay.rs
+++ b/crates/limits/tests/allotment_replay.rs
@@ -48,9 +48,15 @@
     One,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+use Part::All;
+use Part::One;
+use Part::Third;
+
+#[derive(Clone, Copy, Debug)]
 enum Fault {
-    None,
+    Healthy,
+    /// The rate of the limit changes to this.
+    LimitLowered(f64),
     /// The first owner is killed, and restarts after this time.
     OwnerKilled(u64),
     OwnerFrozen(u64),
@@ -64,178 +70,100 @@
     ClockSteps(u64, u64),
 }
 
-struct Case {
+use Fault::ClockSteps;
+use Fault::Healthy;
+use Fault::LimitLowered;
+use Fault::OneLinkCut;
+use Fault::OwnerFrozen;
+use Fault::OwnerKilled;
+use Fault::Partition;
+use Fault::RoutersRestarted;
+
+/// Load of a workspace.
+#[derive(Clone, Copy)]
+struct Load {
     name: &'static str,
     routers: usize,
     rate: f64,
     burst: u32,
-    /// Requests per second over all routers, and where they arrive, from each time in milliseconds on.
-    demand: &'static [(u64, f64, Part)],
-    /// Rate from [`FAULT_MS`] on.
-    lowered: Option<f64>,
+    demand: Demand,
+}
+
+/// Requests per second over all routers, and where they arrive, from each time in milliseconds on.
+type Demand = &'static [(u64, f64, Part)];
+
+struct Case {
+    load: Load,
     fault: Fault,
 }
 
+const fn load(name: &'static str, routers: usize, rate: f64, burst: u32, demand: Demand) -> Load {
+    Load {
+        name,
+        routers,
+        rate,
+        burst,
+        demand,
+    }
+}
+
+const fn case(load: Load, fault: Fault) -> Case {
+    Case { load, fault }
+}
+
 const FAULT_MS: u64 = 30_000;
 
-const BASE: Case = Case {
-    name: "three fifths of the rate used",
-    routers: 300,
-    rate: 100.0,
-    burst: 100,
-    demand: &[(0, 60.0, Part::All)],
-    lowered: None,
-    fault: Fault::None,
-};
-
-const OVERLOAD: Case = Case {
-    burst: 200,
-    demand: &[(0, 300.0, Part::All)],
-    ..BASE
-};
-
-const ONE_PER_SECOND: Case = Case {
-    name: "76 routers and one request per second",
-    routers: 76,
-    rate: 1.0,
-    burst: 2,
-    demand: &[(0, 3.0, Part::All)],
-    ..BASE
-};
+/// Three fifths of the rate are used.
+const USUAL: Load = load("usual", 300, 100.0, 100, &[(0, 60.0, All)]);
+const LITTLE: Load = load("little", 300, 100.0, 100, &[(0, 40.0, All)]);
+const OVERLOAD: Load = load("overload", 300, 100.0, 200, &[(0, 300.0, All)]);
+const SINGLE: Load = load("one per second", 76, 1.0, 2, &[(0, 3.0, All)]);
+const SINGLE_300: Load = load("one per second", 300, 1.0, 2, &[(0, 3.0, All)]);
+/// 7.5 times the usual rate from one zone for 20 s.
+const ZONE: Load = load("one zone", 300, 60.0, 60, ZONE_DEMAND);
+const ZONE_DEMAND: Demand = &[(0, 30.0, All), (25_000, 225.0, Third), (45_000, 30.0, All)];
+const FALLING: Load = load("falling limit", 300, 200.0, 200, &[(0, 150.0, All)]);
+/// A large workspace far from its limit, and one that floods from rest.
+const LARGE: Load = load("large", 300, 3_000.0, 3_000, &[(0, 1_000.0, All)]);
+const FLOOD: Load = load("flood", 300, 3_000.0, 3_000, FLOOD_DEMAND);
+const FLOOD_DEMAND: Demand = &[
+    (0, 10.0, All),
+    (30_000, 22_500.0, Third),
+    (40_000, 10.0, All),
+];
+/// The bucket is full when the overload begins together with the fault.
+const SURGE: Load = load("surge", 300, 100.0, 200, SURGE_DEMAND);
+const SURGE_DEMAND: Demand = &[(0, 10.0, All), (FAULT_MS, 300.0, All)];
+const LARGE_SURGE: Load = load("large surge", 300, 2_000.0, 2_000, LARGE_SURGE_DEMAND);
+const LARGE_SURGE_DEMAND: Demand = &[(0, 20.0, All), (FAULT_MS, 6_000.0, All)];
+const ONE_ROUTER: Load = load("one router", 300, 100.0, 100, &[(0, 60.0, One)]);
 
 /// Guards against more requests than the rule allows, requests refused within rate and burst, and more messages than
 /// the bound.
 const CASES: &[Case] = &[
-    BASE,
-    ONE_PER_SECOND,
-    Case {
-        name: "300 routers and one request per second",
-        routers: 300,
-        ..ONE_PER_SECOND
-    },
-    Case {
-        name: "7.5 times the usual rate from one zone",
-        rate: 60.0,
-        burst: 60,
-        demand: &[
-            (0, 30.0, Part::All),
-            (25_000, 225.0, Part::Third),
-            (45_000, 30.0, Part::All),
-        ],
-        ..BASE
-    },
-    Case {
-        name: "a limit far below the incoming rate",
-        rate: 200.0,
-        burst: 200,
-        demand: &[(0, 150.0, Part::All)],
-        lowered: Some(10.0),
-        ..BASE
-    },
-    Case {
-        name: "a large workspace far from its limit",
-        rate: 3_000.0,
-        burst: 3_000,
-        demand: &[(0, 1_000.0, Part::All)],
-        ..BASE
-    },
-    Case {
-        name: "a workspace that floods from rest",
-        rate: 3_000.0,
-        burst: 3_000,
-        demand: &[
-            (0, 10.0, Part::All),
-            (30_000, 22_500.0, Part::Third),
-            (40_000, 10.0, Part::All),
-        ],
-        ..BASE
-    },
-    Case {
-        name: "half of the routers restarted",
-        fault: Fault::RoutersRestarted(2_000),
-        ..BASE
-    },
-    Case {
-        name: "half of the routers restarted in overload",
-        fault: Fault::RoutersRestarted(2_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "the owner killed",
-        fault: Fault::OwnerKilled(3_000),
-        ..BASE
-    },
-    Case {
-        name: "the owner killed in overload",
-        fault: Fault::OwnerKilled(3_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "the owner frozen",
-        fault: Fault::OwnerFrozen(7_000),
-        ..BASE
-    },
-    Case {
-        name: "the owner frozen in overload",
-        fault: Fault::OwnerFrozen(7_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "clocks that step",
-        fault: Fault::ClockSteps(3_000, 4_000),
-        ..BASE
-    },
-    Case {
-        name: "clocks that step in overload",
-        fault: Fault::ClockSteps(3_000, 4_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "the owner of one request per second killed",
-        fault: Fault::OwnerKilled(3_000),
-        ..ONE_PER_SECOND
-    },
-    Case {
-        name: "a partition",
-        demand: &[(0, 40.0, Part::All)],
-        fault: Fault::Partition(12_000),
-        ..BASE
-    },
-    Case {
-        name: "a partition in overload",
-        fault: Fault::Partition(12_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "a partition with little demand before it",
-        demand: &[(0, 10.0, Part::All), (FAULT_MS, 300.0, Part::All)],
-        fault: Fault::Partition(12_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "a partition of a large workspace",
-        rate: 2_000.0,
-        burst: 2_000,
-        demand: &[(0, 20.0, Part::All), (FAULT_MS, 6_000.0, Part::All)],
-        fault: Fault::Partition(12_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "a partition and one request per second",
-        fault: Fault::Partition(12_000),
-        ..ONE_PER_SECOND
-    },
-    Case {
-        name: "one link cut in overload",
-        fault: Fault::OneLinkCut(12_000),
-        ..OVERLOAD
-    },
-    Case {
-        name: "one link cut with all demand on it",
-        demand: &[(0, 60.0, Part::One)],
-        fault: Fault::OneLinkCut(12_000),
-        ..BASE
-    },
+    case(USUAL, Healthy),
+    case(SINGLE, Healthy),
+    case(SINGLE_300, Healthy),
+    case(ZONE, Healthy),
+    case(FALLING, LimitLowered(10.0)),
+    case(LARGE, Healthy),
+    case(FLOOD, Healthy),
+    case(USUAL, RoutersRestarted(2_000)),
+    case(OVERLOAD, RoutersRestarted(2_000)),
+    case(USUAL, OwnerKilled(3_000)),
+    case(OVERLOAD, OwnerKilled(3_000)),
+    case(SINGLE, OwnerKilled(3_000)),
+    case(USUAL, OwnerFrozen(7_000)),
+    case(OVERLOAD, OwnerFrozen(7_000)),
+    case(USUAL, ClockSteps(3_000, 4_000)),
+    case(OVERLOAD, ClockSteps(3_000, 4_000)),
+    case(LITTLE, Partition(12_000)),
+    case(OVERLOAD, Partition(12_000)),
+    case(SURGE, Partition(12_000)),
+    case(LARGE_SURGE, Partition(12_000)),
+    case(SINGLE, Partition(12_000)),
+    case(OVERLOAD, OneLinkCut(12_000)),
+    case(ONE_ROUTER, OneLinkCut(12_000)),
 ];
 
 struct Call {
@@ -307,10 +235,15 @@
 
 impl<'case> Replay<'case> {
     fn new(case: &'case Case, seed: u64) -> Self {
-        let routers = (0..case.routers).map(|_| new_router(case, 0)).collect();
+        let routers = (0..case.load.routers)
+            .map(|_| new_router(case, 0))
+            .collect();
         let new_owner = |index: usize| {
             let mut ledger = Ledger::new(index as u64 * 1_000 + 1, Instant(0));
-            ledger.set_limits(&[(name(), limit(case.rate, case.burst))], Instant(0));
+            ledger.set_limits(
+                &[(name(), limit(case.load.rate, case.load.burst))],
+                Instant(0),
+            );
             ledger
         };
         Self {
@@ -335,28 +268,31 @@
     }
 
     fn limit_at(&self, at: u64) -> Limit {
-        let lowered = self.case.lowered.filter(|_| at >= FAULT_MS);
-        limit(lowered.unwrap_or(self.case.rate), self.case.burst)
+        let rate = match self.case.fault {
+            LimitLowered(lowered) if at >= FAULT_MS => lowered,
+            _ => self.case.load.rate,
+        };
+        limit(rate, self.case.load.burst)
     }
 
     fn owner_runs(&self, owner: usize, at: u64) -> bool {
         match self.case.fault {
-            Fault::OwnerKilled(d) | Fault::OwnerFrozen(d) => owner != 0 || !faulty_for(at, d),
+            OwnerKilled(d) | OwnerFrozen(d) => owner != 0 || !faulty_for(at, d),
             _ => true,
         }
     }
 
     fn router_runs(&self, router: usize, at: u64) -> bool {
         match self.case.fault {
-            Fault::RoutersRestarted(d) => router.is_multiple_of(2) || !faulty_for(at, d),
+            RoutersRestarted(d) => router.is_multiple_of(2) || !faulty_for(at, d),
             _ => true,
         }
     }
 
     fn connected(&self, router: usize, owner: usize, at: u64) -> bool {
         match self.case.fault {
-            Fault::Partition(d) => router % 2 == owner.min(1) || !faulty_for(at, d),
-            Fault::OneLinkCut(d) => router != 0 || owner != 0 || !faulty_for(at, d),
+            Partition(d) => router % 2 == owner.min(1) || !faulty_for(at, d),
+            OneLinkCut(d) => router != 0 || owner != 0 || !faulty_for(at, d),
             _ => true,
         }
     }
@@ -367,7 +303,7 @@
 
     fn owner_now(&self, owner: usize) -> Instant {
         let step = match self.case.fault {
-            Fault::ClockSteps(_, step) if owner == 0 && self.now >= FAULT_MS => step,
+            ClockSteps(_, step) if owner == 0 && self.now >= FAULT_MS => step,
             _ => 0,
         };
         Instant((self.now + step) * 1_000)
@@ -398,7 +334,7 @@
     }
 
     fn apply_faults(&mut self) {
-        if self.case.lowered.is_some() {
+        if matches!(self.case.fault, LimitLowered(_)) {
             let lowered = self.limit_at(self.now);
             let now = Instant(self.now * 1_000);
             if self.now == FAULT_MS {
@@ -414,23 +350,23 @@
         }
         let at = self.now;
         match self.case.fault {
-            Fault::OwnerKilled(d) if at == FAULT_MS + d => {
+            OwnerKilled(d) if at == FAULT_MS + d => {
                 let limits = [(name(), self.limit_at(at))];
                 self.owners[0] = Ledger::new(500, Instant(at * 1_000));
                 self.owners[0].set_limits(&limits, Instant(at * 1_000));
                 self.held_back.clear();
             }
-            Fault::OwnerFrozen(d) if at == FAULT_MS + d => {
+            OwnerFrozen(d) if at == FAULT_MS + d => {
                 for event in std::mem::take(&mut self.held_back) {
                     self.handle(event);
                 }
             }
-            Fault::RoutersRestarted(_) if at == FAULT_MS => {
+            RoutersRestarted(_) if at == FAULT_MS => {
                 for index in (1..self.routers.len()).step_by(2) {
                     self.routers[index] = new_router(self.case, at);
                 }
             }
-            Fault::ClockSteps(step, _) if at == FAULT_MS => {
+            ClockSteps(step, _) if at == FAULT_MS => {
                 for router in self.routers.iter_mut().step_by(2) {
                     router.clock_offset_ms = step;
                 }
@@ -464,7 +400,7 @@
                     return;
                 }
                 let now = self.owner_now(owner);
-                let partitioned = matches!(self.case.fault, Fault::Partition(_));
+                let partitioned = matches!(self.case.fault, Partition(_));
                 let peers_alive = (0..OWNERS).all(|other| {
                     let earlier = self.now.saturating_sub(heard_ms());
                     let cut = partitioned && (owner == 0) != (other == 0);
@@ -582,7 +518,7 @@
     }
 
     fn run(mut self) -> Outcome {
-        let mut ideal_level = f64::from(self.case.burst);
+        let mut ideal_level = f64::from(self.case.load.burst);
         let mut next = TRAFFIC_START_MS as f64;
         while self.now < LENGTH_MS {
             self.step();
@@ -590,16 +526,16 @@
             ideal_level =
                 (ideal_level + limit.rate.per_second() / 1_000.0).min(f64::from(limit.burst));
             while next <= self.now as f64 {
-                let demand = self.case.demand.iter().rev();
+                let demand = self.case.load.demand.iter().rev();
                 let (_, rate, part) = *demand
                     .clone()
                     .find(|(from, ..)| *from <= self.now)
                     .expect("a demand");
                 let routers = self.routers.len();
                 let candidates = match part {
-                    Part::All => routers,
-                    Part::Third => routers / 3,
-                    Part::One => 1,
+                    All => routers,
+                    Third => routers / 3,
+                    One => 1,
                 };
                 let router = ((self.random() * candidates as f64) as usize).min(candidates - 1);
                 next += -self.random().max(1e-12).ln() * 1_000.0 / rate;
@@ -629,7 +565,11 @@
 
 fn new_router(case: &Case, at: u64) -> Router {
     Router {
-        share: Share::new(name(), limit(case.rate, case.burst), Instant(at * 1_000)),
+        share: Share::new(
+            name(),
+            limit(case.load.rate, case.load.burst),
+            Instant(at * 1_000),
+        ),
         waiting: Vec::new(),
         call: None,
         failed_at: [None; OWNERS],
@@ -647,10 +587,12 @@
             end += 1;
         }
         // A lowered limit binds one window after all routers have had it for `configApplyS`.
-        let lowered = case.lowered.filter(|_| from >= FAULT_MS + 2 * APPLY_MS);
-        let rate = lowered.unwrap_or(case.rate);
+        let rate = match case.fault {
+            LimitLowered(lowered) if from >= FAULT_MS + 2 * APPLY_MS => lowered,
+            _ => case.load.rate,
+        };
         let window_s = WINDOW_MS as f64 / 1_000.0;
-        let allowed = RULE_RATIO * (rate * window_s + f64::from(case.burst)) + RULE_SLACK;
+        let allowed = RULE_RATIO * (rate * window_s + f64::from(case.load.burst)) + RULE_SLACK;
         worst = worst.max((end - start) as f64 - allowed);
     }
     worst
@@ -666,10 +608,13 @@
         let shortfall = (1.0 - admitted / outcome.ideal as f64).max(0.0);
         let seconds = (LENGTH_MS - TRAFFIC_START_MS) as f64 / 1_000.0;
         let messages_per_s = outcome.messages as f64 / seconds;
-        let per_router = messages_per_s / case.routers as f64;
+        let per_router = messages_per_s / case.load.routers as f64;
+        let name = format!(
+            "{}, {} routers, {:?}",
+            case.load.name, case.load.routers, case.fault
+        );
         println!(
-            "{}: excess {excess:.0}, shortfall {:.2}%, {} arrivals, {} admitted, {} refused, {} unavailable, {} waited, {messages_per_s:.0} messages/s, {per_router:.2} for each router",
-            case.name,
+            "{name}: excess {excess:.0}, shortfall {:.2}%, {} arrivals, {} admitted, {} refused, {} unavailable, {} waited, {messages_per_s:.0} messages/s, {per_router:.2} for each router",
             shortfall * 100.0,
             outcome.arrivals,
             outcome.admitted.len(),
@@ -679,12 +624,13 @@
         );
         // A router that alone cannot reach the owner has only its part of the rate, or the rule would not hold.
         let is_cut_off = case
+            .load
             .demand
             .iter()
-            .any(|(.., part)| matches!(part, Part::One));
+            .any(|(.., part)| matches!(part, One));
         let is_short = shortfall >= SHORTFALL_MAX && !is_cut_off;
         if excess > 0.0 || is_short || per_router > MESSAGES_PER_S_MAX {
-            failures.push(case.name);
+            failures.push((name, seed));
         }
     }
     assert!(failures.is_empty(), "{failures:?}");
