limits: Retry-After spreads the requests that all routers refused

A router refuses by the owner's statement without a message, so the owner counted only the requests that had waited for it, and the time over which refused requests return was too short in overload. A router now states how many it has refused since its last request.

--- a/crates/limits/src/allotment.rs
+++ b/crates/limits/src/allotment.rs
@@ -57,6 +57,8 @@
     pub expected: u32,
     /// Units that were spent before they were granted, after a statement that credit is ample.
     pub ahead: u32,
+    /// Requests that the router refused since its last request, by the owner's statement that it has no credit.
+    pub refused: u32,
     /// Units of earlier grants that expired, or whose request is proven not to have run.
     pub unused: u32,
     /// Epoch of the owner that granted the unused units.
--- a/crates/limits/src/allotment/ledger.rs
+++ b/crates/limits/src/allotment/ledger.rs
@@ -276,7 +276,8 @@
         let waiting = ask.waiting.min(available as u32);
         let granted = waiting + ask.expected.min(available as u32 - waiting);
         bucket.level -= f64::from(granted);
-        let refused = ask.waiting - waiting;
+        let refused = ask.refused.saturating_add(ask.waiting - waiting);
+        bucket.record_refused(refused, now);
         let is_short = granted < ask.waiting.saturating_add(ask.expected);
         let mut answer = Answer {
             granted,
@@ -286,7 +287,6 @@
             is_ample: false,
         };
         if is_short {
-            bucket.record_refused(refused, now);
             let takeover = if ask.is_substitute {
                 HEARD_PERIOD.saturating_sub(now.since(bucket.began))
             } else {
--- a/crates/limits/src/allotment/share.rs
+++ b/crates/limits/src/allotment/share.rs
@@ -89,6 +89,7 @@
     ahead: u32,
     ahead_reported: u32,
     waiting: u32,
+    refused: u32,
     demand_per_s: f64,
     demand_at: Instant,
     used_at: Instant,
@@ -119,6 +120,7 @@
             ahead: 0,
             ahead_reported: 0,
             waiting: 0,
+            refused: 0,
             demand_per_s: 0.0,
             demand_at: now,
             used_at: now,
@@ -187,6 +189,7 @@
             });
         }
         if now < self.refuse_until {
+            self.refused = self.refused.saturating_add(1);
             return Decision::Refuse {
                 empty: self.refuse_until.max(self.credit_at).since(now),
                 spread: self.spread,
@@ -280,6 +283,7 @@
             waiting,
             expected,
             ahead: self.ahead_reported,
+            refused: std::mem::take(&mut self.refused),
             unused: std::mem::take(&mut self.unused),
             epoch: self.epoch,
             elsewhere,
--- a/crates/limits/tests/allotment.rs
+++ b/crates/limits/tests/allotment.rs
@@ -255,6 +255,7 @@
                         waiting: request.waiting,
                         expected: 0,
                         ahead: request.ahead,
+                        refused: 0,
                         unused: request.unused,
                         epoch: request.epoch,
                         elsewhere: elsewhere
@@ -366,9 +367,29 @@
     let spread = Duration::ZERO;
     assert_eq!(share.take(start), Decision::Refuse { empty, spread });
     assert_eq!(share.take(start + empty), Decision::Ask);
+    let ask = share.ask(address(1), false, start + empty);
+    assert_eq!(ask.map(|ask| ask.refused), Some(1));
     let taken = (0..5_000).filter(|ms| {
         let now = start + Duration::from_millis(*ms);
         share.take_own(10, now).is_some()
     });
     assert_eq!(taken.count(), 4, "one request per second, beginning empty");
 }
+
+/// Guards against refused requests that all return at the same time: they are spread over the time in which the rate
+/// serves them.
+#[test]
+fn refused_requests_are_spread() {
+    let mut ledger = Ledger::new(EPOCH, Instant(0));
+    ledger.set_limits(&[(name(), limit((10, 10)))], Instant(0));
+    ledger.observe(10, Instant(0));
+    let mut share = Share::new(name(), limit((10, 10)), Instant(0));
+    share.start_waiting();
+    let mut ask = share.ask(address(1), false, Instant(0)).expect("a request");
+    for (refused, empty_ms, spread_ms) in [(0, 100, 100), (19, 100, 2_100), (1_000, 100, 5_000)] {
+        ask.refused = refused;
+        let answer = ledger.ask(address(1), &ask, true, Instant(0));
+        let answer = answer.expect("a known workspace");
+        assert_eq!((answer.empty_ms, answer.spread_ms), (empty_ms, spread_ms));
+    }
+}
