limits, router: cold targets start 1.4 times their stated rate, and are slow later

Cause: after a loss of all power every target is cold. Change: pace::cold_rate; the threshold of slowness is twice as high while cold; items that were read once from a process are not read again.

--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::fairness::Accounts;
 use crate::limit::Limit;
+use crate::pace;
 use crate::pace::Pace;
 use crate::pace::RecentStarts;
 use crate::queue::Queue;
@@ -223,7 +224,8 @@
     }
 
     fn update_pace(&mut self, now: Instant) {
-        let cold = self.warm_up.as_ref().filter(|w| w.is_cold).map(|w| w.rate);
+        let cold = self.warm_up.as_ref().filter(|w| w.is_cold);
+        let cold = cold.map(|w| pace::cold_rate(w.rate));
         let rate = match (self.stated_rate, cold) {
             (Some(stated), Some(cold)) => Some(stated.min(cold)),
             (stated, cold) => stated.or(cold),
--- a/crates/limits/src/pace.rs
+++ b/crates/limits/src/pace.rs
@@ -21,6 +21,15 @@
 const COLD_RATIO: f64 = 1.5;
 const COLD_SLACK: f64 = 4.0;
 
+/// Rate at which requests start at a cold target, as a ratio to the rate that it states. Less than [`COLD_RATIO`], so
+/// that the window rarely holds requests back. After a loss of all power the capacity of cold targets is all there is.
+const COLD_PACE_RATIO: f64 = 1.4;
+
+/// Rate at which requests start at a cold target that states `rate`.
+pub fn cold_rate(rate: Rate) -> Rate {
+    Rate::from_millihertz((f64::from(rate.millihertz()) * COLD_PACE_RATIO) as u32)
+}
+
 /// Times at which requests may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -168,6 +168,10 @@
 /// Slowness from which another target is the better choice, even with the additional hop.
 const SLOW_THRESHOLD_PERCENT: u32 = 180;
 
+/// As [`SLOW_THRESHOLD_PERCENT`] for a cold backend server, which takes twice as long anyway. The router that chose it knew
+/// that, and after a loss of all power every other target is cold too.
+const COLD_SLOW_THRESHOLD_PERCENT: u32 = 2 * SLOW_THRESHOLD_PERCENT;
+
 /// The local backend server.
 #[derive(Debug, Default)]
 pub struct Backend {
@@ -459,7 +463,12 @@
 
     /// Whether the machine is slow enough that another target is the better choice.
     pub fn is_slow(&self, now: Instant) -> bool {
-        self.slowness(now) >= SLOW_THRESHOLD_PERCENT
+        let threshold = if self.is_cold {
+            COLD_SLOW_THRESHOLD_PERCENT
+        } else {
+            SLOW_THRESHOLD_PERCENT
+        };
+        self.slowness(now) >= threshold
     }
 
     /// Offers a ticket to the gate. `None` means that it may run now; a queued one gets its result
--- a/crates/router/src/evacuation.rs
+++ b/crates/router/src/evacuation.rs
@@ -14,6 +14,7 @@
 use shallotrill_items::item::Item;
 use shallotrill_items::item::Kind;
 use shallotrill_items::table::Table;
+use shallotrill_limits::pace;
 use shallotrill_model::instance;
 use shallotrill_model::rate::Rate;
 use shallotrill_model::service;
@@ -79,7 +80,7 @@
             return None;
         };
         let name = service::Name::new(&item.key.name).ok()?;
-        Some((name, service.warm_up?.rate))
+        Some((name, pace::cold_rate(service.warm_up?.rate)))
     });
     rates.collect()
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -27,6 +27,7 @@
 use shallotrill_feed::message::Request;
 use shallotrill_feed::note;
 use shallotrill_items::item::Item;
+use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_model::instance;
 use shallotrill_model::target::Target;
 use shallotrill_model::time::Instant;
@@ -274,17 +275,24 @@
                 reachable = true;
                 last_contact = state.now();
                 if next.session != cursor.session {
-                    progress.read = 0;
+                    progress = ItemsProgress::default();
                 }
                 cursor = next;
                 if let Some(departures) = departures {
                     backend::restore(&state, &departures);
                 }
+                // A process that does not know what is in force sends nothing to a router without items.
+                let had_none = interest == Interest::Items(ItemSetHash::default().0);
+                let was_read = reads_items && !(had_none && items.is_empty());
                 apply_items(&state, &items);
-                progress.differs = state.items().item_set_hash().0 != items_hash;
-                if reads_items || !progress.differs {
+                if was_read {
+                    progress.read_hash = Some(items_hash);
+                }
+                let is_equal = state.items().item_set_hash().0 == items_hash;
+                if reads_items || is_equal {
                     progress.read = cursor.items;
                 }
+                progress.differs = !is_equal && progress.read_hash != Some(items_hash);
                 merge_crashes(&state, &announcements.changed);
                 state
                     .views
@@ -322,7 +330,10 @@
 struct ItemsProgress {
     /// Revision of the process up to which this router has its items.
     read: u64,
-    /// Whether its items differed from those of this router at its last reply.
+    /// Hash of its items when they were last read.
+    read_hash: Option<u64>,
+    /// Whether its last reply stated items that differ from those of this router and were not read since. A process
+    /// that lags behind differs for long, and has nothing to read.
     differs: bool,
 }
 
