backend, peer: a status outside 200 to 599 is no response

Cause: hyper accepts statuses from 600 to 999, from a backend server as well as from another router, and they were passed on to the caller as responses. With the not-run header such a response was also taken for a refusal. Change: both pools discard everything received with such a status and report a failure after which the request may have run; the router denies it as spoiled.

--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -5,6 +5,8 @@
 use std::io;
 use std::time::Duration;
 
+use http::StatusCode;
+
 /// Why a request to the backend server received no valid response head.
 #[derive(Debug)]
 pub enum Failure {
@@ -31,6 +33,8 @@
     MismatchedResponse,
     /// The response switches the protocol, which was not requested.
     ProtocolSwitched,
+    /// The status is not one of a response; everything received is discarded.
+    InvalidStatus(StatusCode),
     /// No response arrived while later requests on other connections were answered; the connection was closed.
     Silent(Duration),
 }
@@ -70,6 +74,13 @@
                 f.write_str("the response contains the id of another request")
             }
             Self::ProtocolSwitched => f.write_str("the response switches the protocol"),
+            Self::InvalidStatus(status) => {
+                write!(
+                    f,
+                    "the status {} is not that of a response",
+                    status.as_str()
+                )
+            }
             Self::Silent(waited) => write!(
                 f,
                 "no response within {waited:?} while requests on other connections were answered"
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -31,6 +31,7 @@
 use shallotrill_wire::body;
 use shallotrill_wire::hop;
 use shallotrill_wire::refusal;
+use shallotrill_wire::status;
 
 /// Time for an idle connection to become ready after its response has ended; it is closed otherwise.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -207,6 +208,9 @@
         if parts.status.is_informational() {
             return Err(Failure::ProtocolSwitched);
         }
+        if !status::is_final(parts.status) {
+            return Err(Failure::InvalidStatus(parts.status));
+        }
         if !self.config.echo_required && !body::is_framed(&parts.headers, &incoming) {
             return Err(Failure::Unframed);
         }
--- a/crates/backend/tests/contract/common.rs
+++ b/crates/backend/tests/contract/common.rs
@@ -226,6 +226,7 @@
         Failure::Unframed => "unframed",
         Failure::MismatchedResponse => "crossed",
         Failure::ProtocolSwitched => "switched",
+        Failure::InvalidStatus(_) => "invalid",
         Failure::Silent(_) => "silent",
     }
 }
--- a/crates/backend/tests/contract/responses.rs
+++ b/crates/backend/tests/contract/responses.rs
@@ -39,6 +39,13 @@
     }
 }
 
+/// A response with the body `hello` and this status.
+macro_rules! status {
+    ($status:literal) => {
+        concat!("HTTP/1.1 ", $status, "\r\ncontent-length: 5\r\n\r\nhello")
+    };
+}
+
 /// Guards against a truncated response that is accepted as complete, and against bytes of one response in the next.
 const RESPONSES: &[Case] = &[
     case(
@@ -201,9 +208,59 @@
     ),
 ];
 
+/// Guards against bytes that are not a response and are passed on as one, with a status that no client understands.
+const STATUSES: &[Case] = &[
+    case("000", status!("000 x"), FollowUp::Hold, "lost", false),
+    case("099", status!("099 x"), FollowUp::Hold, "lost", false),
+    case("600", status!("600 x"), FollowUp::Hold, "invalid", false),
+    case("999", status!("999 x"), FollowUp::Hold, "invalid", false),
+    case(
+        "700 that states that the request has not run",
+        "HTTP/1.1 700 x\r\nshallotrill-run: not-run\r\ncontent-length: 0\r\n\r\n",
+        FollowUp::Hold,
+        "invalid",
+        false,
+    ),
+    case("two digits", status!("20 x"), FollowUp::Hold, "lost", false),
+    case(
+        "four digits",
+        status!("2000 x"),
+        FollowUp::Hold,
+        "lost",
+        false,
+    ),
+    case("no digits", status!("OK"), FollowUp::Hold, "lost", false),
+    case("a letter", status!("20O x"), FollowUp::Hold, "lost", false),
+    case("a sign", status!("+20 x"), FollowUp::Hold, "lost", false),
+    case("final 100", status!("100 x"), FollowUp::Hold, "lost", false),
+    case("final 199", status!("199 x"), FollowUp::Hold, "lost", false),
+    case(
+        "final 100 without a body, closed",
+        "HTTP/1.1 100 x\r\n\r\n",
+        FollowUp::Close,
+        "lost",
+        false,
+    ),
+    case(
+        "final 100 without a body, connection held open",
+        "HTTP/1.1 100 x\r\n\r\n",
+        FollowUp::Hold,
+        "timeout",
+        false,
+    ),
+    case(
+        "an invalid status after an interim response",
+        "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 000 x\r\ncontent-length: 5\r\n\r\nhello",
+        FollowUp::Hold,
+        "lost",
+        false,
+    ),
+    case("599", status!("599 x"), FollowUp::Serve, "599 hello", true),
+];
+
 #[tokio::test]
 async fn responses() {
-    for case in RESPONSES {
+    for case in RESPONSES.iter().chain(STATUSES) {
         let config = Config::default().spare_connections(0);
         let server = common::start(config, 4, case.response, case.follow_up).await;
         let outcome = server
@@ -215,7 +272,7 @@
             .wait_for_counts(|counts| counts.open == idle && counts.idle == idle)
             .await;
         let complete =
-            case.expected.starts_with(['2', '3']) && !case.expected.ends_with("truncated");
+            case.expected.starts_with(char::is_numeric) && !case.expected.ends_with("truncated");
         assert_eq!(counts.closed_in_use, u64::from(!complete), "{}", case.name);
         let next = server
             .send(Method::GET, TEST_TIMEOUT, OnSilence::Wait)
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -193,7 +193,7 @@
         let kind = match &failure {
             PeerFailure::Connect { .. } => FailureKind::Unopened,
             PeerFailure::NotSent { .. } => FailureKind::Unsent,
-            PeerFailure::Lost { .. } => FailureKind::Lost,
+            PeerFailure::Lost { .. } | PeerFailure::InvalidStatus { .. } => FailureKind::Lost,
             PeerFailure::Timeout { .. } => FailureKind::Timeout,
         };
         (kind, refuse::peer(&failure))
--- a/crates/node/src/refuse.rs
+++ b/crates/node/src/refuse.rs
@@ -40,6 +40,7 @@
             Refusal::not_run(Code::ConnectFailed, message)
         }
         PeerFailure::Lost { .. } => Refusal::unknown(Code::ConnectionLost, message),
+        PeerFailure::InvalidStatus { .. } => Refusal::unknown(Code::AnswerInvalid, message),
         PeerFailure::Timeout { .. } => Refusal::unknown(Code::DeadlineExceeded, message),
     }
 }
@@ -56,7 +57,8 @@
         BackendFailure::Timeout(_) => Code::DeadlineExceeded,
         BackendFailure::Unframed
         | BackendFailure::MismatchedResponse
-        | BackendFailure::ProtocolSwitched => Code::AnswerInvalid,
+        | BackendFailure::ProtocolSwitched
+        | BackendFailure::InvalidStatus(_) => Code::AnswerInvalid,
     };
     if failure.is_not_sent() {
         Refusal::not_run(code, message)
--- a/crates/peer/src/failure.rs
+++ b/crates/peer/src/failure.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::StatusCode;
+
 /// Why a request to another node received no response.
 #[derive(Debug)]
 pub enum Failure {
@@ -28,6 +30,13 @@
         /// Error of the connection or stream.
         cause: hyper::Error,
     },
+    /// The status is not one of a response; everything received is discarded.
+    InvalidStatus {
+        /// Address of the node.
+        address: SocketAddr,
+        /// Status that was received.
+        status: StatusCode,
+    },
     /// No response arrived in time.
     Timeout {
         /// Address of the node.
@@ -59,6 +68,13 @@
             Self::Lost { address, cause } => {
                 write!(f, "the connection to node {address} was lost: {cause}")
             }
+            Self::InvalidStatus { address, status } => {
+                let status = status.as_str();
+                write!(
+                    f,
+                    "the status {status} from node {address} is not that of a response"
+                )
+            }
             Self::Timeout { address, waited } => {
                 write!(f, "no response from node {address} within {waited:?}")
             }
@@ -71,7 +87,7 @@
         match self {
             Self::Connect { cause, .. } => Some(cause),
             Self::Lost { cause, .. } => Some(cause),
-            Self::NotSent { .. } | Self::Timeout { .. } => None,
+            Self::NotSent { .. } | Self::InvalidStatus { .. } | Self::Timeout { .. } => None,
         }
     }
 }
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -28,6 +28,7 @@
 use shallotrill_model::time::Instant;
 use shallotrill_wire::dial;
 use shallotrill_wire::listen;
+use shallotrill_wire::status;
 
 /// Parameters of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
@@ -270,7 +271,11 @@
     request: Request<Full<Bytes>>,
 ) -> SendOutcome {
     match sender.try_send_request(request).await {
-        Ok(response) => SendOutcome::Done(Ok(response)),
+        Ok(response) if status::is_final(response.status()) => SendOutcome::Done(Ok(response)),
+        Ok(response) => SendOutcome::Done(Err(Failure::InvalidStatus {
+            address,
+            status: response.status(),
+        })),
         Err(mut error) => match error.take_message() {
             Some(request) => SendOutcome::Unsent(request),
             None => SendOutcome::Done(Err(Failure::Lost {
--- a/crates/peer/tests/contract.rs
+++ b/crates/peer/tests/contract.rs
@@ -139,6 +139,7 @@
                 Failure::Connect { .. } => "connect",
                 Failure::NotSent { .. } => "not sent",
                 Failure::Lost { .. } => "lost",
+                Failure::InvalidStatus { .. } => "invalid",
                 Failure::Timeout { .. } => "timeout",
             };
             format!("{name}, {}", if not_sent { "not run" } else { "unknown" })
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -121,6 +121,7 @@
             let denial = match &failure {
                 _ if failure.is_not_sent() => Denial::Unreachable,
                 Failure::Timeout { .. } => Denial::Timeout,
+                Failure::InvalidStatus { .. } => Denial::Spoiled,
                 _ => Denial::Lost,
             };
             log_failure(id.as_ref(), choice, forwarded.remaining, denial, &failure);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -212,9 +212,10 @@
             Denial::Unreachable
         }
         Failure::Lost(_) | Failure::Silent(_) => Denial::Lost,
-        Failure::Unframed | Failure::MismatchedResponse | Failure::ProtocolSwitched => {
-            Denial::Spoiled
-        }
+        Failure::Unframed
+        | Failure::MismatchedResponse
+        | Failure::ProtocolSwitched
+        | Failure::InvalidStatus(_) => Denial::Spoiled,
         Failure::Timeout(_) => Denial::Timeout,
     }
 }
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -86,6 +86,11 @@
 const BARE_503: Reply = "HTTP/1.1 503 x\r\nshallotrill-request: {id}\r\nContent-Length: 0\r\n\r\n";
 const LIMITED: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-limit: 5\r\nContent-Length: 4\r\n\r\nbody";
 const LEAVING: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nshallotrill-backend-leaving: 1\r\nContent-Length: 4\r\n\r\nbody";
+const STATUS_000: Reply = "HTTP/1.1 000 x\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Length: 4\r\n\r\nbody";
+const STATUS_700: Reply = "HTTP/1.1 700 x\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nContent-Length: 4\r\n\r\nbody";
+const SHED_700: Reply = "HTTP/1.1 700 x\r\nshallotrill-request: {id}\r\nshallotrill-backend-not-run: full\r\nContent-Length: 0\r\n\r\n";
+const FINAL_100: Reply =
+    "HTTP/1.1 100 x\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\n\r\n";
 const NO_LENGTH: Reply = "HTTP/1.1 200 OK\r\nshallotrill-request: {id}\r\nshallotrill-seal: s\r\nConnection: close\r\n\r\nbody";
 
 /// Replies after which the backend server keeps the connection open.
@@ -168,6 +173,46 @@
         body: "",
         runs: &[1],
     },
+    Case {
+        name: "status 000",
+        class: Class::NonIdempotent,
+        reply: STATUS_000,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
+    Case {
+        name: "status 700",
+        class: Class::NonIdempotent,
+        reply: STATUS_700,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
+    Case {
+        name: "status 700, idempotent",
+        class: Class::Idempotent,
+        reply: STATUS_700,
+        status: 502,
+        body: "",
+        runs: &[1, 2],
+    },
+    Case {
+        name: "status 700 with the not-run header",
+        class: Class::NonIdempotent,
+        reply: SHED_700,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
+    Case {
+        name: "a final 100",
+        class: Class::NonIdempotent,
+        reply: FINAL_100,
+        status: 502,
+        body: "",
+        runs: &[1],
+    },
     Case {
         name: "closed in the middle of a header",
         class: Class::NonIdempotent,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod listen;
 pub mod load;
 pub mod refusal;
+pub mod status;
