caller: requests sent ahead are read when they arrive; the last response of a connection is whole

Cause: hyper reads no further while it holds bytes of a later request, so the time for which a request had waited behind others was not known. A connection that closed with unread requests was reset by the kernel: of a response of 4,194,304 bytes the caller got 1,073,152. A reset ends the request in progress. Requests of a connection still run one after the other.

--- a/crates/caller/src/head.rs
+++ b/crates/caller/src/head.rs
@@ -1,4 +1,4 @@
-//! Detection of request heads with both `Content-Length` and `Transfer-Encoding`.
+//! Detection of request heads with both `Content-Length` and `Transfer-Encoding`, and of their arrival.
 //!
 //! hyper removes `Content-Length` when `Transfer-Encoding` is present too, in
 //! either order, so the handler cannot distinguish such a request from a plain
@@ -13,10 +13,16 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::time::Instant;
+
+use crate::ahead::Arrival;
+use crate::ahead::Arrivals;
+use crate::ahead::ReadAhead;
 
 /// Value of a [`Verdict`] while no request of the connection is ambiguous.
 const NO_REQUEST: u64 = u64::MAX;
@@ -55,6 +61,9 @@
     has_transfer_encoding: bool,
     requests: u64,
     verdict: Verdict,
+    /// Time at which the first byte of the current head arrived.
+    arrived: Option<Instant>,
+    arrivals: Arrivals,
 }
 
 impl Default for HeadScanner {
@@ -67,6 +76,8 @@
             has_transfer_encoding: false,
             requests: 0,
             verdict: Verdict(Arc::new(AtomicU64::new(NO_REQUEST))),
+            arrived: None,
+            arrivals: Arrivals::default(),
         }
     }
 }
@@ -77,11 +88,19 @@
         self.verdict.clone()
     }
 
-    /// Scans the next bytes of the connection.
-    pub fn feed(&mut self, mut bytes: &[u8]) {
+    /// Arrival times of the scanned requests, which are updated by [`HeadScanner::feed`].
+    pub fn arrivals(&self) -> Arrivals {
+        self.arrivals.clone()
+    }
+
+    /// Scans the next bytes of the connection, which arrived at the given time.
+    pub fn feed(&mut self, mut bytes: &[u8], arrived: Instant) {
         while !bytes.is_empty() {
             match self.position {
-                Position::Head => bytes = self.scan_line(bytes),
+                Position::Head => {
+                    self.arrived.get_or_insert(arrived);
+                    bytes = self.scan_line(bytes);
+                }
                 Position::Body(remaining) => {
                     let consumed = remaining.min(bytes.len() as u64);
                     bytes = &bytes[consumed as usize..];
@@ -116,7 +135,7 @@
         let text = line.strip_suffix(b"\r").unwrap_or(&line);
         match text {
             // Empty lines before a request are skipped, as in hyper.
-            [] if self.lines == 0 => {}
+            [] if self.lines == 0 => self.arrived = None,
             [] => self.end_head(),
             _ => {
                 self.lines += 1;
@@ -150,6 +169,9 @@
             (false, None | Some(0)) => Position::Head,
             (false, Some(content_length)) => Position::Body(content_length),
         };
+        if let Some(arrived) = self.arrived.take() {
+            self.arrivals.push(Arrival(arrived));
+        }
         self.requests += 1;
         self.lines = 0;
         self.content_length = None;
@@ -157,17 +179,35 @@
     }
 }
 
-/// A stream whose received bytes are passed to a [`HeadScanner`].
+/// A stream whose received bytes are passed to a [`HeadScanner`] when they arrive.
+///
+/// hyper polls a connection whenever its stream is ready, and each time ends with a write or a flush. What has arrived
+/// is read ahead then, also while hyper does not read because a request is in progress.
 #[derive(Debug)]
 pub struct ScannedStream<S> {
     stream: S,
     scanner: HeadScanner,
+    ahead: ReadAhead,
 }
 
 impl<S> ScannedStream<S> {
     /// Wraps a stream.
-    pub const fn new(stream: S, scanner: HeadScanner) -> Self {
-        Self { stream, scanner }
+    pub fn new(stream: S, scanner: HeadScanner) -> Self {
+        let ahead = ReadAhead::new(scanner.arrivals());
+        Self {
+            stream,
+            scanner,
+            ahead,
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> ScannedStream<S> {
+    fn read_ahead(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        let scanner = &mut self.scanner;
+        let scan = |bytes: &[u8], arrived| scanner.feed(bytes, arrived);
+        self.ahead.fill(cx, &mut self.stream, scan);
+        self.ahead.check()
     }
 }
 
@@ -177,28 +217,40 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(taken) = self.ahead.take(buffer) {
+            return Poll::Ready(taken);
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        self.scanner.feed(&buffer.filled()[before..]);
+        if buffer.filled().len() > before {
+            let arrived = self.ahead.arrived();
+            self.scanner.feed(&buffer.filled()[before..], arrived);
+        }
         polled
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ScannedStream<S> {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for ScannedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.read_ahead(cx)?;
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.read_ahead(cx)?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if !self.ahead.is_lingering() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        let Self { stream, ahead, .. } = &mut *self;
+        ahead.poll_linger(cx, stream).map(Ok)
     }
 
     fn poll_write_vectored(
@@ -206,6 +258,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.read_ahead(cx)?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
     }
 
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,6 +3,7 @@
 //! All parsing of bytes from callers happens in this package. The node receives
 //! [`call::Call`] values and returns responses.
 
+pub mod ahead;
 pub mod call;
 pub mod head;
 pub mod listener;
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -105,11 +105,15 @@
     }
     let scanner = HeadScanner::default();
     let verdict = scanner.verdict();
+    let arrivals = scanner.arrivals();
     let requests = AtomicU64::new(0);
     let service = service_fn(move |mut request: Request<Incoming>| {
         if verdict.is_ambiguous(requests.fetch_add(1, Ordering::Relaxed)) {
             request.extensions_mut().insert(HeadError::TwoLengths);
         }
+        if let Some(arrival) = arrivals.next() {
+            request.extensions_mut().insert(arrival);
+        }
         let closes = must_close(&request);
         let response = handler(request);
         async move {
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -29,6 +29,15 @@
     }
 }
 
+impl ops::Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 /// Wall-clock time, in milliseconds since the Unix epoch.
 ///
 /// The clocks of different instances differ, so this is used only for records,
