router: the deadline of a request begins with its arrival on the connection

Cause: a request that waited 1.1 s behind another was sent to its target with 1,499 ms although 400 ms were left. A request with both Content-Length and Transfer-Encoding was forwarded, because the finding of the listener was not read. Change: the entry takes the time of arrival from the listener, also for the time limit of the body, and refuses a request that the listener found ambiguous.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::names::Names;
 use crate::serve::BufferedRequest;
 use crate::state::State;
+use shallotrill_caller::ahead::Arrival;
 use shallotrill_items::route::Route;
 use shallotrill_items::table::ActiveRoute;
 use shallotrill_items::table::ActiveWorkspace;
@@ -37,6 +38,7 @@
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
 use shallotrill_wire::hop;
+use shallotrill_wire::hop::HeadError;
 
 /// Maximum size of a request body while no limits are configured.
 const BODY_BYTES_DEFAULT: usize = 64 * 1024 * 1024;
@@ -84,7 +86,7 @@
 
 /// Handles one request of a caller.
 pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
-    let received_at = state.now();
+    let received_at = arrival(&state, &request);
     let id = header_text(request.headers().get(&state.settings.names.request)).to_owned();
     let mut response = match accept(&state, request, received_at, &id).await {
         Ok(pending) => run(&state, &pending).await,
@@ -102,6 +104,13 @@
     response
 }
 
+/// Time at which the request arrived. A request that was sent ahead has waited for those in front of it.
+fn arrival(state: &State, request: &Request<Incoming>) -> Instant {
+    let arrival = request.extensions().get::<Arrival>();
+    let waited = arrival.map_or(Duration::ZERO, |arrival| arrival.0.elapsed());
+    state.now() - waited
+}
+
 fn header_text(value: Option<&HeaderValue>) -> &str {
     value.and_then(|v| v.to_str().ok()).unwrap_or_default()
 }
@@ -114,7 +123,9 @@
     id: &str,
 ) -> Result<PendingRequest, Response<Body>> {
     let (mut parts, incoming) = request.into_parts();
-    if let Err(problem) = hop::check(&parts.method, &parts.headers) {
+    let ambiguous = parts.extensions.get::<HeadError>().copied();
+    let checked = ambiguous.map_or_else(|| hop::check(&parts.method, &parts.headers), Err);
+    if let Err(problem) = checked {
         return Err(refuse(id, StatusCode::BAD_REQUEST, &problem.to_string()));
     }
     let names = &state.settings.names;
@@ -154,7 +165,9 @@
     let timeout = deadline.min(route.timeout);
     let body_bytes_max = items.limits().map_or(BODY_BYTES_DEFAULT, |l| l.body_bytes);
     let host = host.into();
-    let body = match body::collect(incoming, body_bytes_max, timeout).await {
+    let waited = state.now().since(received_at);
+    let body_timeout = timeout.saturating_sub(waited);
+    let body = match body::collect(incoming, body_bytes_max, body_timeout).await {
         Ok(body) => body,
         Err(body::Error::TooLarge(_)) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! The path of a request from end to end: a registry process, routers, and backend servers that misbehave.
 
+mod ahead;
 mod departures;
 mod endless;
 mod gates;
