router: a slow reader gives its slot back

Cause: a slot was in use until the end of the response. Callers that read slowly held all slots of a backend server that worked on nothing until their deadline. Change: when a part of a response longer than 64 KiB has waited 250 ms for its reader, the slot is released and the response continues without it. A counter and a log line state it. The measuring program can limit the link. Measured: with eight callers that do not read and four slots, the slots are released and the responses continue; without the release the test fails.

--- a/crates/router/examples/downloads.rs
+++ b/crates/router/examples/downloads.rs
@@ -1,9 +1,11 @@
 //! Measures the memory of two router processes that carry large responses to slow readers.
 //!
-//! `downloads [READERS] [SECONDS]` starts a registry process and a backend server
-//! in its own process and two routers as child processes. Each reader requests a
-//! response of 8 MiB from the first router and reads it at 20 kB/s; the target is
-//! beside the second router. Small requests on the same path are timed meanwhile.
+//! `downloads [READERS] [SECONDS] [RATE] [LINK]` starts a registry process and a
+//! backend server in its own process and two routers as child processes. Each
+//! reader requests a response of 8 MiB from the first router and reads it at RATE
+//! bytes per second, 20,000 by default; the target is beside the second router.
+//! Small requests on the same path are timed meanwhile. LINK limits the path
+//! between the routers to this number of bits per second; 0 is no limit.
 
 use std::env;
 use std::fs;
@@ -25,6 +27,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::process::Child;
 use tokio::process::Command;
 use tokio::time;
@@ -55,7 +59,8 @@
 static ALLOCATOR: MiMalloc = MiMalloc;
 
 const LARGE_BYTES: usize = 8 * 1024 * 1024;
-const READ_BYTES: usize = 2_000;
+/// Bytes that the relay on the path between the routers passes on at once.
+const LINK_BYTES: usize = 4 * 1024;
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 const SMALL_REQUESTS: usize = 20;
 const SMALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -72,28 +77,30 @@
         .worker_threads(1)
         .enable_all()
         .build()?;
-    match arguments.first().map(String::as_str) {
-        Some("router") => runtime.block_on(router(&arguments[1..])),
-        _ => {
-            let number = |index: usize, default| {
-                arguments
-                    .get(index)
-                    .map_or(Ok(default), |text| text.parse())
-            };
-            runtime.block_on(measure(number(0, 100)?, number(1, 10)?))
-        }
+    if arguments.first().is_some_and(|role| role == "router") {
+        return runtime.block_on(router(&arguments[1..]));
     }
+    let number = |index: usize, default| {
+        let argument = arguments.get(index);
+        argument.map_or(Ok(default), |text| text.parse())
+    };
+    runtime.block_on(measure(
+        number(0, 100)?,
+        number(1, 10)?,
+        number(2, 20_000)?,
+        number(3, 0)?,
+    ))
 }
 
-/// Runs a router until the standard input ends. Prints the address for callers.
+/// Runs a router until the standard input ends. Prints its addresses for callers and for other routers.
 async fn router(arguments: &[String]) -> Result<()> {
-    let [registry, server, announces] = arguments else {
-        anyhow::bail!("three arguments are required");
+    let [registry, server, announces, advertised] = arguments else {
+        anyhow::bail!("four arguments are required");
     };
     let router = run::start(Settings {
         caller_listen: "127.0.0.1:0".parse()?,
         router_listen: "127.0.0.1:0".parse()?,
-        advertised: None,
+        advertised: advertised.parse().ok(),
         backend: server.parse()?,
         service: service_name()?,
         zone: zone::Name::new("bodo")?,
@@ -119,7 +126,9 @@
         };
         backend::announce(&router.state(), announcement).context("the announcement is refused")?;
     }
-    println!("{}", router.state().settings.caller_listen);
+    let state = router.state();
+    let addresses = &state.settings;
+    println!("{} {}", addresses.caller_listen, addresses.router_listen);
     tokio::io::stdin().read_to_end(&mut Vec::new()).await?;
     Ok(())
 }
@@ -171,6 +180,7 @@
 }
 
 async fn serve(mut stream: TcpStream, sent: Arc<AtomicUsize>) -> Result<()> {
+    stream.set_nodelay(true)?;
     loop {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
@@ -202,17 +212,57 @@
     registry: SocketAddr,
     server: SocketAddr,
     role: &str,
-) -> Result<(Child, SocketAddr)> {
+    advertised: &str,
+) -> Result<(Child, SocketAddr, SocketAddr)> {
+    let (registry, server) = (registry.to_string(), server.to_string());
     let mut child = Command::new(env::current_exe()?)
-        .args(["router", &registry.to_string(), &server.to_string(), role])
+        .args(["router", &registry, &server, role, advertised])
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .kill_on_drop(true)
         .spawn()?;
     let output = child.stdout.take().context("an output")?;
     let line = BufReader::new(output).lines().next_line().await?;
-    let address = line.context("the router has ended")?.parse()?;
-    Ok((child, address))
+    let line = line.context("the router has ended")?;
+    let (callers, routers) = line.split_once(' ').context("two addresses")?;
+    Ok((child, callers.parse()?, routers.parse()?))
+}
+
+/// Opens a connection with small buffers, which are under way on a link.
+fn small_buffers() -> Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(16 * 1024)?;
+    socket.set_send_buffer_size(16 * 1024)?;
+    Ok(socket)
+}
+
+/// Passes connections on to `address`, each direction of each connection with this number of bits per second.
+async fn relay(listener: TcpListener, address: SocketAddr, bits: usize) -> Result<()> {
+    loop {
+        let (near, _) = listener.accept().await?;
+        near.set_nodelay(true)?;
+        let far = small_buffers()?.connect(address).await?;
+        far.set_nodelay(true)?;
+        let (near_reader, near_writer) = near.into_split();
+        let (far_reader, far_writer) = far.into_split();
+        tokio::spawn(pass(near_reader, far_writer, bits));
+        tokio::spawn(pass(far_reader, near_writer, bits));
+    }
+}
+
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, bits: usize) -> Result<()> {
+    let mut buffer = vec![0; LINK_BYTES];
+    let mut free_at = time::Instant::now();
+    loop {
+        let read = from.read(&mut buffer).await?;
+        if read == 0 {
+            return Ok(());
+        }
+        to.write_all(&buffer[..read]).await?;
+        let duration = Duration::from_secs_f64(read as f64 * 8.0 / bits as f64);
+        free_at = free_at.max(time::Instant::now()) + duration;
+        time::sleep_until(free_at).await;
+    }
 }
 
 /// Opens a connection with a small receive buffer and sends a request.
@@ -241,9 +291,9 @@
     }
 }
 
-async fn read_slowly(address: SocketAddr) -> Result<()> {
+async fn read_slowly(address: SocketAddr, rate: usize) -> Result<()> {
     let mut stream = request(address, "/a/large").await?;
-    let mut buffer = vec![0; READ_BYTES];
+    let mut buffer = vec![0; rate / 10];
     while stream.read(&mut buffer).await? > 0 {
         time::sleep(READ_INTERVAL).await;
     }
@@ -263,7 +313,7 @@
         .parse()?)
 }
 
-async fn measure(readers: usize, seconds: usize) -> Result<()> {
+async fn measure(readers: usize, seconds: usize, rate: usize, link: usize) -> Result<()> {
     let folder = TempDir::new()?;
     let registry = registry::start(shallotrill_registry::settings::Settings {
         listen: "127.0.0.1:0".parse()?,
@@ -281,8 +331,16 @@
     let sent = Arc::new(AtomicUsize::new(0));
     let server = backend_server(Arc::clone(&sent)).await?;
     let listen = state.settings.listen;
-    let (target, _) = start_router(listen, server, "target").await?;
-    let (entry, address) = start_router(listen, server, "entry").await?;
+    let link_end = TcpListener::bind("127.0.0.1:0").await?;
+    let advertised = match link {
+        0 => "-".to_owned(),
+        _ => link_end.local_addr()?.to_string(),
+    };
+    let (target, _, routers) = start_router(listen, server, "target", &advertised).await?;
+    if link > 0 {
+        tokio::spawn(relay(link_end, routers, link));
+    }
+    let (entry, address, _) = start_router(listen, server, "entry", "-").await?;
     let ready = async {
         while !matches!(small(address).await, Ok(Some(_))) {
             time::sleep(READ_INTERVAL).await;
@@ -294,7 +352,7 @@
         println!("{name}: {} kB before", memory_kb(child, "VmRSS")?);
     }
     for _ in 0..readers {
-        tokio::spawn(read_slowly(address));
+        tokio::spawn(read_slowly(address, rate));
     }
     time::sleep(Duration::from_secs(seconds as u64)).await;
     let mut times = Vec::new();
@@ -307,8 +365,11 @@
     let held = sent.load(Ordering::SeqCst) / readers.max(1);
     println!("{held} bytes of each response taken from the backend server");
     let failed = times.iter().filter(|time| time.is_none()).count();
-    let slowest = times.iter().flatten().max();
-    println!("small requests: {failed} of {SMALL_REQUESTS} not answered, slowest {slowest:?}");
+    times.sort();
+    let (middle, slowest) = (times[SMALL_REQUESTS / 2], times[SMALL_REQUESTS - 1]);
+    println!(
+        "small requests: {failed} of {SMALL_REQUESTS} not answered, median {middle:?}, slowest {slowest:?}"
+    );
     registry.stop();
     Ok(())
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod backend;
 pub mod crashes;
 pub mod departure;
+mod download;
 pub mod entry;
 pub mod follow;
 pub mod forwarded;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -41,6 +41,8 @@
     backend_limit: IntGauge,
     /// Requests refused because they crash backend servers.
     pub quarantined: IntCounter,
+    /// Responses whose slot was released before their end because their reader is slow.
+    pub slow_readers: IntCounter,
     /// Log lines of answered requests that the rate limit suppressed.
     pub log_suppressed: IntGauge,
     /// Reachable registry processes.
@@ -101,6 +103,10 @@
                 "shallotrill_router_quarantined_total",
                 "Requests refused because they crash backend servers.",
             )?,
+            slow_readers: registry.counter(
+                "shallotrill_router_slow_readers_total",
+                "Responses whose slot was released before their end because their reader is slow.",
+            )?,
             log_suppressed: registry.gauge(
                 "shallotrill_router_log_left_out",
                 "Lines of answered requests that were left out of the log.",
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -16,6 +16,8 @@
 
 use crate::crashes;
 use crate::crashes::InFlightGuard;
+use crate::download;
+use crate::download::Held;
 use crate::forwarded;
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
@@ -275,14 +277,19 @@
         });
     }
     let failed = head.status().is_server_error();
+    let complete = if failed {
+        Outcome::Failure
+    } else {
+        Outcome::Success
+    };
+    let kept = Held::new(slot);
+    let finished = Arc::clone(&kept);
     let finish = move |end| {
-        slot.set_outcome(match end {
-            End::Complete if failed => Outcome::Failure,
-            End::Complete => Outcome::Success,
+        finished.release(match end {
+            End::Complete => complete,
             End::Truncated => Outcome::Failure,
             End::Dropped => Outcome::Cancelled,
         });
-        drop(slot);
     };
     let mut response = head.into_response(Box::new(finish));
     let headers = response.headers();
@@ -293,5 +300,5 @@
         return Err(Denial::Spoiled);
     }
     add_load(state, &mut response);
-    Ok(response)
+    Ok(response.map(|body| download::watch(state, body, kept, complete)))
 }
--- a/crates/router/tests/path/downloads.rs
+++ b/crates/router/tests/path/downloads.rs
@@ -17,10 +17,13 @@
 use crate::WAIT_TIMEOUT;
 use crate::fixture;
 use crate::header;
+use crate::items;
 use crate::read_head;
 use crate::service_name;
 use crate::settings;
+use shallotrill_items::item::Content;
 use shallotrill_model::class::Class;
+use shallotrill_registry::propose;
 use shallotrill_router::run;
 use shallotrill_router::run::Router;
 
@@ -124,7 +127,7 @@
     text.repeat(BLOCK_BYTES / text.len()).into_bytes()
 }
 
-async fn backend_server(stated: bool, blocks: usize, sent: Arc<AtomicUsize>) -> SocketAddr {
+fn backend_server(stated: bool, blocks: usize, sent: Arc<AtomicUsize>) -> SocketAddr {
     let socket = TcpSocket::new_v4().expect("a socket");
     let bound = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
     bound.expect("a bounded buffer");
@@ -184,7 +187,7 @@
 async fn a_large_response_is_whole_or_does_not_look_complete() {
     let expected: Vec<u8> = (0..BLOCKS).flat_map(block).collect();
     for case in CASES {
-        let one = backend_server(case.stated, case.blocks, Arc::default()).await;
+        let one = backend_server(case.stated, case.blocks, Arc::default());
         let fixture = fixture(Class::NonIdempotent, &[one]).await;
         let entry = entry(&fixture).await;
         let mut stream = request(&entry).await;
@@ -216,7 +219,7 @@
 #[tokio::test]
 async fn a_caller_that_does_not_read_stops_the_backend_server() {
     let sent = Arc::new(AtomicUsize::new(0));
-    let one = backend_server(true, BLOCKS, Arc::clone(&sent)).await;
+    let one = backend_server(true, BLOCKS, Arc::clone(&sent));
     let fixture = fixture(Class::NonIdempotent, &[one]).await;
     let entry = entry(&fixture).await;
     let stream = request(&entry).await;
@@ -233,3 +236,70 @@
     assert!(sent <= UNREAD_BYTES_MAX, "{sent} bytes");
     drop(stream);
 }
+
+/// Guards against callers that read slowly and with that take all slots of a backend server that works on nothing.
+#[tokio::test]
+async fn a_slow_reader_does_not_hold_a_slot() {
+    let one = backend_server(true, BLOCKS, Arc::default());
+    let fixture = fixture(Class::NonIdempotent, &[one]).await;
+    set_timeout(&fixture, WAIT_TIMEOUT * 2).await;
+    let state = fixture.routers[0].state();
+    let mut streams = Vec::new();
+    // The backend server has four slots.
+    for _ in 0..8 {
+        let mut stream = request(&fixture.routers[0]).await;
+        let started = time::timeout(WAIT_TIMEOUT, stream.read_u8()).await;
+        started.expect("a response in time").expect("a response");
+        streams.push(stream);
+    }
+    let released = async {
+        loop {
+            let now = state.now();
+            let mut backend = state.backend.lock();
+            let server = backend.current.as_mut().expect("a backend server");
+            if server.gate.report(now).in_flight == 0 {
+                return;
+            }
+            drop(backend);
+            time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let released = time::timeout(WAIT_TIMEOUT, released).await;
+    assert!(released.is_ok(), "the slots are in use");
+    let counts = state.pool.counts();
+    assert_eq!(counts.open - counts.idle, streams.len(), "{counts:?}");
+    // A response continues without its slot.
+    let mut read = Vec::new();
+    let reading = streams.remove(0);
+    let mut reading = reading.take((BLOCKS * BLOCK_BYTES) as u64);
+    let whole = time::timeout(WAIT_TIMEOUT, reading.read_to_end(&mut read)).await;
+    assert!(whole.is_ok_and(|read| read.is_ok()));
+    assert_eq!(read.len(), BLOCKS * BLOCK_BYTES);
+}
+
+/// Changes the timeout of the route and waits until the first router applies it.
+async fn set_timeout(fixture: &Fixture, timeout: Duration) {
+    let mut items = items(Class::NonIdempotent);
+    for item in &mut items {
+        item.version = 2;
+        if let Content::Route(route) = &mut item.content {
+            route.timeout = timeout;
+            route.objective = timeout;
+        }
+    }
+    let changed = propose::change(&fixture.registry.state(), &items).await;
+    changed.expect("the change is accepted");
+    let state = fixture.routers[0].state();
+    let applied = || {
+        let table = state.items();
+        let rule = table.find("host", "/a/large");
+        rule.is_some_and(|rule| rule.route.timeout == timeout)
+    };
+    let waiting = async {
+        while !applied() {
+            time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let waiting = time::timeout(WAIT_TIMEOUT, waiting).await;
+    assert!(waiting.is_ok(), "the change is not applied");
+}
