--- a/crates/router/examples/downloads.rs
+++ b/crates/router/examples/downloads.rs
@@ -61,7 +61,10 @@
 const LARGE_BYTES: usize = 8 * 1024 * 1024;
 /// Bytes that the relay on the path between the routers passes on at once.
 const LINK_BYTES: usize = 4 * 1024;
-const READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Bytes that a fast reader reads at once.
+const READ_BYTES: usize = 64 * 1024;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 const SMALL_REQUESTS: usize = 20;
 const SMALL_TIMEOUT: Duration = Duration::from_secs(5);
 const ROUTE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -293,11 +296,14 @@
 
 async fn read_slowly(address: SocketAddr, rate: usize) -> Result<()> {
     let mut stream = request(address, "/a/large").await?;
-    let mut buffer = vec![0; rate / 10];
-    while stream.read(&mut buffer).await? > 0 {
-        time::sleep(READ_INTERVAL).await;
+    let mut buffer = vec![0; READ_BYTES.min(rate / 10)];
+    loop {
+        let read = stream.read(&mut buffer).await?;
+        if read == 0 {
+            return Ok(());
+        }
+        time::sleep(Duration::from_secs_f64(read as f64 / rate as f64)).await;
     }
-    Ok(())
 }
 
 /// A field of `/proc/PID/status` in kB.
@@ -343,7 +349,7 @@
     let (entry, address, _) = start_router(listen, server, "entry", "-").await?;
     let ready = async {
         while !matches!(small(address).await, Ok(Some(_))) {
-            time::sleep(READ_INTERVAL).await;
+            time::sleep(POLL_INTERVAL).await;
         }
     };
     time::timeout(STARTUP_TIMEOUT, ready).await?;
