--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -23,11 +23,13 @@
 use tokio::time;
 
 use crate::failure::Failure;
+use crate::flow;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_model::time::Instant;
 use shallotrill_wire::dial;
 use shallotrill_wire::listen;
+use shallotrill_wire::status;
 
 /// Parameters of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
@@ -226,6 +228,10 @@
             .keep_alive_interval(self.config.ping_interval)
             .keep_alive_timeout(self.config.ping_timeout)
             .keep_alive_while_idle(false)
+            .initial_stream_window_size(flow::STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(flow::CONNECTION_WINDOW_BYTES)
+            .max_frame_size(flow::FRAME_BYTES)
+            .max_send_buf_size(flow::SEND_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = time::timeout(self.config.connect_timeout, handshake)
             .await
@@ -270,7 +276,11 @@
     request: Request<Full<Bytes>>,
 ) -> SendOutcome {
     match sender.try_send_request(request).await {
-        Ok(response) => SendOutcome::Done(Ok(response)),
+        Ok(response) if status::is_final(response.status()) => SendOutcome::Done(Ok(response)),
+        Ok(response) => SendOutcome::Done(Err(Failure::InvalidStatus {
+            address,
+            status: response.status(),
+        })),
         Err(mut error) => match error.take_message() {
             Some(request) => SendOutcome::Unsent(request),
             None => SendOutcome::Done(Err(Failure::Lost {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cold;
 pub mod crashes;
 pub mod departure;
+mod download;
 pub mod entry;
 pub mod evacuation;
 pub mod follow;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -55,6 +55,8 @@
     allotments: Counters,
     /// Messages in which credit was requested.
     pub credit_requests: IntCounter,
+    /// Responses whose slot was released before their end because their reader is slow.
+    pub slow_readers: IntCounter,
     /// Log lines of answered requests that the rate limit suppressed.
     pub log_suppressed: IntGauge,
     /// Reachable registry processes.
@@ -144,6 +146,10 @@
                 "shallotrill_router_credit_requests_total",
                 "Messages that request credit from registry processes.",
             )?,
+            slow_readers: registry.counter(
+                "shallotrill_router_slow_readers_total",
+                "Responses whose slot was released before their end because their reader is slow.",
+            )?,
             log_suppressed: registry.gauge(
                 "shallotrill_router_log_left_out",
                 "Lines of answered requests that were left out of the log.",
