limits: accounting of what a process keeps for others

A process that runs short of memory or descriptors needs one place that decides who is refused and who is ended.

--- /dev/null
+++ b/crates/limits/src/memory.rs
@@ -0,0 +1,150 @@
+//! Accounting of the memory that a process keeps for others.
+//!
+//! The budget is a share of the memory in the settings of the process. Each kind of holder may take
+//! up to its own limit, and only while the whole use is under a second limit. That one is lower for
+//! requests than for messages between processes, so requests cannot take the part kept for control.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use shallotrill_model::time::Instant;
+
+/// What memory is kept for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Body of a caller's request.
+    Body,
+    /// Body of a request that another router has forwarded.
+    Forwarded,
+    /// Body of a call of an operator or a backend server.
+    Call,
+    /// Message of another process.
+    Message,
+}
+
+impl Kind {
+    /// All kinds, in the order of their indices.
+    pub const ALL: [Self; 4] = [Self::Body, Self::Forwarded, Self::Call, Self::Message];
+
+    /// Name of the kind in log lines and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Body => "body",
+            Self::Forwarded => "forwarded",
+            Self::Call => "call",
+            Self::Message => "message",
+        }
+    }
+
+    const fn index(self) -> usize {
+        self as usize
+    }
+
+    /// Limits of this kind as percentages of the memory of the process: on its own use, and on the
+    /// use of all kinds at which it may still take.
+    ///
+    /// A router with 160 MB has room for one body of 64 MiB, the largest that operators configure:
+    /// 40%. Up to half of the memory is held in total; the other half is for the tables of the
+    /// process and the buffers of its connections.
+    const fn percentages(self) -> (u64, u64) {
+        match self {
+            Self::Body | Self::Forwarded => (40, 40),
+            Self::Call => (20, 45),
+            Self::Message => (40, 50),
+        }
+    }
+}
+
+/// Memory of a process whose settings state none: that of the smallest instance with a router.
+pub const MEMORY_DEFAULT_BYTES: u64 = 160 * 1024 * 1024;
+
+/// The use by kind. Taking and giving back are lock-free, because they occur on the path of requests.
+#[derive(Debug)]
+pub struct Budget {
+    memory_bytes: u64,
+    used: AtomicU64,
+    used_by_kind: [AtomicU64; Kind::ALL.len()],
+}
+
+impl Budget {
+    /// Creates the budget of a process with this memory.
+    pub fn new(memory_bytes: u64) -> Self {
+        Self {
+            memory_bytes,
+            used: AtomicU64::new(0),
+            used_by_kind: Default::default(),
+        }
+    }
+
+    /// Takes memory; returns whether there is room.
+    pub fn take(&self, kind: Kind, bytes: u64) -> bool {
+        let (own, total) = self.limits(kind);
+        let own_used = &self.used_by_kind[kind.index()];
+        let own_after = own_used.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let after = self.used.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let fits = own_after <= own && after <= total;
+        if !fits {
+            self.give_back(kind, bytes);
+        }
+        fits
+    }
+
+    /// Gives taken memory back.
+    pub fn give_back(&self, kind: Kind, bytes: u64) {
+        self.used_by_kind[kind.index()].fetch_sub(bytes, Ordering::Relaxed);
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether this much could be taken now.
+    pub fn has_room(&self, kind: Kind, bytes: u64) -> bool {
+        let (own, total) = self.limits(kind);
+        self.used(kind) + bytes <= own && self.used.load(Ordering::Relaxed) + bytes <= total
+    }
+
+    /// Memory that a kind holds.
+    pub fn used(&self, kind: Kind) -> u64 {
+        self.used_by_kind[kind.index()].load(Ordering::Relaxed)
+    }
+
+    /// The largest use of a kind.
+    pub const fn limit(&self, kind: Kind) -> u64 {
+        self.limits(kind).0
+    }
+
+    const fn limits(&self, kind: Kind) -> (u64, u64) {
+        let (own, total) = kind.percentages();
+        let memory = self.memory_bytes;
+        (memory * own / 100, memory * total / 100)
+    }
+}
+
+/// Time without a refusal after which a cutback has ended.
+const CUTBACK_PERIOD: Duration = Duration::from_secs(5);
+
+/// Refusals of one kind of holder, for one log line when they begin and one when they end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cutback {
+    last: Option<Instant>,
+    refusals: u64,
+}
+
+impl Cutback {
+    /// Records a refusal; returns whether a cutback begins with it.
+    pub const fn refuse(&mut self, now: Instant) -> bool {
+        let begins = self.last.is_none();
+        self.last = Some(now);
+        self.refusals += 1;
+        begins
+    }
+
+    /// Ends a cutback without recent refusals; returns the number of its refusals.
+    pub fn end(&mut self, now: Instant) -> Option<u64> {
+        if now.since(self.last?) < CUTBACK_PERIOD {
+            return None;
+        }
+        let refusals = self.refusals;
+        *self = Self::default();
+        Some(refusals)
+    }
+}
