backend: a long response that is not read releases its slot at the deadline

The deadline of a response was checked only when its body was polled, and a reader that stops reading stops that. A task now releases the connection and the slot at the deadline of a response with more than 32 KiB missing. The read buffer of a connection is bounded by 64 KiB: 64 responses with slow readers used 80 MB.

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// Largest read buffer of a connection, and so the largest head of a response. With the default of hyper, about
+/// 400 KiB, 64 responses whose callers read slowly used 80 MB.
+const BUFFER_BYTES_MAX: usize = 64 * 1024;
+
 /// Opens a connection and performs the HTTP handshake.
 pub(crate) async fn open(
     config: &Config,
@@ -49,7 +53,9 @@
         .await
         .or(Err(io::Error::from(io::ErrorKind::TimedOut)))??;
     listen::configure_stream(&stream, config.user_timeout)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES_MAX)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     tokio::spawn(async move {
--- a/crates/backend/src/response.rs
+++ b/crates/backend/src/response.rs
@@ -12,11 +12,14 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
+use tokio::task::AbortHandle;
 use tokio::time;
 use tokio::time::Sleep;
 
 use crate::connection::Connection;
 use crate::pool::Pool;
+use shallotrill_locks::Mutex;
+use shallotrill_locks::Rank;
 use shallotrill_wire::body;
 
 /// How a response ended.
@@ -33,6 +36,27 @@
 /// Callback that is called once when the response has ended.
 pub type Finish = Box<dyn FnOnce(End) + Send>;
 
+/// A response is watched by a task from the frame on after which more than this is missing. Shorter ones fit into the
+/// buffers between the backend server and the reader, so their end does not depend on the reader.
+const WATCHED_BYTES: u64 = 32 * 1024;
+
+/// What is released when a response ends.
+struct Held {
+    connection: Connection,
+    pool: Arc<Pool>,
+    finish: Finish,
+}
+
+impl Held {
+    fn release(self, end: End) {
+        match end {
+            End::Complete => self.pool.release(self.connection),
+            End::Truncated | End::Dropped => self.pool.close(self.connection),
+        }
+        (self.finish)(end);
+    }
+}
+
 /// The body of a backend server's response.
 ///
 /// The connection is returned to its pool only after the response has been read
@@ -41,9 +65,22 @@
     inner: Incoming,
     deadline: Pin<Box<Sleep>>,
     timeout: Duration,
-    connection: Option<Connection>,
-    pool: Arc<Pool>,
-    finish: Option<Finish>,
+    held: Option<Held>,
+    /// Set for a long response: what it holds is released at the deadline even if the reader has stopped reading and
+    /// this body is not polled any more.
+    watched: Option<Watched>,
+}
+
+/// What a long response holds, shared with the task that releases it at the deadline.
+struct Watched {
+    held: Arc<Mutex<Option<Held>>>,
+    task: AbortHandle,
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 impl fmt::Debug for ResponseBody {
@@ -67,9 +104,12 @@
             inner,
             deadline: Box::pin(time::sleep(timeout)),
             timeout,
-            connection: Some(connection),
-            pool,
-            finish: Some(finish),
+            held: Some(Held {
+                connection,
+                pool,
+                finish,
+            }),
+            watched: None,
         };
         if body.inner.is_end_stream() {
             body.end(End::Complete);
@@ -83,15 +123,36 @@
     }
 
     fn end(&mut self, end: End) {
-        if let Some(connection) = self.connection.take() {
-            match end {
-                End::Complete => self.pool.release(connection),
-                End::Truncated | End::Dropped => self.pool.close(connection),
-            }
+        let watched = self.watched.take();
+        let watched = watched.and_then(|watched| watched.held.lock().take());
+        if let Some(held) = self.held.take().or(watched) {
+            held.release(end);
         }
-        if let Some(finish) = self.finish.take() {
-            finish(end);
+    }
+
+    /// Releases what a long response holds at its deadline, unless it ends before.
+    fn watch(&mut self) {
+        let size = self.inner.size_hint();
+        if size.exact().is_some_and(|missing| missing <= WATCHED_BYTES) {
+            return;
         }
+        let Some(held) = self.held.take() else {
+            return;
+        };
+        let held = Arc::new(Mutex::new(Rank::Report, Some(held)));
+        let deadline = self.deadline.deadline();
+        let shared = Arc::clone(&held);
+        let task = tokio::spawn(async move {
+            time::sleep_until(deadline).await;
+            let held = shared.lock().take();
+            if let Some(held) = held {
+                held.release(End::Truncated);
+            }
+        });
+        self.watched = Some(Watched {
+            held,
+            task: task.abort_handle(),
+        });
     }
 }
 
@@ -111,6 +172,7 @@
             // An endless body whose reader is slower than its sender is never pending, so the deadline
             // is checked here too.
             Poll::Ready(Some(Ok(frame))) if self.deadline.as_mut().poll(cx).is_pending() => {
+                self.watch();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Ok(_))) => self.time_out(),
--- a/crates/backend/tests/contract/endless.rs
+++ b/crates/backend/tests/contract/endless.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::common;
@@ -14,6 +15,7 @@
 use crate::common::TEST_TIMEOUT;
 use shallotrill_backend::config::Config;
 use shallotrill_backend::pool::OnSilence;
+use shallotrill_backend::response::End;
 
 const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -152,3 +154,39 @@
     let read = time::timeout(TEST_TIMEOUT, reading).await;
     assert!(read.is_ok_and(|body| body.is_err()));
 }
+
+/// Guards against a slot and a connection that stay in use for a reader that has stopped reading.
+#[tokio::test]
+async fn a_response_that_is_not_read_ends_at_the_deadline() {
+    let first = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let follow_up = FollowUp::Flood("4\r\nbody\r\n");
+    let config = Config::default().spare_connections(0);
+    let server = common::start(config, 4, first, follow_up).await;
+    let request = Request::builder()
+        .uri("/")
+        .header("host", "s")
+        .body(Full::new(Bytes::new()))
+        .expect("a request");
+    let head = server
+        .pool
+        .dispatch(request, SHORT_TIMEOUT, OnSilence::Wait)
+        .await
+        .expect("a response");
+    let (ended, end) = oneshot::channel();
+    let finish = Box::new(move |end| {
+        let _ = ended.send(end);
+    });
+    let mut body = head.into_response(finish).into_body();
+    let read = body.frame().await.expect("a frame");
+    assert!(read.is_ok());
+    let end = time::timeout(TEST_TIMEOUT, end).await;
+    assert_eq!(end.expect("it ends"), Ok(End::Truncated));
+    server.wait_for_counts(|counts| counts.open == 0).await;
+    let rest = async {
+        while let Some(frame) = body.frame().await {
+            frame?;
+        }
+        Ok::<_, shallotrill_wire::body::Error>(())
+    };
+    assert!(rest.await.is_err(), "a cut response must not look complete");
+}
