Memory and descriptors of a process are budgeted for what it keeps for others

Crowds of clients with bodies, frames and connections took a process over the memory and descriptors of its instance. Bodies and long frames now take from one budget as they arrive (limits.memoryMb of the settings), in segments shared by all threads; when there is no room, a request is refused before its body is read (503, 413 or 408 as not run), and the arriving holder that holds the most for the longest is ended first. Listeners have shares of limits.maxFds; a full one closes idle connections for new ones. Slow bodies and readers are ended, sooner while memory or descriptors are short. Metrics by kind and listener, and one log line at the begin and the end of a cutback.

The stand-in of the tests now waits until the address of an earlier fixture is free: that test fault made slow_readers fail with AddrInUse.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -61,7 +61,8 @@
         .map_err(|error| {
             let code = match error {
                 body::Error::TooLarge(_) => Code::BodyLarge,
-                body::Error::Timeout(_) => Code::BodyTimeout,
+                // `collect` takes nothing from a budget, so it does not return the second one.
+                body::Error::Timeout(_) | body::Error::Refused(_) => Code::BodyTimeout,
                 body::Error::Truncated(_) => Code::BodyIncomplete,
             };
             Refusal::not_run(code, error.to_string())
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -24,9 +24,13 @@
 use crate::head::HeadScanner;
 use crate::head::ScannedStream;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::connection::GuardedBody;
+use shallotrill_wire::connection::Tracker;
 use shallotrill_wire::hop::HeadError;
 use shallotrill_wire::listen;
+use shallotrill_wire::listen::Limit;
 use shallotrill_wire::listen::Listener;
+use shallotrill_wire::progress;
 
 /// TCP user timeout: a connection is closed when bytes to the caller remain unacknowledged for this time.
 const USER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -89,16 +93,33 @@
     let connection_stop = stop.clone();
     let serve = move |stream, _| {
         let handler = Arc::clone(&handler);
-        connection(stream, config, connection_stop.clone(), handler)
+        connection(stream, config, connection_stop.clone(), handler, None)
     };
     listener.run(config.connections_max, stop, serve).await;
 }
 
+/// Serves callers as [`run`] does, with the limit and budget of the process instead of the limit of the configuration.
+pub async fn run_within(
+    listener: Listener,
+    config: Config,
+    limit: Arc<Limit>,
+    stop: watch::Receiver<bool>,
+    handler: Handler,
+) {
+    let connection_stop = stop.clone();
+    let serve = move |stream, tracker| {
+        let (handler, stop) = (Arc::clone(&handler), connection_stop.clone());
+        connection(stream, config, stop, handler, Some(tracker))
+    };
+    listener.run_within(limit, stop, serve).await;
+}
+
 async fn connection(
     stream: TcpStream,
     config: Config,
     mut stop: watch::Receiver<bool>,
     handler: Handler,
+    tracker: Option<Arc<Tracker>>,
 ) {
     if let Err(error) = listen::configure_stream(&stream, USER_TIMEOUT) {
         debug!(event = "socket-option-failed"; "setting the socket options of a caller connection failed: {error}");
@@ -106,11 +127,13 @@
     let scanner = HeadScanner::default();
     let verdict = scanner.verdict();
     let requests = AtomicU64::new(0);
+    let budget = tracker.as_ref().map(|t| Arc::clone(t.budget()));
     let service = service_fn(move |mut request: Request<Incoming>| {
         if verdict.is_ambiguous(requests.fetch_add(1, Ordering::Relaxed)) {
             request.extensions_mut().insert(HeadError::TwoLengths);
         }
         let closes = must_close(&request);
+        let guard = tracker.as_ref().map(Tracker::begin);
         let response = handler(request);
         async move {
             let mut response = response.await;
@@ -118,14 +141,20 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(config.header_timeout)
         .max_buf_size(config.header_bytes)
-        .serve_connection(TokioIo::new(ScannedStream::new(stream, scanner)), service);
+        .serve_connection(
+            TokioIo::new(ScannedStream::new(
+                progress::Stream::new(stream, budget),
+                scanner,
+            )),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/feed/src/frame.rs
+++ b/crates/feed/src/frame.rs
@@ -6,6 +6,7 @@
 use std::error;
 use std::fmt;
 use std::io;
+use std::sync::Arc;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,6 +16,9 @@
 use tokio::io::AsyncWriteExt;
 
 use crate::message::VERSION;
+use shallotrill_limits::memory::Kind;
+use shallotrill_wire::budget::Budget;
+use shallotrill_wire::budget::Refusal;
 
 /// Maximum length of a frame, not counting the length field. The registers of ten thousand items fit into it.
 const FRAME_BYTES_MAX: u32 = 16 * 1024 * 1024;
@@ -30,6 +34,8 @@
     Version(u8),
     /// The message cannot be encoded, or the frame does not contain the expected message.
     Codec(postcard::Error),
+    /// The budget of the process does not allow to hold the frame.
+    Refused(Refusal),
 }
 
 impl fmt::Display for Error {
@@ -47,6 +53,7 @@
             Self::Codec(cause) => {
                 write!(f, "cannot encode or decode the message of a frame: {cause}")
             }
+            Self::Refused(refusal) => write!(f, "the frame is refused: {refusal}"),
         }
     }
 }
@@ -56,7 +63,7 @@
         match self {
             Self::Stream(cause) => Some(cause),
             Self::Codec(cause) => Some(cause),
-            Self::InvalidLength(_) | Self::Version(_) => None,
+            Self::InvalidLength(_) | Self::Version(_) | Self::Refused(_) => None,
         }
     }
 }
@@ -87,6 +94,22 @@
 ///
 /// Returns [`Error`] when the stream fails or does not contain a valid frame with a message of type `M`.
 pub async fn read<S, M>(stream: &mut S) -> Result<M, Error>
+where
+    S: AsyncRead + Unpin,
+    M: DeserializeOwned,
+{
+    read_within(stream, None).await
+}
+
+/// Length up to which a frame takes nothing from the budget. Regular messages of routers are shorter.
+const SMALL_BYTES: usize = 16 * 1024;
+
+/// Reads one message as [`read`] does. A long frame takes memory from the budget as it arrives.
+///
+/// # Errors
+///
+/// Returns [`Error`] in the cases of [`read`], and when there is no memory for the frame.
+pub async fn read_within<S, M>(stream: &mut S, budget: Option<&Arc<Budget>>) -> Result<M, Error>
 where
     S: AsyncRead + Unpin,
     M: DeserializeOwned,
@@ -95,8 +118,33 @@
     if length == 0 || length > FRAME_BYTES_MAX {
         return Err(Error::InvalidLength(length));
     }
-    let mut bytes = vec![0; length as usize];
-    stream.read_exact(&mut bytes).await.map_err(Error::Stream)?;
+    let length = length as usize;
+    match budget {
+        Some(budget) if length > SMALL_BYTES => {
+            let held = budget.hold(Kind::Message, length);
+            let mut arrival = held.map_err(Error::Refused)?;
+            let ended = arrival.ended();
+            while arrival.len() < length {
+                let missing = length - arrival.len();
+                let read = tokio::select! {
+                    () = ended.notified() => return Err(Error::Refused(Refusal::NoRoom)),
+                    read = arrival.read_from(stream, missing) => read.map_err(Error::Stream)?,
+                };
+                if read == 0 {
+                    return Err(Error::Stream(io::ErrorKind::UnexpectedEof.into()));
+                }
+            }
+            decode(&arrival.finish())
+        }
+        _ => {
+            let mut bytes = vec![0; length];
+            stream.read_exact(&mut bytes).await.map_err(Error::Stream)?;
+            decode(&bytes)
+        }
+    }
+}
+
+fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, Error> {
     if bytes[0] != VERSION {
         return Err(Error::Version(bytes[0]));
     }
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -20,7 +20,9 @@
 
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::connection::Tracker;
 use shallotrill_wire::listen;
+use shallotrill_wire::listen::Limit;
 use shallotrill_wire::listen::Listener;
 
 /// TCP user timeout: a connection is closed when bytes to the other node remain unacknowledged for this time.
@@ -53,11 +55,32 @@
     handler: Handler,
 ) {
     let connection_stop = stop.clone();
-    let serve = move |stream, _| connection(stream, connection_stop.clone(), Arc::clone(&handler));
+    let serve =
+        move |stream, _| connection(stream, connection_stop.clone(), Arc::clone(&handler), None);
     listener.run(connections_max, stop, serve).await;
 }
 
-async fn connection(stream: TcpStream, mut stop: watch::Receiver<bool>, handler: Handler) {
+/// Serves other nodes as [`run`] does, and closes idle connections for new ones at the limit.
+pub async fn run_within(
+    listener: Listener,
+    limit: Arc<Limit>,
+    stop: watch::Receiver<bool>,
+    handler: Handler,
+) {
+    let connection_stop = stop.clone();
+    let serve = move |stream, tracker| {
+        let (handler, stop) = (Arc::clone(&handler), connection_stop.clone());
+        connection(stream, stop, handler, Some(tracker))
+    };
+    listener.run_within(limit, stop, serve).await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+    handler: Handler,
+    tracker: Option<Arc<Tracker>>,
+) {
     if let Err(error) = listen::configure_stream(&stream, USER_TIMEOUT) {
         debug!(event = "socket-option-failed"; "setting the socket options of a peer connection failed: {error}");
     }
@@ -66,7 +89,8 @@
     let weak_guard = Arc::downgrade(&request_guard);
     let service = service_fn(move |request| {
         let response = handler(request);
-        let guard = Arc::clone(&request_guard);
+        let busy = tracker.as_ref().map(Tracker::begin);
+        let guard = (Arc::clone(&request_guard), busy);
         async move {
             let response = response.await;
             Ok::<_, Infallible>(response.map(|body| body::with_guard(body, guard)))
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod calendar;
 pub mod clock;
+pub mod holders;
 pub mod log;
 pub mod metrics;
 pub mod output;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -476,6 +476,10 @@
     state.metrics.votes.set(i64::from(votes));
     let quorum = consensus.roster.quorum(now);
     state.metrics.quorum.set(count(quorum));
+    drop(consensus);
+    let limits = &state.listeners;
+    let all = [&limits.processes, &limits.operators];
+    state.metrics.holders.set(&state.memory, &all);
 }
 
 async fn become_voter(state: &State) {
--- a/crates/registry/src/metrics.rs
+++ b/crates/registry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use prometheus::IntGauge;
 
+use shallotrill_process::holders::Holders;
 use shallotrill_process::metrics::Counters;
 use shallotrill_process::metrics::Error;
 use shallotrill_process::metrics::LabelSet;
@@ -21,6 +22,8 @@
     pub routers: IntGauge,
     /// Number of items with an accepted proposal that is not known to be committed.
     pub uncommitted: IntGauge,
+    /// What the process keeps for others.
+    pub holders: Holders,
 }
 
 impl Metrics {
@@ -50,6 +53,7 @@
                 "shallotrill_registry_unsettled",
                 "Items whose last proposal is not known to be settled.",
             )?,
+            holders: Holders::new(&registry, "registry")?,
             registry,
         })
     }
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::state::ConsensusState;
+use crate::state::Listeners;
 use crate::state::State;
 use crate::store;
 use crate::store::Content;
@@ -25,15 +26,16 @@
 use shallotrill_items::replica::Replica;
 use shallotrill_items::roster::Member;
 use shallotrill_items::roster::Roster;
+use shallotrill_limits::connection::Shares;
+use shallotrill_limits::process::Limits;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_process::metrics;
+use shallotrill_wire::budget::Budget;
 use shallotrill_wire::listen;
+use shallotrill_wire::listen::Limit;
 use shallotrill_wire::listen::Listener;
 
-/// Maximum number of connections of other processes: two for each router and registry process.
-const CONNECTIONS_MAX: usize = 3_000;
-
 /// Why a registry process could not be started.
 #[derive(Debug)]
 pub enum Error {
@@ -90,6 +92,8 @@
     let mut departures = departures::Table::default();
     departures.merge(&departed);
     let (changed, _) = watch::channel(0);
+    let memory = Budget::new(settings.limits.memory_bytes);
+    let listeners = listeners(&settings.limits, &memory);
     let (stop, stopped) = watch::channel(false);
     let state = Arc::new(State {
         session: clock.wall().0,
@@ -110,6 +114,8 @@
         ),
         changed,
         stop,
+        memory,
+        listeners,
         metrics: Metrics::new().map_err(Error::Metrics)?,
         store,
         settings,
@@ -119,19 +125,29 @@
         let state = Arc::clone(&handler_state);
         Box::pin(async move { members::handle(&state, &request).await })
     });
-    tokio::spawn(server::run(
+    tokio::spawn(server::run_within(
         listener,
-        CONNECTIONS_MAX,
+        Arc::clone(&state.listeners.processes),
         stopped.clone(),
         handler,
     ));
     let seeds = state.settings.seeds.clone();
     members::follow(&state, &seeds);
+    tokio::spawn(Arc::clone(&state.memory).watch(stopped.clone()));
     tokio::spawn(members::maintain(Arc::clone(&state), stopped));
     info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = own.votes; "registry process is listening for other processes");
     Ok(Registry { state })
 }
 
+fn listeners(limits: &Limits, memory: &Arc<Budget>) -> Listeners {
+    let shares = Shares::registry(limits.descriptors);
+    let limit = |name, connections| Limit::new(name, connections, Arc::clone(memory));
+    Listeners {
+        processes: limit("processes", shares.processes),
+        operators: limit("operators", shares.calls),
+    }
+}
+
 fn highest_promised(replica: &Replica) -> Ballot {
     let promised = replica.entries().iter().map(|e| e.promised);
     promised.max().unwrap_or_default()
--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use shallotrill_limits::process::Limits;
 use shallotrill_process::clock::Clock;
 
 /// Settings of a registry process.
@@ -21,6 +22,8 @@
     pub first_start: bool,
     /// Data folder for the state that must survive a restart.
     pub folder: PathBuf,
+    /// Memory and descriptors of the process.
+    pub limits: Limits,
     /// The clock of the process.
     pub clock: Clock,
 }
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -24,6 +24,8 @@
 use shallotrill_locks::Mutex;
 use shallotrill_model::time::Instant;
 use shallotrill_process::clock::Clock;
+use shallotrill_wire::budget::Budget;
+use shallotrill_wire::listen::Limit;
 
 /// State of the consensus protocol: the registers, and the registry processes that replicate them.
 #[derive(Debug)]
@@ -62,6 +64,15 @@
     pub cursor: Mutex<Cursor>,
 }
 
+/// Limits of the listeners of a registry process.
+#[derive(Debug)]
+pub struct Listeners {
+    /// Of other processes.
+    pub processes: Arc<Limit>,
+    /// Of operators.
+    pub operators: Arc<Limit>,
+}
+
 /// Shared state of a registry process.
 ///
 /// Lock order: `announcements`, `peers`, `departures`, `consensus`, then the locks of a [`Peer`].
@@ -90,6 +101,10 @@
     pub changed: watch::Sender<u64>,
     /// Set when the process stops.
     pub stop: watch::Sender<bool>,
+    /// Memory that is kept for others.
+    pub memory: Arc<Budget>,
+    /// Limits of the listeners.
+    pub listeners: Listeners,
     /// Metrics of this process.
     pub metrics: Metrics,
     /// Store of the registers on disk.
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -21,6 +21,7 @@
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Proposed;
 use shallotrill_items::route::Service;
+use shallotrill_limits::process::Limits;
 use shallotrill_model::instance;
 use shallotrill_process::clock::Clock;
 use shallotrill_registry::members;
@@ -48,6 +49,7 @@
         advertised: None,
         seeds,
         tolerated_disks: 2,
+        limits: Limits::default(),
         first_start,
         folder: folder.path().to_owned(),
         clock: Clock::start(),
--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -15,6 +15,7 @@
 use shallotrill_items::item::Kind;
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::route::Service;
+use shallotrill_limits::process::Limits;
 use shallotrill_process::clock::Clock;
 use shallotrill_registry::members;
 use shallotrill_registry::propose;
@@ -122,6 +123,7 @@
         seeds: Vec::new(),
         tolerated_disks: 0,
         first_start: true,
+        limits: Limits::default(),
         folder: folder.path().to_owned(),
         clock: Clock::start(),
     })
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -27,6 +27,7 @@
 use shallotrill_items::table::ActiveWorkspace;
 use shallotrill_items::table::Table;
 use shallotrill_items::workspace::Digest;
+use shallotrill_limits::memory::Kind;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::service;
@@ -36,6 +37,7 @@
 use shallotrill_routing::choice::Query;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::budget::Refusal;
 use shallotrill_wire::hop;
 
 /// Maximum size of a request body while no limits are configured.
@@ -55,6 +57,9 @@
 /// `Retry-After` of a quarantined request, in seconds.
 const RETRY_AFTER_QUARANTINE: &str = "60";
 
+/// `Retry-After` of a request whose body has no room in memory, in seconds.
+const RETRY_AFTER_NO_ROOM: &str = "1";
+
 /// Authentication scheme of the keys of workspaces, which RFC 9110 requires in a response with status 401.
 const KEY_SCHEME: &str = "Workspace-Key";
 
@@ -154,8 +159,13 @@
     let timeout = deadline.min(route.timeout);
     let body_bytes_max = items.limits().map_or(BODY_BYTES_DEFAULT, |l| l.body_bytes);
     let host = host.into();
-    let body = match body::collect(incoming, body_bytes_max, timeout).await {
+    let holder = (&state.memory, Kind::Body);
+    let body = match body::collect_within(incoming, body_bytes_max, timeout, holder).await {
         Ok(body) => body,
+        Err(body::Error::Refused(Refusal::NoRoom)) => {
+            let reason = "there is no memory for the body";
+            return Err(unavailable(id, RETRY_AFTER_NO_ROOM, reason));
+        }
         Err(body::Error::TooLarge(_)) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(refuse(id, status, "the body is too long"));
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -9,6 +9,7 @@
 
 use crate::forwarded::Denial;
 use shallotrill_model::rate::Rate;
+use shallotrill_process::holders::Holders;
 use shallotrill_process::metrics::Counters;
 use shallotrill_process::metrics::Error;
 use shallotrill_process::metrics::LabelSet;
@@ -45,6 +46,8 @@
     pub log_suppressed: IntGauge,
     /// Reachable registry processes.
     pub registries: IntGauge,
+    /// What the process keeps for others.
+    pub holders: Holders,
 }
 
 impl Metrics {
@@ -109,6 +112,7 @@
                 "shallotrill_router_registries",
                 "Registry processes that answer.",
             )?,
+            holders: Holders::new(&registry, "router")?,
             registry,
         };
         metrics.set_backend_limit(None);
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -32,11 +32,14 @@
 use crate::probe;
 use crate::serve;
 use crate::settings::Settings;
+use crate::state::Listeners;
 use crate::state::State;
 use shallotrill_backend::config::Config;
 use shallotrill_backend::pool;
 use shallotrill_caller::listener;
 use shallotrill_items::table;
+use shallotrill_limits::connection::Shares;
+use shallotrill_limits::process::Limits;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_peer::listener as peer_listener;
@@ -45,7 +48,9 @@
 use shallotrill_process::metrics;
 use shallotrill_routing::config;
 use shallotrill_routing::table as routing;
+use shallotrill_wire::budget::Budget;
 use shallotrill_wire::listen;
+use shallotrill_wire::listen::Limit;
 use shallotrill_wire::listen::Listener;
 
 /// Maximum size of a request head.
@@ -56,11 +61,15 @@
 /// connection on which a caller is sending a request.
 const HEADER_TIMEOUT: Duration = Duration::from_mins(2);
 
-/// Maximum number of connections of callers.
-const CALLER_CONNECTIONS_MAX: usize = 1_800;
+/// Least maximum size of a request head, above the 16 KiB that operators configure.
+const HEADER_BYTES_MIN: usize = 20 * 1024;
 
-/// Maximum number of connections of other routers.
-const ROUTER_CONNECTIONS_MAX: usize = 1_000;
+/// Part of the memory for the buffers of callers' connections.
+const BUFFERS_PERCENT: u64 = 10;
+
+/// Buffers of the maximum size of a head that a connection may use while a body arrives: one being filled, one
+/// split off as a frame, and the last one of each until it is freed.
+const BUFFERS_PER_CONNECTION: u64 = 4;
 
 /// Interval of the periodic maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -148,18 +157,18 @@
     let entry_state = Arc::clone(&state);
     let serve_state = Arc::clone(&state);
     let listeners = vec![
-        tokio::spawn(listener::run(
+        tokio::spawn(listener::run_within(
             callers,
             listener::Config::default()
-                .header_bytes(HEADER_BYTES_MAX)
-                .header_timeout(HEADER_TIMEOUT)
-                .connections_max(CALLER_CONNECTIONS_MAX),
+                .header_bytes(header_bytes(&state.settings.limits))
+                .header_timeout(HEADER_TIMEOUT),
+            Arc::clone(&state.listeners.callers),
             stopped.clone(),
             Arc::new(move |request| Box::pin(entry::handle(Arc::clone(&entry_state), request))),
         )),
-        tokio::spawn(peer_listener::run(
+        tokio::spawn(peer_listener::run_within(
             routers,
-            ROUTER_CONNECTIONS_MAX,
+            Arc::clone(&state.listeners.routers),
             stopped,
             Arc::new(move |request| Box::pin(serve::handle(Arc::clone(&serve_state), request))),
         )),
@@ -167,6 +176,7 @@
     follow::follow(&state, &registries, &loops_stopped);
     tokio::spawn(probe::run(Arc::clone(&state), loops_stopped.clone()));
     tokio::spawn(pacer::run(Arc::clone(&state), loops_stopped.clone()));
+    tokio::spawn(Arc::clone(&state.memory).watch(loops_stopped.clone()));
     tokio::spawn(maintain(Arc::clone(&state), loops_stopped));
     info!(
         event = "router-started",
@@ -193,6 +203,25 @@
 /// Preferred targets of a service in each other availability zone.
 const OTHER_SUBSET_TARGETS: usize = 2;
 
+/// Maximum size of a request head: smaller where the memory is small for the number of connections.
+fn header_bytes(limits: &Limits) -> usize {
+    let connections = Shares::router(limits.descriptors).callers.max(1) as u64;
+    let buffers = connections * BUFFERS_PER_CONNECTION;
+    let share = limits.memory_bytes * BUFFERS_PERCENT / 100 / buffers;
+    (share as usize).clamp(HEADER_BYTES_MIN, HEADER_BYTES_MAX)
+}
+
+fn listeners(limits: &Limits, memory: &Arc<Budget>) -> Listeners {
+    let shares = Shares::router(limits.descriptors);
+    let limit = |name, connections| Limit::new(name, connections, Arc::clone(memory));
+    Listeners {
+        callers: limit("callers", shares.callers),
+        routers: limit("routers", shares.processes),
+        ready: limit("ready", shares.calls),
+        admin: limit("admin", shares.calls),
+    }
+}
+
 fn state(settings: Settings) -> Result<State, metrics::Error> {
     let clock = settings.clock;
     let session = clock.wall().0;
@@ -224,6 +253,8 @@
         .failure_half_life(FAILURE_HALF_LIFE)
         .last_resort(true);
     let (published, _) = watch::channel(0);
+    let memory = Budget::new(settings.limits.memory_bytes);
+    let listeners = listeners(&settings.limits, &memory);
     Ok(State {
         session,
         clock,
@@ -246,6 +277,8 @@
         published,
         grace: OnceLock::new(),
         withdrawn: AtomicBool::new(false),
+        memory,
+        listeners,
         numbers: AtomicU64::new(0),
         settings,
     })
@@ -274,6 +307,14 @@
         state.metrics.log_suppressed.set(metrics::count(suppressed));
         let reachable = state.views.lock().reachable_registries(state.now());
         state.metrics.registries.set(metrics::count(reachable));
+        let limits = &state.listeners;
+        let all = [
+            &limits.callers,
+            &limits.routers,
+            &limits.ready,
+            &limits.admin,
+        ];
+        state.metrics.holders.set(&state.memory, &all);
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -27,6 +27,7 @@
 use shallotrill_backend::head::Head;
 use shallotrill_backend::pool::OnSilence;
 use shallotrill_backend::response::End;
+use shallotrill_limits::memory::Kind;
 use shallotrill_limits::ticket::Outcome;
 use shallotrill_model::class::Class;
 use shallotrill_wire::body;
@@ -69,9 +70,9 @@
 
 /// Handles a request of another router.
 pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
-    let result = match read(request).await {
-        Some((message, forwarded)) => run(&state, message, &forwarded).await,
-        None => Err(Denial::Gone),
+    let result = match read(&state, request).await {
+        Ok((message, forwarded)) => run(&state, message, &forwarded).await,
+        Err(denial) => Err(denial),
     };
     match result {
         Ok(response) => response,
@@ -79,16 +80,25 @@
     }
 }
 
-async fn read(request: Request<Incoming>) -> Option<(BufferedRequest, Forwarded)> {
+async fn read(
+    state: &State,
+    request: Request<Incoming>,
+) -> Result<(BufferedRequest, Forwarded), Denial> {
     let (mut parts, incoming) = request.into_parts();
-    let value = parts.headers.remove(forwarded::FORWARDED)?;
-    let forwarded = Forwarded::decode(&value)?;
-    let path = parts.uri.path_and_query()?.clone();
-    let body = match body::collect(incoming, BODY_BYTES_MAX, forwarded.remaining).await {
+    let value = parts
+        .headers
+        .remove(forwarded::FORWARDED)
+        .ok_or(Denial::Gone)?;
+    let forwarded = Forwarded::decode(&value).ok_or(Denial::Gone)?;
+    let path = parts.uri.path_and_query().ok_or(Denial::Gone)?.clone();
+    let holder = (&state.memory, Kind::Forwarded);
+    let timeout = forwarded.remaining;
+    let body = match body::collect_within(incoming, BODY_BYTES_MAX, timeout, holder).await {
         Ok(body) => body,
+        Err(body::Error::Refused(_)) => return Err(Denial::Busy),
         Err(error) => {
             log::debug!(event = "forwarded-body-lost"; "cannot read the body of a forwarded request: {error}");
-            return None;
+            return Err(Denial::Gone);
         }
     };
     parts.headers.remove(header::HOST);
@@ -98,7 +108,7 @@
         headers: parts.headers,
         body,
     };
-    Some((message, forwarded))
+    Ok((message, forwarded))
 }
 
 fn denied(state: &State, denial: Denial) -> Response<Body> {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::names::Names;
+use shallotrill_limits::process::Limits;
 use shallotrill_model::region;
 use shallotrill_model::service;
 use shallotrill_model::zone;
@@ -36,6 +37,8 @@
     pub retry_window: Duration,
     /// Time from the request to stop until the process is killed.
     pub grace_period: Duration,
+    /// Memory and descriptors of the process.
+    pub limits: Limits,
     /// Names of the headers.
     pub names: Names,
     /// The clock of the process.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -34,6 +34,8 @@
 use shallotrill_retry::budget;
 use shallotrill_retry::budget::Budget;
 use shallotrill_routing::table;
+use shallotrill_wire::budget as wire_budget;
+use shallotrill_wire::listen::Limit;
 
 /// Share of the allowed retries that this router uses. A retried request repeats its nested calls,
 /// which count as retries too, but the router that receives a nested call cannot tell that its
@@ -48,6 +50,19 @@
     split: WeightedSplit,
 }
 
+/// Limits of the listeners of a router.
+#[derive(Debug)]
+pub struct Listeners {
+    /// Of callers.
+    pub callers: Arc<Limit>,
+    /// Of other routers.
+    pub routers: Arc<Limit>,
+    /// Of readiness checks.
+    pub ready: Arc<Limit>,
+    /// Of announcements.
+    pub admin: Arc<Limit>,
+}
+
 /// Shared state. Lock order: `items`, `views`, `splits`, `routing`, `backend`, `budgets`, `crashes`.
 pub struct State {
     /// Settings of this router.
@@ -94,6 +109,10 @@
     pub grace: OnceLock<Grace>,
     /// Set when the target of this router is withdrawn because the process stops.
     pub withdrawn: AtomicBool,
+    /// Memory that is kept for others.
+    pub memory: Arc<wire_budget::Budget>,
+    /// Limits of the listeners.
+    pub listeners: Listeners,
     /// Source of unique numbers.
     pub numbers: AtomicU64,
 }
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -30,6 +30,7 @@
 use shallotrill_items::route::Route;
 use shallotrill_items::route::Service;
 use shallotrill_items::route::Share;
+use shallotrill_limits::process::Limits;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::region;
@@ -352,6 +353,7 @@
         retry_permille,
         retry_slack: retry_permille,
         retry_window: Duration::from_secs(10),
+        limits: Limits::default(),
         grace_period: Duration::from_secs(2),
         names: Names::default(),
         clock: Clock::start(),
@@ -363,6 +365,7 @@
         listen: "127.0.0.1:0".parse().expect("an address"),
         advertised: None,
         first_start: seeds.is_empty(),
+        limits: Limits::default(),
         seeds,
         tolerated_disks: 0,
         folder: folder.path().to_owned(),
--- a/crates/shallotrill/tests/clients/crowd.rs
+++ b/crates/shallotrill/tests/clients/crowd.rs
@@ -90,15 +90,16 @@
         Conduct::OverWithLength(length) => {
             let head = head(path, &format!("content-length: {length}\r\n"));
             stream.write_all(head.as_bytes()).await?;
+            let piece = vec![b'o'; 65_536];
             for _ in 0..length / 65_536 {
-                stream.write_all(&[b'o'; 65_536]).await?;
+                stream.write_all(&piece).await?;
             }
         }
         Conduct::OverInChunks(length) => {
             let head = head(path, "transfer-encoding: chunked\r\n");
             stream.write_all(head.as_bytes()).await?;
             let mut chunk = b"10000\r\n".to_vec();
-            chunk.extend([b'o'; 65_536]);
+            chunk.extend(vec![b'o'; 65_536]);
             chunk.extend(b"\r\n");
             for _ in 0..length / 65_536 {
                 stream.write_all(&chunk).await?;
--- a/crates/shallotrill/tests/clients/fixture.rs
+++ b/crates/shallotrill/tests/clients/fixture.rs
@@ -229,12 +229,12 @@
             "admin": addresses.admin().to_string(),
         });
         let router = Process::start("router", folder.path(), &shared)?;
-        let listener = TcpListener::bind(addresses.backend()).await?;
+        let listener = listen(addresses.backend()).await?;
         let tasks = vec![
             tokio::spawn(serve(listener)),
             tokio::spawn(announce(addresses)),
         ];
-        let fixture = Self {
+        let mut fixture = Self {
             addresses,
             registry,
             router,
@@ -244,12 +244,15 @@
         };
         let patch = configuration().to_string();
         let request = post("/api/Config.Patch", &patch);
-        fixture
-            .answered(addresses.operator(), &request, "configuration")
-            .await?;
-        fixture
-            .answered(addresses.callers(), ORDINARY, "first request")
-            .await?;
+        for (to, request, what) in [
+            (addresses.operator(), request.as_str(), "configuration"),
+            (addresses.callers(), ORDINARY, "first request"),
+        ] {
+            if let Err(error) = fixture.answered(to, request, what).await {
+                let logs = fixture.keep_logs();
+                return Err(io::Error::other(format!("{error}; logs: {logs}")));
+            }
+        }
         Ok(fixture)
     }
 
@@ -311,6 +314,14 @@
         (format!("{router}, {registry}"), failures)
     }
 
+    /// Stops everything and waits until the addresses are free.
+    pub async fn stop(mut self) {
+        for task in std::mem::take(&mut self.tasks) {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+
     /// Keeps the logs of the processes and returns their folder.
     pub fn keep_logs(&mut self) -> String {
         self.folder.disable_cleanup(true);
@@ -382,6 +393,21 @@
     }
 }
 
+/// Opens the listener of the stand-in, once the kernel has closed that of an earlier fixture.
+async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let deadline = time::Instant::now() + PATIENCE;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error)
+                if error.kind() == io::ErrorKind::AddrInUse && time::Instant::now() < deadline =>
+            {
+                time::sleep(Duration::from_millis(50)).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 async fn serve(listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         tokio::spawn(answer(stream));
--- a/crates/shallotrill/tests/clients/main.rs
+++ b/crates/shallotrill/tests/clients/main.rs
@@ -128,7 +128,7 @@
         for &place in places {
             // What an earlier crowd left behind must not be counted in this case.
             if fixture.must_be_replaced() {
-                drop(fixture);
+                fixture.stop().await;
                 fixture = Fixture::start().await.expect("the processes start");
             }
             let (measured, failures) = send_crowd(&mut fixture, place, conduct, clients).await;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -7,6 +7,7 @@
 use std::error;
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -22,6 +23,13 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use http_body_util::combinators::UnsyncBoxBody;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::budget::Arrival;
+use crate::budget::Budget;
+use crate::budget::Refusal;
+use shallotrill_limits::memory::Kind;
 
 /// Boxed request or response body whose errors state why it is incomplete.
 pub type Body = UnsyncBoxBody<Bytes, Error>;
@@ -35,6 +43,8 @@
     Timeout(Duration),
     /// The body is longer than this limit in bytes.
     TooLarge(usize),
+    /// The budget of the process does not allow to hold it.
+    Refused(Refusal),
 }
 
 impl fmt::Display for Error {
@@ -45,6 +55,7 @@
             Self::TooLarge(limit) => {
                 write!(f, "the body is longer than the limit of {limit} bytes")
             }
+            Self::Refused(refusal) => write!(f, "the body is refused: {refusal}"),
         }
     }
 }
@@ -53,7 +64,7 @@
     fn source(&self) -> Option<&(dyn error::Error + 'static)> {
         match self {
             Self::Truncated(cause) => Some(cause.as_ref()),
-            Self::Timeout(_) | Self::TooLarge(_) => None,
+            Self::Timeout(_) | Self::TooLarge(_) | Self::Refused(_) => None,
         }
     }
 }
@@ -97,6 +108,80 @@
     }
 }
 
+/// A body of up to this size that arrives in one piece is part of the read buffer of its connection.
+const IN_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Interval of the check whether a body progresses.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads a complete body into memory that is taken from a budget as the body arrives.
+///
+/// # Errors
+///
+/// Returns [`Error`] in the cases of [`collect`], and when there is no memory or the body arrives too slowly.
+pub async fn collect_within<B>(
+    mut body: B,
+    limit_bytes: usize,
+    timeout: Duration,
+    (budget, kind): (&Arc<Budget>, Kind),
+) -> Result<Bytes, Error>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
+{
+    let size = body.size_hint();
+    if size.lower() > limit_bytes as u64 {
+        return Err(Error::TooLarge(limit_bytes));
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let expected_bytes = size.exact().map_or(limit_bytes, |bytes| bytes as usize);
+    let started = Instant::now();
+    let deadline = started + timeout;
+    let mut check_at = started + PROGRESS_INTERVAL;
+    let mut arrival: Option<Arrival> = None;
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = ended(arrival.as_ref()) => return Err(Error::Refused(Refusal::NoRoom)),
+            frame = time::timeout_at(deadline.min(check_at), body.frame()) => frame,
+        };
+        let frame = match frame {
+            Ok(Some(frame)) => frame.map_err(|cause| Error::Truncated(cause.into()))?,
+            Ok(None) => return Ok(arrival.map_or_else(Bytes::new, Arrival::finish)),
+            Err(_) if Instant::now() >= deadline => return Err(Error::Timeout(timeout)),
+            Err(_) => {
+                check_at += PROGRESS_INTERVAL;
+                let arrived = arrival.as_ref().map_or(0, Arrival::len) as u64;
+                if budget.rule().is_too_slow(arrived, started.elapsed()) {
+                    return Err(Error::Refused(Refusal::TooSlow));
+                }
+                continue;
+            }
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let arrival = match &mut arrival {
+            Some(arrival) => arrival,
+            None if data.len() <= IN_BUFFER_BYTES && body.is_end_stream() => return Ok(data),
+            none => none.insert(budget.hold(kind, expected_bytes).map_err(Error::Refused)?),
+        };
+        if arrival.len() + data.len() > limit_bytes {
+            return Err(Error::TooLarge(limit_bytes));
+        }
+        arrival.push(&data).await.map_err(Error::Refused)?;
+    }
+}
+
+async fn ended(arrival: Option<&Arrival>) {
+    match arrival {
+        Some(arrival) => arrival.ended().notified().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads a body to its end without keeping its bytes, so that its connection can be reused.
 ///
 /// # Errors
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,9 +4,12 @@
 //! interpret it identically. Routing and retry decisions do not use these types.
 
 pub mod body;
+pub mod budget;
+pub mod connection;
 pub mod context;
 pub mod dial;
 pub mod hop;
 pub mod listen;
 pub mod load;
+pub mod progress;
 pub mod refusal;
--- a/crates/wire/tests/discard.rs
+++ b/crates/wire/tests/discard.rs
@@ -104,6 +104,7 @@
             Err(body::Error::TooLarge(_)) => "too large",
             Err(body::Error::Timeout(_)) => "timeout",
             Err(body::Error::Truncated(_)) => "truncated",
+            Err(body::Error::Refused(_)) => "refused",
         };
         assert_eq!(outcome, case.expected, "{}", case.name);
         assert!(most_kept.load(Ordering::SeqCst) <= 2, "{}", case.name);
