--- a/crates/shallotrill/tests/clients/crowd.rs
+++ b/crates/shallotrill/tests/clients/crowd.rs
@@ -1,17 +1,31 @@
 //! Clients that misbehave.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http::Request;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use hyper::client::conn::http2;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::fixture::BODY_BYTES;
 
+/// Context of a forwarded request that has 10 s left.
+const FORWARDED: &str = "lending-0;1;lending;lending;10000;1000;10000;0;i;0;;shop.example";
+
 /// Interval of a client that sends or reads a few bytes a second.
 const SLOW_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -40,6 +54,8 @@
     SlowHead,
     /// Nothing is sent.
     HalfOpen,
+    /// This many requests of another router on one connection, each with a body of the maximum size without its last byte.
+    Streams(usize),
     /// A frame of the messages between processes of this length, without its last byte.
     Frame(usize),
 }
@@ -142,6 +158,21 @@
             return trickle(stream, b"s").await;
         }
         Conduct::HalfOpen => {}
+        Conduct::Streams(count) => {
+            let executor = TokioExecutor::new();
+            let (mut sender, connection) = http2::handshake(executor, TokioIo::new(stream))
+                .await
+                .map_err(io::Error::other)?;
+            let mut requests = JoinSet::new();
+            requests.spawn(async move { drop(connection.await) });
+            for _ in 0..count {
+                let response = sender.send_request(forwarded()?);
+                requests.spawn(async move { drop(response.await) });
+            }
+            drop(done);
+            while requests.join_next().await.is_some() {}
+            return Ok(());
+        }
         Conduct::Frame(length) => {
             stream.write_u32_le(length as u32).await?;
             stream.write_all(&vec![1; length - 1]).await?;
@@ -154,6 +185,19 @@
     Ok(())
 }
 
+/// A request as another router forwards it, whose body lacks its last byte.
+fn forwarded() -> io::Result<Request<impl http_body::Body<Data = Bytes, Error = Infallible>>> {
+    let first = Bytes::from(vec![b'f'; BODY_BYTES - 1]);
+    let frames = stream::once(async { Ok(Frame::data(first)) }).chain(stream::pending());
+    Request::builder()
+        .method("POST")
+        .uri("http://router/work/")
+        .header("shallotrill-forwarded", FORWARDED)
+        .header("content-length", BODY_BYTES)
+        .body(StreamBody::new(Box::pin(frames)))
+        .map_err(io::Error::other)
+}
+
 async fn trickle(mut stream: TcpStream, byte: &[u8]) -> io::Result<()> {
     loop {
         stream.write_all(byte).await?;
--- a/crates/shallotrill/tests/clients/main.rs
+++ b/crates/shallotrill/tests/clients/main.rs
@@ -33,6 +33,7 @@
     match conduct {
         // A million small chunks wait in the buffers of the kernel and take a debug build seconds to read.
         Conduct::Chunks => Duration::from_millis(2_500),
+        Conduct::Streams(_) => Duration::from_secs(1),
         _ => Duration::from_millis(300),
     }
 }
@@ -212,6 +213,12 @@
     run(Conduct::HalfOpen, 400, &ALL);
 }
 
+/// Guards against bodies of forwarded requests that together take all memory.
+#[test]
+fn forwarded_bodies_that_stop_short() {
+    run(Conduct::Streams(50), 4, &[Place::Routers]);
+}
+
 /// Guards against frames between processes that are kept although they do not end.
 #[test]
 fn frames_that_stop_short() {
