--- a/crates/shallotrill/tests/clients/fixture.rs
+++ b/crates/shallotrill/tests/clients/fixture.rs
@@ -294,6 +294,18 @@
         }
     }
 
+    /// Sends a complete body of the maximum size until it is answered with 200.
+    pub async fn upload(&self) -> io::Result<()> {
+        let request = post("/upload/", &"u".repeat(BODY_BYTES));
+        let request = request.replacen(
+            "host: n",
+            "host: shop.example\r\nshallotrill-attempt-id: u",
+            1,
+        );
+        self.answered(self.addresses.callers(), &request, "upload")
+            .await
+    }
+
     /// Checks both processes while the crowd is still connected. Returns what was measured, and the failures.
     pub async fn check(&mut self) -> (String, Vec<String>) {
         let addresses = self.addresses;
--- a/crates/shallotrill/tests/clients/main.rs
+++ b/crates/shallotrill/tests/clients/main.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time;
@@ -115,14 +116,18 @@
     fixture.check().await
 }
 
-/// Sends a crowd to each of the places, one after another, and panics with all failures.
-fn run(conduct: Conduct, clients: usize, places: &[Place]) {
-    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+fn runtime() -> Runtime {
     let runtime = Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
-        .build()
-        .expect("a runtime can be built");
+        .build();
+    runtime.expect("a runtime can be built")
+}
+
+/// Sends a crowd to each of the places, one after another, and panics with all failures.
+fn run(conduct: Conduct, clients: usize, places: &[Place]) {
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = runtime();
     let failures = runtime.block_on(async {
         let mut fixture = Fixture::start().await.expect("the processes start");
         let mut all_failures = Vec::new();
@@ -195,6 +200,21 @@
     run(Conduct::SlowReader, 200, &[Place::Route, Place::NoRoute]);
 }
 
+/// Guards against limits that refuse a single request inside the configured ones.
+#[test]
+fn the_largest_legal_body_is_served() {
+    let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = runtime();
+    let failures = runtime.block_on(async {
+        let mut fixture = Fixture::start().await.expect("the processes start");
+        fixture.upload().await.expect("the body is accepted");
+        let (measured, failures) = fixture.check().await;
+        println!("a body of {BODY_BYTES} bytes: {measured}");
+        failures
+    });
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against bodies that arrive for ever.
 #[test]
 fn slow_bodies() {
