--- a/crates/shallotrill/tests/clients/crowd.rs
+++ b/crates/shallotrill/tests/clients/crowd.rs
@@ -159,19 +159,7 @@
         }
         Conduct::HalfOpen => {}
         Conduct::Streams(count) => {
-            let executor = TokioExecutor::new();
-            let (mut sender, connection) = http2::handshake(executor, TokioIo::new(stream))
-                .await
-                .map_err(io::Error::other)?;
-            let mut requests = JoinSet::new();
-            requests.spawn(async move { drop(connection.await) });
-            for _ in 0..count {
-                let response = sender.send_request(forwarded()?);
-                requests.spawn(async move { drop(response.await) });
-            }
-            drop(done);
-            while requests.join_next().await.is_some() {}
-            return Ok(());
+            return send_streams(stream, count, done).await;
         }
         Conduct::Frame(length) => {
             stream.write_u32_le(length as u32).await?;
@@ -198,6 +186,23 @@
         .map_err(io::Error::other)
 }
 
+/// Sends forwarded requests on one connection until all of them have ended.
+async fn send_streams<T>(stream: TcpStream, count: usize, done: T) -> io::Result<()> {
+    let executor = TokioExecutor::new();
+    let (mut sender, connection) = http2::handshake(executor, TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let mut requests = JoinSet::new();
+    requests.spawn(async move { drop(connection.await) });
+    for _ in 0..count {
+        let response = sender.send_request(forwarded()?);
+        requests.spawn(async move { drop(response.await) });
+    }
+    drop(done);
+    while requests.join_next().await.is_some() {}
+    Ok(())
+}
+
 async fn trickle(mut stream: TcpStream, byte: &[u8]) -> io::Result<()> {
     loop {
         stream.write_all(byte).await?;
