--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use shallotrill_limits::process::Limits;
 use shallotrill_model::zone;
 use shallotrill_process::clock::Clock;
 
@@ -24,6 +25,8 @@
     pub zones: Vec<zone::Name>,
     /// Data folder for the state that must survive a restart.
     pub folder: PathBuf,
+    /// Memory and descriptors of the process.
+    pub limits: Limits,
     /// The clock of the process.
     pub clock: Clock,
 }
--- a/crates/registry/tests/evacuation.rs
+++ b/crates/registry/tests/evacuation.rs
@@ -10,6 +10,7 @@
 
 use shallotrill_items::evacuation::Order;
 use shallotrill_items::table::Table;
+use shallotrill_limits::process::Limits;
 use shallotrill_model::zone;
 use shallotrill_process::clock::Clock;
 use shallotrill_registry::evacuations;
@@ -35,6 +36,7 @@
         seeds,
         tolerated_disks: 2,
         first_start,
+        limits: Limits::default(),
         zones: vec![zone(ZONE), zone("narvik")],
         folder: folder.path().to_owned(),
         clock: Clock::start(),
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group.rs
@@ -22,6 +22,7 @@
 use shallotrill_items::item_set_hash::ItemSetHash;
 use shallotrill_items::replica::Proposed;
 use shallotrill_items::route::Service;
+use shallotrill_limits::process::Limits;
 use shallotrill_model::instance;
 use shallotrill_model::zone;
 use shallotrill_process::clock::Clock;
@@ -55,6 +56,7 @@
         seeds,
         zones: vec![zone_name("bodo"), zone_name("narvik")],
         tolerated_disks: 2,
+        limits: Limits::default(),
         first_start,
         folder: folder.path().to_owned(),
         clock: Clock::start(),
--- a/crates/router/examples/downloads.rs
+++ b/crates/router/examples/downloads.rs
@@ -40,6 +40,7 @@
 use shallotrill_items::route::Route;
 use shallotrill_items::route::Service;
 use shallotrill_items::route::Share;
+use shallotrill_limits::process::Limits;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::region;
@@ -113,6 +114,7 @@
         retry_slack: 200,
         retry_window: Duration::from_secs(10),
         grace_period: Duration::from_secs(2),
+        limits: Limits::default(),
         names: Names::default(),
         clock: Clock::start(),
     })
@@ -327,6 +329,7 @@
         first_start: true,
         seeds: Vec::new(),
         zones: Vec::new(),
+        limits: Limits::default(),
         tolerated_disks: 0,
         folder: folder.path().to_owned(),
         clock: Clock::start(),
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -31,6 +31,7 @@
 use shallotrill_items::table::ActiveWorkspace;
 use shallotrill_items::table::Table;
 use shallotrill_items::workspace::Digest;
+use shallotrill_limits::memory::Kind;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::service;
@@ -40,6 +41,7 @@
 use shallotrill_routing::choice::Query;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::budget::Refusal;
 use shallotrill_wire::hop;
 use shallotrill_wire::hop::HeadError;
 
@@ -60,6 +62,9 @@
 /// `Retry-After` of a quarantined request, in seconds.
 const RETRY_AFTER_QUARANTINE: &str = "60";
 
+/// `Retry-After` of a request whose body has no room in memory, in seconds.
+const RETRY_AFTER_NO_ROOM: &str = "1";
+
 /// Authentication scheme of the keys of workspaces, which RFC 9110 requires in a response with status 401.
 const KEY_SCHEME: &str = "Workspace-Key";
 
@@ -173,8 +178,13 @@
     let credit = take_credit(state, workspace.as_deref(), timeout, id).await?;
     let waited = state.now().since(received_at);
     let body_timeout = timeout.saturating_sub(waited);
-    let body = match body::collect(incoming, body_bytes_max, body_timeout).await {
+    let holder = (&state.memory, Kind::Body);
+    let body = match body::collect_within(incoming, body_bytes_max, body_timeout, holder).await {
         Ok(body) => body,
+        Err(body::Error::Refused(Refusal::NoRoom)) => {
+            let reason = "there is no memory for the body";
+            return Err(unavailable(id, RETRY_AFTER_NO_ROOM, reason));
+        }
         Err(body::Error::TooLarge(_)) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(refuse(id, status, "the body is too long"));
