limits: timely requests start before late ones, and gates state when there will be room

Cause: under overload a late request of a higher rank took a slot that a timely one waited for, every eighth dispatch went to the lowest priority of all, and requests that every gate would refuse were offered to three gates.

Change: Config::timely_first orders timely tickets before late ones and limits the low-rank interval to one priority.

--- a/crates/limits/src/config.rs
+++ b/crates/limits/src/config.rs
@@ -18,6 +18,7 @@
     pub(crate) decrease_factor: f64,
     pub(crate) low_priority_interval: u32,
     pub(crate) idle_period: Duration,
+    pub(crate) ranks_per_priority: Option<u8>,
 }
 
 impl Config {
@@ -34,6 +35,7 @@
             decrease_factor: 0.7,
             low_priority_interval: 8,
             idle_period: Duration::from_secs(10),
+            ranks_per_priority: None,
         }
     }
 
@@ -89,6 +91,15 @@
         self
     }
 
+    /// Starts timely tickets of every priority before late ones, and takes each `ranks` consecutive values of
+    /// [`crate::ticket::Ticket::priority`] as one priority. [`Config::low_priority_interval`] then applies within a
+    /// priority only, so a lower one takes no slot that a timely ticket of a higher one waits for.
+    #[must_use]
+    pub fn timely_first(mut self, ranks: u8) -> Self {
+        self.ranks_per_priority = Some(ranks.max(1));
+        self
+    }
+
     /// Sets the time after which the account of an idle partner, with its slot time, may be removed.
     #[must_use]
     pub fn idle_period(mut self, duration: Duration) -> Self {
--- a/crates/limits/src/fairness.rs
+++ b/crates/limits/src/fairness.rs
@@ -103,10 +103,10 @@
     /// Number of waiting tickets of other partners, counting at most `limit_per_partner` of each.
     pub(crate) fn queued_by_others(
         &self,
-        partner: &partner::Name,
+        partner: Option<&partner::Name>,
         limit_per_partner: u32,
     ) -> usize {
-        let others = self.accounts.iter().filter(|a| a.partner != *partner);
+        let others = self.accounts.iter().filter(|a| Some(&a.partner) != partner);
         others
             .map(|a| a.queued.min(limit_per_partner) as usize)
             .sum()
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -5,7 +5,9 @@
 use crate::config::Config;
 use crate::fairness::Accounts;
 use crate::limit::Limit;
+use crate::outlook;
 use crate::pace::Pace;
+use crate::queue::Place;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::ticket::Effect;
@@ -16,6 +18,7 @@
 use crate::ticket::Ticket;
 use crate::ticket::Verdict;
 use shallotrill_model::load;
+use shallotrill_model::load::Outlook;
 use shallotrill_model::load::Report;
 use shallotrill_model::partner;
 use shallotrill_model::rate::Rate;
@@ -75,7 +78,12 @@
         if self.contains(ticket.id) {
             return Verdict::Refuse(Refusal::Duplicate);
         }
-        let wait = self.expected_wait(&ticket, now);
+        let place = Place {
+            priority: ticket.priority,
+            partner: Some(&ticket.partner),
+            timely: ticket.is_timely(now),
+        };
+        let wait = self.expected_wait(place, now);
         if now >= ticket.deadline || wait > ticket.deadline.since(now) {
             return Verdict::Refuse(Refusal::TooLate { wait });
         }
@@ -86,7 +94,10 @@
         }
         let mut displaced = None;
         if self.queue.waiting.len() >= self.config.queue as usize {
-            let Some(index) = self.queue.displaceable(&ticket, &self.accounts, now) else {
+            let Some(index) = self
+                .queue
+                .displaceable(&ticket, &self.accounts, &self.config, now)
+            else {
                 let queued = self.queue.waiting.len() as u32;
                 return Verdict::Refuse(Refusal::Full { queued });
             };
@@ -215,18 +226,35 @@
         })
     }
 
+    /// States when a new timely ticket of each priority would start, from a partner without waiting tickets.
+    ///
+    /// `None` while any ticket would start at once.
+    pub fn outlook(&self, now: Instant) -> Option<Outlook> {
+        if self.queue.waiting.is_empty() && self.may_start(now) {
+            return None;
+        }
+        let wait = |priority| {
+            let place = Place {
+                priority,
+                partner: None,
+                timely: true,
+            };
+            self.expected_wait(place, now)
+        };
+        let timely = self.queue.waiting.iter();
+        let timely = timely.filter(|w| w.ticket.is_timely(now));
+        Some(outlook::state(timely.map(|w| w.ticket.priority), wait))
+    }
+
     /// Expected time until the ticket starts.
-    fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
+    fn expected_wait(&self, place: Place<'_>, now: Instant) -> Duration {
         if self.queue.waiting.is_empty() && self.may_start(now) {
             return Duration::ZERO;
         }
         let service_us = self.limit.service_us();
-        let requests_ahead = self.queue.requests_ahead(
-            ticket,
-            &self.accounts,
-            self.config.low_priority_interval,
-            now,
-        );
+        let requests_ahead = self
+            .queue
+            .requests_ahead(place, &self.accounts, &self.config, now);
         let slots = f64::from(self.limit.current());
         let slot_wait = if self.queue.waiting.is_empty() && self.has_slot() {
             Duration::ZERO
@@ -287,9 +315,10 @@
             let lowest_first =
                 (self.dispatches + 1).is_multiple_of(self.config.low_priority_interval);
             let service_us = self.limit.service_us();
-            let Some(index) = self
-                .queue
-                .next_index(lowest_first, &self.accounts, service_us, now)
+            let ranks = self.config.ranks_per_priority;
+            let Some(index) =
+                self.queue
+                    .next_index(lowest_first, ranks, &self.accounts, service_us, now)
             else {
                 break;
             };
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,6 +7,7 @@
 mod fairness;
 pub mod gate;
 mod limit;
+pub mod outlook;
 pub mod pace;
 pub mod probe;
 mod queue;
--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue.rs
@@ -2,9 +2,11 @@
 
 use std::cmp::Ordering;
 
+use crate::config::Config;
 use crate::fairness::Accounts;
 use crate::ticket::Id;
 use crate::ticket::Ticket;
+use shallotrill_model::partner;
 use shallotrill_model::time::Instant;
 
 /// Divisor of the queue length that gives the part reserved for lower priorities.
@@ -17,6 +19,14 @@
     pub(crate) arrived: Instant,
 }
 
+/// Where a new ticket would be in the queue.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place<'ticket> {
+    pub(crate) priority: u8,
+    pub(crate) partner: Option<&'ticket partner::Name>,
+    pub(crate) timely: bool,
+}
+
 /// Waiting tickets in the order of arrival. The queue is short by configuration, so a scan costs less than an index.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
@@ -29,22 +39,26 @@
     }
 
     /// Index of the ticket to run next: highest priority (lowest if `lowest_first`), then timely tickets,
-    /// then the partner with the least weighted slot time, then arrival.
+    /// then the partner with the least weighted slot time, then arrival. With `ranks_per_priority`, timely tickets
+    /// come before the priority, and `lowest_first` selects the lowest rank of the highest priority.
     pub(crate) fn next_index(
         &self,
         lowest_first: bool,
+        ranks_per_priority: Option<u8>,
         accounts: &Accounts,
         service_us: f64,
         now: Instant,
     ) -> Option<usize> {
         let rank = |w: &Waiting| {
-            if lowest_first {
-                255 - w.ticket.priority
-            } else {
-                w.ticket.priority
+            let timely = u8::from(w.ticket.is_timely(now));
+            let value = w.ticket.priority;
+            match ranks_per_priority {
+                None if lowest_first => (255 - value, timely, 0),
+                None => (value, timely, 0),
+                Some(ranks) if lowest_first => (timely, value / ranks, ranks - 1 - value % ranks),
+                Some(ranks) => (timely, value / ranks, value % ranks),
             }
         };
-        let rank = |w: &Waiting| (rank(w), w.ticket.is_timely(now));
         let highest = self.waiting.iter().map(rank).max()?;
         let tickets = self.waiting.iter().enumerate();
         tickets
@@ -57,31 +71,49 @@
             .map(|(index, _)| index)
     }
 
-    /// Number of tickets that are expected to run before a new one.
+    /// Number of tickets that are expected to run before a new one. Without a partner, none of its tickets waits.
     pub(crate) fn requests_ahead(
         &self,
-        ticket: &Ticket,
+        place: Place<'_>,
         accounts: &Accounts,
-        low_priority_interval: u32,
+        config: &Config,
         now: Instant,
     ) -> usize {
+        let Place {
+            priority,
+            partner,
+            timely,
+        } = place;
+        let low_priority_interval = config.low_priority_interval;
         let (mut higher, mut same_partner, mut other_partners, mut lower) = (0, 0, 0, 0);
-        let timely = ticket.is_timely(now);
+        let mut higher_priority = false;
         for Waiting { ticket: other, .. } in &self.waiting {
-            match other.priority.cmp(&ticket.priority) {
-                Ordering::Equal if timely && !other.is_timely(now) => {}
+            let other_timely = other.is_timely(now);
+            if let Some(ranks) = config.ranks_per_priority {
+                if timely && !other_timely {
+                    continue;
+                }
+                if !timely && other_timely {
+                    higher += 1;
+                    higher_priority = true;
+                    continue;
+                }
+                higher_priority |= other.priority / ranks > priority / ranks;
+            }
+            match other.priority.cmp(&priority) {
+                Ordering::Equal if timely && !other_timely => {}
                 Ordering::Greater => higher += 1,
                 Ordering::Less => lower += 1,
-                Ordering::Equal if other.partner == ticket.partner => same_partner += 1,
+                Ordering::Equal if Some(&other.partner) == partner => same_partner += 1,
                 Ordering::Equal => other_partners += 1,
             }
         }
         // Fair queueing dispatches about one ticket of each other partner for each ticket of this partner.
         let other_partners = accounts
-            .queued_by_others(&ticket.partner, same_partner as u32 + 1)
+            .queued_by_others(partner, same_partner as u32 + 1)
             .min(other_partners);
         let same = same_partner + other_partners;
-        if lower == 0 {
+        if lower == 0 && !higher_priority {
             // The lowest priority gets one of `low_priority_interval` dispatches, regardless of the number of tickets above it.
             return (higher + same).min(low_priority_interval as usize * (same + 1));
         }
@@ -95,18 +127,32 @@
     /// reserve; a ticket of higher priority, if tickets of the new one's priority and below occupy
     /// less than the reserve; a late ticket of the same priority, if the new one is timely; a ticket
     /// of the same priority whose partner has a larger share, unless only the new one is late.
+    ///
+    /// With timely tickets first, a timely ticket displaces a late one of any priority, a late one displaces no
+    /// timely one, and none displaces one of a higher priority: the request whose nested call is displaced has wasted
+    /// its slot.
     pub(crate) fn displaceable(
         &self,
         ticket: &Ticket,
         accounts: &Accounts,
+        config: &Config,
         now: Instant,
     ) -> Option<usize> {
+        let timely_first = config.ranks_per_priority.is_some();
+        if timely_first && ticket.is_timely(now) {
+            let late = self.newest_of_largest_share(accounts, |w| !w.ticket.is_timely(now));
+            if late.is_some() {
+                return late;
+            }
+        }
         let reserve = self.waiting.len().div_ceil(LOW_RESERVE_DIVISOR);
         let priorities = || self.waiting.iter().map(|w| w.ticket.priority);
-        if priorities().filter(|p| *p < ticket.priority).count() > reserve {
+        if priorities().filter(|p| *p < ticket.priority).count() > reserve
+            && !(timely_first && !ticket.is_timely(now))
+        {
             return self.newest_of_largest_share(accounts, |w| w.ticket.priority < ticket.priority);
         }
-        if priorities().filter(|p| *p <= ticket.priority).count() < reserve {
+        if !timely_first && priorities().filter(|p| *p <= ticket.priority).count() < reserve {
             return self.newest_of_largest_share(accounts, |w| w.ticket.priority > ticket.priority);
         }
         let timely = ticket.is_timely(now);
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -519,3 +519,100 @@
         );
     }
 }
+
+struct TimelyFirstCase {
+    name: &'static str,
+    /// As in [`LateCase`], with two ranks for each priority.
+    waiting: &'static [(u8, u64)],
+    offered: Option<(u8, u64, Option<u64>)>,
+    next: u64,
+}
+
+/// Guards against late requests that take a slot from a timely one of any priority, against a lower priority that takes
+/// one from a timely higher one, and against nested calls (rank 1) that new outer requests (rank 0) displace.
+const TIMELY_FIRST_CASES: &[TimelyFirstCase] = &[
+    TimelyFirstCase {
+        name: "a late ticket of a higher priority gives way",
+        waiting: &[(0, 100), (2, 10), (0, 100)],
+        offered: None,
+        next: 2,
+    },
+    TimelyFirstCase {
+        name: "a late ticket runs when no timely one waits",
+        waiting: &[(0, 100), (2, 10)],
+        offered: None,
+        next: 1,
+    },
+    TimelyFirstCase {
+        name: "a timely ticket displaces a late one of a higher priority",
+        waiting: &[(0, 100), (2, 10), (0, 100)],
+        offered: Some((0, 100, Some(1))),
+        next: 2,
+    },
+    TimelyFirstCase {
+        name: "a late ticket displaces no timely one of a lower priority",
+        waiting: &[(0, 100), (0, 100), (0, 100)],
+        offered: Some((2, 0, None)),
+        next: 1,
+    },
+    TimelyFirstCase {
+        name: "an outer request displaces no nested call",
+        waiting: &[(1, 100), (1, 100), (1, 100)],
+        offered: Some((0, 100, None)),
+        next: 1,
+    },
+];
+
+#[test]
+fn timely_tickets_come_first() {
+    for case in TIMELY_FIRST_CASES {
+        let config = Config::new(Incarnation(1), 1, 2).service_time(SERVICE_TIME);
+        let mut gate = Gate::new(config.timely_first(2));
+        let start = Instant(1_000);
+        for (id, (priority, timely_ms)) in (0..).zip(case.waiting) {
+            let verdict = gate.offer(late_ticket(id, *priority, *timely_ms, start), start);
+            assert!(!matches!(verdict, Verdict::Refuse(_)), "{}", case.name);
+        }
+        let now = start + Duration::from_millis(20);
+        if let Some((priority, timely_ms, expected)) = case.offered {
+            let verdict = gate.offer(late_ticket(9, priority, timely_ms, now), now);
+            let expected = expected.map_or(Verdict::Refuse(Refusal::Full { queued: 2 }), displaced);
+            assert_eq!(verdict, expected, "{}", case.name);
+        }
+        let release = Release {
+            id: Id(0),
+            latency: now.since(start),
+            outcome: Outcome::Success,
+        };
+        let run = gate.release(release, now).run;
+        assert_eq!(run, [Id(case.next)], "{}", case.name);
+    }
+}
+
+/// Guards against a lower priority that takes a slot which a timely higher one waits for, at the interval at which a
+/// low rank of the same priority is served, and against a low rank that is never served.
+#[test]
+fn low_ranks_are_served_within_their_priority() {
+    let run = |low_rank| {
+        let mut gate = Gate::new(Config::new(Incarnation(1), 1, 40).timely_first(8));
+        let now = Instant(1_000);
+        for id in 0..20 {
+            gate.offer(ticket(id, "a", 12, 100_000, now), now);
+        }
+        gate.offer(ticket(99, "a", low_rank, 100_000, now), now);
+        let mut running = Id(0);
+        for dispatched in 1..20 {
+            let release = Release {
+                id: running,
+                latency: SERVICE_TIME,
+                outcome: Outcome::Success,
+            };
+            running = gate.release(release, now).run[0];
+            if running == Id(99) {
+                return Some(dispatched);
+            }
+        }
+        None
+    };
+    assert_eq!([run(8), run(7)], [Some(8), None]);
+}
--- a/crates/retry/src/after.rs
+++ b/crates/retry/src/after.rs
@@ -23,12 +23,28 @@
     pub limit: Duration,
 }
 
+/// Share of the remaining time for which callers wait at most.
+const WAIT_SHARE_MAX: f64 = 0.33;
+
 /// Time after which the caller should send the request again. `random` is from 0 to 1.
 ///
 /// Requests that are refused together are spread, so that they do not return together to the same
 /// full queues. While the objective can be met, the return is soon; after that, it is spread over as
 /// much of the remaining time as the caller waits, so that most return after the load has passed.
 pub fn retry_after(refused: Refused, random: f64) -> Duration {
+    retry_after_room(refused, Duration::ZERO, Duration::ZERO, random)
+}
+
+/// Time after which the caller should send the request again, when targets state that they have room for it `after`
+/// this time, and for as many requests as are refused now within `spread` from then on.
+///
+/// The return is no sooner than [`retry_after`] states, and no later than the caller waits.
+pub fn retry_after_room(
+    refused: Refused,
+    after: Duration,
+    spread: Duration,
+    random: f64,
+) -> Duration {
     let objective = refused.objective.saturating_sub(refused.elapsed);
     let remaining = refused.limit.saturating_sub(refused.elapsed);
     let (base, (earliest, latest)) = if objective >= refused.objective.mul_f64(OBJECTIVE_SHARE_MIN)
@@ -37,5 +53,14 @@
     } else {
         (remaining, LATE_RETURN)
     };
-    base.mul_f64(earliest + (latest - earliest) * random.clamp(0.0, 1.0))
+    let earliest = base.mul_f64(earliest).max(after);
+    let latest = base.mul_f64(latest).max(earliest + spread);
+    let wait_max = remaining.mul_f64(WAIT_SHARE_MAX);
+    // The spread is kept when the room comes later than the caller waits.
+    let earliest = earliest.min(wait_max.saturating_sub(spread));
+    let latest = latest.min(wait_max);
+    earliest
+        + latest
+            .saturating_sub(earliest)
+            .mul_f64(random.clamp(0.0, 1.0))
 }
--- a/crates/retry/tests/after.rs
+++ b/crates/retry/tests/after.rs
@@ -4,6 +4,7 @@
 
 use shallotrill_retry::after::Refused;
 use shallotrill_retry::after::retry_after;
+use shallotrill_retry::after::retry_after_room;
 
 struct ReturnCase {
     name: &'static str,
@@ -103,3 +104,28 @@
         "{served}: {returning:?}"
     );
 }
+
+/// Replays 200 requests that are refused in the same moment, of an objective of 2 s, when targets state that 200 slots
+/// become free in the half second from 300 ms on. Guards against a return before there is room.
+#[test]
+fn requests_return_when_targets_have_room() {
+    let refused = Refused {
+        elapsed: Duration::from_millis(50),
+        objective: Duration::from_secs(2),
+        limit: Duration::from_secs(5),
+    };
+    let (after, spread) = (Duration::from_millis(300), Duration::from_millis(500));
+    let served = |wait: &dyn Fn(f64) -> Duration| {
+        let mut returning = [0_usize; 10];
+        for request in 0..200 {
+            let returned = wait((f64::from(request) * 0.618_033_988_75).fract());
+            if let Some(offset) = returned.checked_sub(after) {
+                returning[((offset.as_millis() / STEP.as_millis()) as usize).min(9)] += 1;
+            }
+        }
+        returning.iter().map(|n| (*n).min(20)).sum::<usize>()
+    };
+    let without = served(&|random| retry_after(refused, random));
+    let with = served(&|random| retry_after_room(refused, after, spread, random));
+    assert!(without <= 100 && with >= 180, "{without} without, {with}");
+}
