router: gates state their room, and requests that cannot start in time are refused without a hop

Cause: at the peak each refused request was offered to up to three gates, and its caller came back after a time that did not depend on the room there.

Change: a router adds the outlook of its gate to each load report and denial (header shallotrill-outlook, absent while any request starts at once). The gate orders timely requests first; requests with an objective of up to 200 ms, which other requests wait for, count as timely until their last start.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::forwarded::Denial;
 use crate::forwarded::Forwarded;
 use crate::notice;
+use crate::outlook;
 use crate::serve;
 use crate::serve::BufferedRequest;
 use crate::state::State;
@@ -72,14 +73,23 @@
         started: state.now(),
         outcome: Outcome::Cancelled,
     };
-    let result = if choice.address == state.settings.address() {
+    let is_local = choice.address == state.settings.address();
+    let result = if is_local {
         serve::run(state, message, forwarded).await
     } else {
         send_to_router(state, message, forwarded, choice).await
     };
     let result = match result {
-        Ok(response) => buffer_short_body(state, response, choice).await,
-        Err(denial) => Err(denial),
+        Ok(mut response) => {
+            outlook::apply(state, &forwarded.service, choice, response.headers_mut());
+            buffer_short_body(state, response, choice).await
+        }
+        Err(denial) => {
+            if is_local {
+                outlook::record_local(state, &forwarded.service, choice);
+            }
+            Err(denial)
+        }
     };
     guard.outcome = match &result {
         Ok(response) if response.status().is_server_error() => Outcome::Failure,
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -12,6 +12,7 @@
 use crate::forwarded::Denial;
 use crate::retired;
 use crate::retired::Reason;
+use crate::slot;
 use crate::state::State;
 use shallotrill_feed::message::Departure;
 use shallotrill_limits::config::Config;
@@ -312,7 +313,8 @@
         });
         let config = Config::new(incarnation, slots, queue_length(slots))
             .service_time(INITIAL_SERVICE_TIME)
-            .tolerance(LATENCY_TOLERANCE_RATIO);
+            .tolerance(LATENCY_TOLERANCE_RATIO)
+            .timely_first(slot::RANKS_PER_PRIORITY);
         let draining = announcement.draining;
         let mut server = Self {
             announcement,
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::forwarded::Forwarded;
 use crate::forwarded::Workspace;
 use crate::names::Names;
+use crate::outlook;
 use crate::serve::BufferedRequest;
 use crate::state::State;
 use shallotrill_items::route::Route;
@@ -27,6 +28,7 @@
 use shallotrill_items::table::ActiveWorkspace;
 use shallotrill_items::table::Table;
 use shallotrill_items::workspace::Digest;
+use shallotrill_limits::outlook::Room;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::service;
@@ -241,6 +243,8 @@
     /// The last denial. `may_have_run` is set once a denial leaves open whether the request ran.
     last_denial: Option<Denial>,
     may_have_run: bool,
+    /// When targets will have room, if the request is refused because they state that they have none.
+    room: Option<Room>,
     /// The last server error that a backend server has returned.
     error_response: Option<Response<Body>>,
 }
@@ -254,6 +258,13 @@
         if remaining < REMAINING_MIN {
             return give_up(state, pending, progress, remaining);
         }
+        if progress.arrivals == 0
+            && let Err(room) =
+                outlook::check(state, &pending.id, &room_request(state, pending, remaining))
+        {
+            progress.room = Some(room);
+            return give_up(state, pending, progress, remaining);
+        }
         let Some(choice) = choose(state, pending, &progress) else {
             if progress.gate_refusals > 0 && !progress.second_round {
                 progress.second_round = true;
@@ -305,6 +316,29 @@
     }
 }
 
+/// The request as the statements of targets are compared with it.
+fn room_request<'request>(
+    state: &State,
+    pending: &'request PendingRequest,
+    remaining: Duration,
+) -> outlook::Pending<'request> {
+    outlook::Pending {
+        service: &pending.service,
+        workspace_priority: pending.workspace.as_ref().map(|w| w.workspace.priority),
+        priority: pending.route.priority,
+        objective: pending.route.objective,
+        start_within: start_within(state, pending, remaining),
+        remaining,
+    }
+}
+
+/// Time within which a request must start to meet its objective, and with it most of its value.
+fn start_within(state: &State, pending: &PendingRequest, remaining: Duration) -> Duration {
+    let elapsed = state.now().since(pending.received_at);
+    let objective_remaining = pending.route.objective.saturating_sub(elapsed);
+    objective_remaining.min(remaining).mul_f64(SLOT_WAIT_SHARE)
+}
+
 fn choose(state: &State, pending: &PendingRequest, progress: &Progress) -> Option<Choice> {
     let now = state.now();
     let query = Query {
@@ -348,9 +382,6 @@
     progress: &Progress,
     remaining: Duration,
 ) -> Forwarded {
-    // A request that starts later than this misses its objective, and with it most of its value.
-    let elapsed = state.now().since(pending.received_at);
-    let objective_remaining = pending.route.objective.saturating_sub(elapsed);
     Forwarded {
         instance: choice.instance.clone(),
         incarnation: choice.incarnation,
@@ -361,7 +392,7 @@
             priority: active.workspace.priority,
         }),
         remaining,
-        start_within: objective_remaining.min(remaining).mul_f64(SLOT_WAIT_SHARE),
+        start_within: start_within(state, pending, remaining),
         objective: pending.route.objective,
         priority: pending.route.priority,
         class: pending.route.class,
@@ -482,7 +513,8 @@
     if let Some(response) = progress.error_response {
         return response;
     }
-    let reason = progress.last_denial.map_or("no target", Denial::as_str);
+    let otherwise = progress.room.map_or("no target", |_| "no room");
+    let reason = progress.last_denial.map_or(otherwise, Denial::as_str);
     info!(
         event = "request-given-up",
         request = pending.id.as_str(),
@@ -504,7 +536,14 @@
             objective: pending.route.objective,
             limit: pending.caller_timeout,
         };
-        let wait = after::retry_after(refused, rand::random());
+        let room = progress.room.unwrap_or_else(|| {
+            if progress.gate_refusals == 0 {
+                return Room::default();
+            }
+            outlook::refused_by_gates(state, &room_request(state, pending, remaining))
+        });
+        let (random, Room { after, spread }) = (rand::random(), room);
+        let wait = after::retry_after_room(refused, after, spread, random);
         return unavailable(&pending.id, &format!("{:.3}", wait.as_secs_f64()), reason);
     }
     let status = if remaining < REMAINING_MIN || progress.last_denial == Some(Denial::Timeout) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod names;
 pub mod notice;
+pub mod outlook;
 pub mod pacer;
 pub mod probe;
 pub mod retired;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -35,6 +35,8 @@
     pub retries: IntCounter,
     /// Retries that the retry budget did not allow.
     pub retries_refused: IntCounter,
+    /// Requests refused because no target states that they can start in time.
+    pub refused_without_room: IntCounter,
     /// Probes of the backend server.
     pub probes: IntCounter,
     backend_requests: Counters,
@@ -84,6 +86,10 @@
                 "shallotrill_router_copies_refused_total",
                 "Copies that the retry budget did not allow.",
             )?,
+            refused_without_room: registry.counter(
+                "shallotrill_router_refused_without_room_total",
+                "Requests refused because no target states that they can start in time.",
+            )?,
             probes: registry.counter(
                 "shallotrill_router_probes_total",
                 "Probes of the backend server.",
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -28,6 +28,7 @@
 use crate::follow::RegistryViews;
 use crate::grace::Grace;
 use crate::metrics::Metrics;
+use crate::outlook;
 use crate::pacer;
 use crate::probe;
 use crate::serve;
@@ -236,6 +237,7 @@
         pace_changed: Notify::new(),
         router_count: AtomicUsize::new(1),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
+        outlooks: Mutex::new(Rank::Pool, outlook::Table::default()),
         crashes: Mutex::new(Rank::Report, Crashes::default()),
         crash_check_running: AtomicBool::new(false),
         metrics: Metrics::new()?,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -116,6 +116,11 @@
     if let Some(server) = &mut backend.current {
         let mut report = server.gate.report(now);
         let pace = server.gate.pace(now);
+        if let Some(outlook) = server.gate.outlook(now) {
+            response
+                .headers_mut()
+                .insert(load::OUTLOOK, load::encode_outlook(&outlook));
+        }
         let scaled = u64::from(report.latency_us) * u64::from(server.slowness(now)) / 100;
         report.latency_us = u32::try_from(scaled).unwrap_or(u32::MAX);
         response
--- a/crates/router/src/slot.rs
+++ b/crates/router/src/slot.rs
@@ -64,8 +64,12 @@
 /// its work, which on a shared machine can take several times as long as usual.
 const LATE_WAIT_SHARE: f64 = 0.6;
 
+/// Longest objective of requests that count as calls of other requests. Such calls have objectives of 150 to 200 ms
+/// where they were measured, and requests of callers 300 ms and more.
+const DEPENDENCY_OBJECTIVE_MAX: Duration = Duration::from_millis(200);
+
 /// Number of ranks within one priority.
-const RANKS_PER_PRIORITY: u8 = 8;
+pub(crate) const RANKS_PER_PRIORITY: u8 = 8;
 
 /// Number of priorities of routes that are told apart within one priority of workspaces.
 const PRIORITIES_MAX: u8 = 8;
@@ -82,19 +86,35 @@
 ///
 /// The priority of a workspace comes first. There are as many ranks for each of its levels as for [`PRIORITIES_MAX`]
 /// levels of routes.
-fn rank(forwarded: &Forwarded) -> u8 {
-    let ratio = forwarded.objective.as_secs_f64() / RANK_OBJECTIVE.as_secs_f64();
+pub(crate) fn rank(workspace_priority: Option<u8>, priority: u8, objective: Duration) -> u8 {
+    let ratio = objective.as_secs_f64() / RANK_OBJECTIVE.as_secs_f64();
     let steps = ratio.max(1.0).log2().min(f64::from(RANKS_PER_PRIORITY - 1)) as u8;
-    let priority = match &forwarded.workspace {
-        Some(workspace) => {
-            let level = workspace.priority.min(WORKSPACE_PRIORITIES_MAX - 1);
-            level * PRIORITIES_MAX + forwarded.priority.min(PRIORITIES_MAX - 1)
+    let priority = match workspace_priority {
+        Some(level) => {
+            let level = level.min(WORKSPACE_PRIORITIES_MAX - 1);
+            level * PRIORITIES_MAX + priority.min(PRIORITIES_MAX - 1)
         }
-        None => forwarded.priority.min(u8::MAX / RANKS_PER_PRIORITY),
+        None => priority.min(u8::MAX / RANKS_PER_PRIORITY),
     };
     u8::MAX - priority * RANKS_PER_PRIORITY - steps
 }
 
+/// Time within which a request must start to be of full use, where `start_within` is that to meet its objective.
+///
+/// A request with a short objective is often a call that another request waits for in its slot. The work of that one
+/// is lost with the call, so a call that is late for its own objective still counts as timely.
+pub(crate) fn useful_within(
+    objective: Duration,
+    start_within: Duration,
+    remaining: Duration,
+) -> Duration {
+    if objective <= DEPENDENCY_OBJECTIVE_MAX {
+        start_within.max(remaining.mul_f64(LATE_WAIT_SHARE))
+    } else {
+        start_within
+    }
+}
+
 /// The account that pays for the slot time of a request: its workspace, or the calling service without one.
 fn account(forwarded: &Forwarded) -> Result<partner::Name, Denial> {
     let workspace = forwarded.workspace.as_ref().map(|w| w.name.as_str());
@@ -119,8 +139,12 @@
     let ticket = Ticket {
         id,
         partner: account(forwarded)?,
-        priority: rank(forwarded),
-        timely_until: now + start_within,
+        priority: rank(
+            forwarded.workspace.as_ref().map(|w| w.priority),
+            forwarded.priority,
+            forwarded.objective,
+        ),
+        timely_until: now + useful_within(forwarded.objective, start_within, forwarded.remaining),
         deadline: now + wait_max,
     };
     let queued = {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -17,6 +17,7 @@
 use crate::follow::RegistryViews;
 use crate::grace::Grace;
 use crate::metrics::Metrics;
+use crate::outlook;
 use crate::settings::Settings;
 use shallotrill_backend::pool;
 use shallotrill_feed::message::Announcement;
@@ -74,6 +75,8 @@
     pub router_count: AtomicUsize,
     /// Retry budget of each service, sorted by name.
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
+    /// What targets stated about their room; no other lock is held with it.
+    pub outlooks: Mutex<outlook::Table>,
     /// Crash records and quarantine.
     pub crashes: Mutex<Crashes>,
     /// A check is running whether the backend server has crashed.
--- a/crates/router/tests/path/gates.rs
+++ b/crates/router/tests/path/gates.rs
@@ -19,9 +19,14 @@
 use crate::fixture;
 use crate::fixture_with_retries;
 use crate::service_name;
+use shallotrill_limits::outlook::Decision;
+use shallotrill_limits::outlook::Request;
 use shallotrill_model::class::Class;
 use shallotrill_model::incarnation::Incarnation;
 use shallotrill_model::instance;
+use shallotrill_model::load::Outlook;
+use shallotrill_model::load::Step;
+use shallotrill_model::time::Instant;
 use shallotrill_router::backend;
 use shallotrill_router::forwarded::Denial;
 use shallotrill_router::forwarded::Forwarded;
@@ -194,3 +199,55 @@
     assert_eq!(refusing.received.load(Ordering::SeqCst), 1);
     assert_eq!(full.received.load(Ordering::SeqCst), 0);
 }
+
+/// Guards against a request that is sent although its target has stated that it cannot start in time, and against a
+/// kind of request of which none is sent.
+#[tokio::test]
+async fn a_request_without_room_is_refused_without_a_hop() {
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one]).await;
+    let state = fixture.routers[0].state();
+    let full = Outlook::new([Step {
+        priority_max: u8::MAX,
+        wait_us: 60_000_000,
+    }]);
+    let name = instance::Name::new("i-0").expect("a valid name");
+    for (status, received) in [(200, 1), (503, 1)] {
+        // A statement from the future does not become too old during the test.
+        let stated_at = state.now() + WAIT_TIMEOUT;
+        let mut outlooks = state.outlooks.lock();
+        let statements = outlooks.of(&service_name());
+        statements.record(&name, Some(full.clone()), stated_at);
+        drop(outlooks);
+        assert_eq!(fixture.get("/a/b").await.0, status);
+        assert_eq!(log.received.load(Ordering::SeqCst), received);
+    }
+    assert_eq!(state.metrics.refused_without_room.get(), 1);
+}
+
+/// Guards against statements that do not arrive with the denial of another router.
+#[tokio::test]
+async fn a_denial_states_when_there_will_be_room() {
+    let log = Arc::new(RequestLog::default());
+    let one = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let two = backend_server(COMPLETE, Arc::clone(&log)).await;
+    let fixture = fixture(Class::NonIdempotent, &[one, two]).await;
+    let (entry, target) = (fixture.routers[0].state(), fixture.routers[1].state());
+    announce(&fixture.routers[0], 0, 2, true);
+    let mut slots = Vec::new();
+    while let Ok(slot) = slot::admit(&target, &forwarded_to("i-1", false)).await {
+        slots.push(slot);
+    }
+    assert_eq!(fixture.get("/a/b").await.0, 503);
+    let request = Request {
+        priority: u8::MAX,
+        start_within: Duration::ZERO,
+        targets: 1,
+    };
+    let mut outlooks = entry.outlooks.lock();
+    let statements = outlooks.of(&service_name());
+    // The time of the first instant does not make a statement too old.
+    let [_, second] = [(); 2].map(|()| statements.decide(&request, Instant(0)));
+    assert!(matches!(second, Decision::Refuse(_)), "{second:?}");
+}
