retry: decision on second attempts for the slowest responses

Cause: a target that is slow for a moment holds a request beyond its objective although another target would answer in time.

Change: retry::second decides with the existing decision::hedge when a second attempt starts: after the quantile of the current response times that follows from the allowed share of extra work, which a budget enforces.

--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod decision;
 pub mod latency;
 pub mod ledger;
+pub mod second;
