router: second attempts for the slowest responses of idempotent requests

Cause: a request waits for one slow target until its deadline.

The attempt that does not decide is dropped, which cancels it at its target.

--- a/crates/limits/src/fairness.rs
+++ b/crates/limits/src/fairness.rs
@@ -56,7 +56,7 @@
 /// Accounts sorted by partner.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Accounts {
-    accounts: Vec<Account>,
+    entries: Vec<Account>,
     served: Served,
     halved_at: Instant,
 }
@@ -72,12 +72,12 @@
                 self.remove_idle(config.idle_period, now);
                 let index = self
                     .position(partner)
-                    .unwrap_or(index.min(self.accounts.len()));
-                self.accounts.insert(index, account(partner, config, now));
+                    .unwrap_or(index.min(self.entries.len()));
+                self.entries.insert(index, account(partner, config, now));
                 index
             }
         };
-        let account = &mut self.accounts[index];
+        let account = &mut self.entries[index];
         if !account.is_active() {
             account.weighted_slot_time_us = account.weighted_slot_time_us.max(least_slot_time_us);
         }
@@ -90,13 +90,13 @@
         // After 32 of them nothing is left.
         for _ in 0..periods.min(32) {
             self.served.halve();
-            self.accounts.iter_mut().for_each(|a| a.served.halve());
+            self.entries.iter_mut().for_each(|a| a.served.halve());
         }
         if periods > 0 {
             self.halved_at = now;
         }
         if let Ok(index) = self.position(partner) {
-            self.accounts[index].served.offered += 1.0;
+            self.entries[index].served.offered += 1.0;
             self.served.offered += 1.0;
         }
     }
@@ -121,8 +121,8 @@
         let Ok(index) = self.position(partner) else {
             return false;
         };
-        let account = &self.accounts[index];
-        let active = self.accounts.iter().filter(|a| a.is_active());
+        let account = &self.entries[index];
+        let active = self.entries.iter().filter(|a| a.is_active());
         let (count, total_us) = active.fold((0.0, 0.0), |(count, total_us), a| {
             (count + 1.0, total_us + a.weighted_slot_time_us)
         });
@@ -133,15 +133,15 @@
 
     pub(crate) fn adjust_queued(&mut self, partner: &partner::Name, change: i32) {
         if let Ok(index) = self.position(partner) {
-            let queued = &mut self.accounts[index].queued;
+            let queued = &mut self.entries[index].queued;
             *queued = queued.saturating_add_signed(change);
         }
     }
 
     pub(crate) fn record_start(&mut self, partner: &partner::Name) {
         if let Ok(index) = self.position(partner) {
-            self.accounts[index].running += 1;
-            self.accounts[index].served.started += 1.0;
+            self.entries[index].running += 1;
+            self.entries[index].served.started += 1.0;
             self.served.started += 1.0;
         }
     }
@@ -153,7 +153,7 @@
         now: Instant,
     ) {
         if let Ok(index) = self.position(partner) {
-            let account = &mut self.accounts[index];
+            let account = &mut self.entries[index];
             account.running = account.running.saturating_sub(1);
             account.weighted_slot_time_us += slot_time.as_micros() as f64 / account.weight;
             account.last_active = now;
@@ -163,14 +163,14 @@
     /// Weighted slot time of `partner` including running requests, as a sort key among partners; zero without an account.
     pub(crate) fn projected_slot_time_us(&self, partner: &partner::Name, service_us: f64) -> f64 {
         self.position(partner).map_or(0.0, |index| {
-            self.accounts[index].projected_slot_time_us(service_us)
+            self.entries[index].projected_slot_time_us(service_us)
         })
     }
 
     /// Number of waiting tickets of `partner`, plus `additional`, divided by its weight; zero without an account.
     pub(crate) fn queue_share(&self, partner: &partner::Name, additional: u32) -> f64 {
         self.position(partner).map_or(0.0, |index| {
-            let account = &self.accounts[index];
+            let account = &self.entries[index];
             f64::from(account.queued + additional) / account.weight
         })
     }
@@ -181,14 +181,14 @@
         partner: Option<&partner::Name>,
         limit_per_partner: u32,
     ) -> usize {
-        let others = self.accounts.iter().filter(|a| Some(&a.partner) != partner);
+        let others = self.entries.iter().filter(|a| Some(&a.partner) != partner);
         others
             .map(|a| a.queued.min(limit_per_partner) as usize)
             .sum()
     }
 
     fn least_slot_time_us(&self) -> f64 {
-        let active = self.accounts.iter().filter(|a| a.is_active());
+        let active = self.entries.iter().filter(|a| a.is_active());
         let least_slot_time_us = active
             .map(|a| a.weighted_slot_time_us)
             .fold(f64::INFINITY, f64::min);
@@ -201,12 +201,12 @@
 
     /// Removes accounts that have been idle for `idle` or longer.
     fn remove_idle(&mut self, idle: Duration, now: Instant) {
-        self.accounts
+        self.entries
             .retain(|a| a.is_active() || now.since(a.last_active) < idle);
     }
 
     fn position(&self, partner: &partner::Name) -> Result<usize, usize> {
-        self.accounts.binary_search_by(|a| a.partner.cmp(partner))
+        self.entries.binary_search_by(|a| a.partner.cmp(partner))
     }
 }
 
--- a/crates/limits/src/outlook.rs
+++ b/crates/limits/src/outlook.rs
@@ -150,6 +150,16 @@
         Decision::Refuse(room)
     }
 
+    /// Whether requests wait at half of the targets that made a statement lately, or more.
+    pub fn is_overloaded(&self, now: Instant) -> bool {
+        let recent = self.stated.iter();
+        let recent = recent.filter(|(_, _, at)| now.since(*at) <= AGE_MAX);
+        let (all, waiting) = recent.fold((0, 0), |(all, waiting), (_, outlook, _)| {
+            (all + 1, waiting + usize::from(outlook.is_some()))
+        });
+        all > 0 && waiting * 2 >= all
+    }
+
     /// Records that gates refused a request that was sent, and returns when it will have room.
     pub fn refused_by_gates(&mut self, request: &Request, now: Instant) -> Room {
         self.halve(now);
--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue.rs
@@ -151,9 +151,8 @@
         let priority = accounts.priority(ticket, config);
         let of = |w: &Waiting| accounts.priority(&w.ticket, config);
         let priorities = || self.waiting.iter().map(of);
-        if priorities().filter(|p| *p < priority).count() > reserve
-            && !(timely_first && !ticket.is_timely(now))
-        {
+        let may_displace_timely = !timely_first || ticket.is_timely(now);
+        if may_displace_timely && priorities().filter(|p| *p < priority).count() > reserve {
             return self.newest_of_largest_share(accounts, |w| of(w) < priority);
         }
         if !timely_first && priorities().filter(|p| *p <= priority).count() < reserve {
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -21,6 +21,8 @@
 use crate::forwarded::Workspace;
 use crate::names::Names;
 use crate::outlook;
+use crate::second;
+use crate::second::Raced;
 use crate::serve::BufferedRequest;
 use crate::state::State;
 use shallotrill_items::route::Route;
@@ -34,6 +36,7 @@
 use shallotrill_model::service;
 use shallotrill_model::time::Instant;
 use shallotrill_retry::after;
+use shallotrill_retry::second as second_attempt;
 use shallotrill_routing::choice::Choice;
 use shallotrill_routing::choice::Query;
 use shallotrill_wire::body;
@@ -265,7 +268,7 @@
             progress.room = Some(room);
             return give_up(state, pending, progress, remaining);
         }
-        let Some(choice) = choose(state, pending, &progress) else {
+        let Some(choice) = choose(state, pending, &progress.tried) else {
             if progress.gate_refusals > 0 && !progress.second_round {
                 progress.second_round = true;
                 progress.tried.clone_from(&progress.reached);
@@ -277,8 +280,11 @@
             cancel(state, &choice);
             return give_up(state, pending, progress, remaining);
         }
-        let forwarded = forwarded(state, pending, &choice, &progress, remaining);
-        let sent = attempt::send(state, pending.message.clone(), &forwarded, &choice).await;
+        let raced = send(state, pending, Earlier::of(&progress), choice, remaining).await;
+        let (sent, choice) = (raced.sent, raced.choice);
+        if let Some((other, denial)) = raced.other {
+            progress.record_other(other, denial);
+        }
         match sent {
             Ok(response) if !may_retry(pending, &progress, &response) => {
                 log_response(state, pending, &choice, &progress, response.status());
@@ -339,11 +345,84 @@
     objective_remaining.min(remaining).mul_f64(SLOT_WAIT_SHARE)
 }
 
-fn choose(state: &State, pending: &PendingRequest, progress: &Progress) -> Option<Choice> {
+/// What the next attempt depends on. Unlike [`Progress`], it has no response, which cannot be shared across threads.
+struct Earlier {
+    tried: Vec<instance::Name>,
+    arrivals: u32,
+    last_gate: bool,
+}
+
+impl Earlier {
+    fn of(progress: &Progress) -> Self {
+        Self {
+            tried: progress.tried.clone(),
+            arrivals: progress.arrivals,
+            last_gate: progress.second_round || progress.gate_refusals + 1 >= GATE_REFUSALS_MAX,
+        }
+    }
+}
+
+impl Progress {
+    /// Records the attempt that did not decide a race.
+    fn record_other(&mut self, choice: Choice, denial: Option<Denial>) {
+        if denial.is_none_or(Denial::has_arrived) {
+            self.arrivals += 1;
+            self.reached.push(choice.instance.clone());
+        }
+        self.may_have_run |= !denial.is_some_and(Denial::is_not_run);
+        self.tried.push(choice.instance);
+    }
+}
+
+/// Sends an attempt, and a second one if it is slow and a second one is allowed.
+async fn send(
+    state: &Arc<State>,
+    pending: &PendingRequest,
+    earlier: Earlier,
+    choice: Choice,
+    remaining: Duration,
+) -> Raced {
+    let last_gate = earlier.last_gate;
+    let started = state.now();
+    let attempt = |choice: Choice| async move {
+        let remaining = remaining.saturating_sub(state.now().since(started));
+        let forwarded = forwarded(state, pending, &choice, last_gate, remaining);
+        attempt::send(state, pending.message.clone(), &forwarded, &choice).await
+    };
+    // An attempt counts towards the allotment of its workspace, from which a second one takes no credit.
+    let allotted = pending.workspace.as_ref();
+    let allotted = allotted.is_some_and(|active| active.workspace.allotment.is_some());
+    if !second::is_enabled(state) || pending.route.class != Class::Idempotent || allotted {
+        return Raced {
+            sent: attempt(choice.clone()).await,
+            choice,
+            other: None,
+        };
+    }
+    let mut tried = earlier.tried;
+    tried.push(choice.instance.clone());
+    let targets = state.routing.lock().target_count(&pending.service);
+    let raced = second::Pending {
+        id: &pending.id,
+        service: &pending.service,
+        request: second_attempt::Request {
+            class: pending.route.class,
+            attempts: earlier.arrivals + 1,
+            attempts_max: pending.route.attempts,
+            untried_targets: targets.saturating_sub(tried.len()) as u32,
+            deadline: started + remaining,
+        },
+    };
+    let choose = || choose(state, pending, &tried);
+    let first = (choice.clone(), attempt(choice));
+    second::race(state, &raced, first, choose, attempt).await
+}
+
+fn choose(state: &State, pending: &PendingRequest, exclude: &[instance::Name]) -> Option<Choice> {
     let now = state.now();
     let query = Query {
         service: &pending.service,
-        exclude: &progress.tried,
+        exclude,
         // Only a request that can be retried is sent to a failing target.
         priority: u8::from(pending.route.class == Class::NonIdempotent),
     };
@@ -362,7 +441,7 @@
 }
 
 /// Records in the routing table that an attempt whose start is recorded is not made.
-fn cancel(state: &State, choice: &Choice) {
+pub(crate) fn cancel(state: &State, choice: &Choice) {
     let sample = shallotrill_routing::sample::Sample {
         incarnation: choice.incarnation,
         outcome: shallotrill_routing::sample::Outcome::Cancelled,
@@ -379,7 +458,7 @@
     state: &State,
     pending: &PendingRequest,
     choice: &Choice,
-    progress: &Progress,
+    last_gate: bool,
     remaining: Duration,
 ) -> Forwarded {
     Forwarded {
@@ -396,7 +475,7 @@
         objective: pending.route.objective,
         priority: pending.route.priority,
         class: pending.route.class,
-        last_gate: progress.second_round || progress.gate_refusals + 1 >= GATE_REFUSALS_MAX,
+        last_gate,
         host: pending.host.clone(),
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod probe;
 pub mod retired;
 pub mod run;
+pub mod second;
 pub mod serve;
 pub mod settings;
 pub mod slot;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -35,6 +35,10 @@
     pub retries: IntCounter,
     /// Retries that the retry budget did not allow.
     pub retries_refused: IntCounter,
+    /// Second attempts for slow responses.
+    pub second_attempts: IntCounter,
+    /// Second attempts that were faster than the first.
+    pub second_attempts_faster: IntCounter,
     /// Requests refused because no target states that they can start in time.
     pub refused_without_room: IntCounter,
     /// Probes of the backend server.
@@ -86,6 +90,14 @@
                 "shallotrill_router_copies_refused_total",
                 "Copies that the retry budget did not allow.",
             )?,
+            second_attempts: registry.counter(
+                "shallotrill_router_second_attempts_total",
+                "Second attempts for slow responses.",
+            )?,
+            second_attempts_faster: registry.counter(
+                "shallotrill_router_second_attempts_faster_total",
+                "Second attempts for slow responses that were faster than the first.",
+            )?,
             refused_without_room: registry.counter(
                 "shallotrill_router_refused_without_room_total",
                 "Requests refused because no target states that they can start in time.",
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -31,6 +31,7 @@
 use crate::outlook;
 use crate::pacer;
 use crate::probe;
+use crate::second;
 use crate::serve;
 use crate::settings::Settings;
 use crate::state::State;
@@ -237,6 +238,7 @@
         pace_changed: Notify::new(),
         router_count: AtomicUsize::new(1),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
+        seconds: Mutex::new(Rank::Pool, second::Table::default()),
         outlooks: Mutex::new(Rank::Pool, outlook::Table::default()),
         crashes: Mutex::new(Rank::Report, Crashes::default()),
         crash_check_running: AtomicBool::new(false),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -34,6 +34,8 @@
     pub retry_slack: u32,
     /// Length of the window of `retry_slack`.
     pub retry_window: Duration,
+    /// Second attempts allowed for each thousand requests of this router, for the slowest responses; zero for none.
+    pub second_attempt_permille: u32,
     /// Time from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Names of the headers.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -18,6 +18,7 @@
 use crate::grace::Grace;
 use crate::metrics::Metrics;
 use crate::outlook;
+use crate::second;
 use crate::settings::Settings;
 use shallotrill_backend::pool;
 use shallotrill_feed::message::Announcement;
@@ -77,6 +78,8 @@
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
     /// What targets stated about their room; no other lock is held with it.
     pub outlooks: Mutex<outlook::Table>,
+    /// Response times and second attempts of each service; no other lock is held with it.
+    pub seconds: Mutex<second::Table>,
     /// Crash records and quarantine.
     pub crashes: Mutex<Crashes>,
     /// A check is running whether the backend server has crashed.
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod gates;
 mod limits;
+mod second;
 mod stops;
 
 use std::net::SocketAddr;
@@ -313,6 +314,19 @@
     class: Class,
     backends: &[SocketAddr],
     retry_permille: u32,
+) -> Fixture {
+    fixture_with(class, backends, &|settings| {
+        settings.retry_permille = retry_permille;
+        settings.retry_slack = retry_permille;
+    })
+    .await
+}
+
+/// Starts a fixture whose routers have changed settings.
+async fn fixture_with(
+    class: Class,
+    backends: &[SocketAddr],
+    change_settings: &dyn Fn(&mut Settings),
 ) -> Fixture {
     let folder = TempDir::new().expect("a temporary folder");
     let registry = start_registry(&folder, Vec::new()).await;
@@ -322,7 +336,8 @@
         .expect("the change is accepted");
     let mut routers = Vec::new();
     for (number, &address) in backends.iter().enumerate() {
-        let settings = settings(address, vec![state.settings.listen], retry_permille);
+        let mut settings = settings(address, vec![state.settings.listen], 1_000);
+        change_settings(&mut settings);
         let router = shallotrill_router::run::start(settings)
             .await
             .expect("a router");
@@ -352,6 +367,7 @@
         retry_permille,
         retry_slack: retry_permille,
         retry_window: Duration::from_secs(10),
+        second_attempt_permille: 0,
         grace_period: Duration::from_secs(2),
         names: Names::default(),
         clock: Clock::start(),
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -89,6 +89,11 @@
         });
     }
 
+    /// Whether the target has stated in its last report that it accepts a limited rate.
+    pub(crate) const fn is_paced(&self) -> bool {
+        self.next_start.is_some()
+    }
+
     /// Time that a request waits for the pace of the target.
     pub(crate) fn pace_wait(&self, now: Instant) -> Duration {
         self.next_start
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -231,6 +231,15 @@
         (self.config.policy.choose)(self, query, now, random)
     }
 
+    /// Whether a target may get requests beyond those that need it: it has announced that it is ready, not that it warms
+    /// up, and its last report states no limited rate.
+    pub fn is_unrestricted(&self, instance: &instance::Name) -> bool {
+        let entry = self
+            .find_index(instance)
+            .and_then(|index| self.entry(index));
+        entry.is_some_and(|entry| entry.target.state == State::Ready && !entry.is_paced())
+    }
+
     /// Number of targets of a service that are not draining; zero for an unknown service.
     pub fn target_count(&self, service: &service::Name) -> usize {
         let index = self.service_index(service);
