limits: a request that gates refused keeps no lower priority away from targets

Cause: a request of a higher priority that had used up its time at gates was refused at the entry with almost no time left to start, and all lower priorities then counted as having no more time than it for 300 ms.

Change: only a request that no gate has refused yet sets that bound.

--- a/crates/limits/src/outlook.rs
+++ b/crates/limits/src/outlook.rs
@@ -46,6 +46,8 @@
     pub start_within: Duration,
     /// Number of targets of its service.
     pub targets: usize,
+    /// Whether no gate has refused it yet. One that has used up its time at gates shows nothing about its priority.
+    pub is_first: bool,
 }
 
 /// When a refused request will have room.
@@ -144,8 +146,10 @@
             self.sent += 1.0;
             return Decision::Send;
         }
-        self.refused.retain(|(known, ..)| *known != priority);
-        self.refused.push((priority, start_within, now));
+        if request.is_first {
+            self.refused.retain(|(known, ..)| *known != priority);
+            self.refused.push((priority, start_within, now));
+        }
         self.turned_away += 1.0;
         Decision::Refuse(room)
     }
--- a/crates/limits/tests/outlook.rs
+++ b/crates/limits/tests/outlook.rs
@@ -104,6 +104,7 @@
         priority,
         start_within: Duration::from_millis(start_ms),
         targets,
+        is_first: true,
     }
 }
 
@@ -133,6 +134,21 @@
     assert_eq!(sent((240, 2_000, 5)), 10);
 }
 
+/// Guards against a request that has used up its time at gates and keeps away those of a lower priority.
+#[test]
+fn a_request_that_gates_refused_keeps_no_other_away() {
+    let mut statements = statements(&[(0, FULL), (0, FULL), (0, FULL)], NOW);
+    let refused = Request {
+        is_first: false,
+        ..request((252, 1, 5))
+    };
+    let [_, second] = [(); 2].map(|()| statements.decide(&refused, NOW));
+    assert!(matches!(second, Decision::Refuse(_)), "{second:?}");
+    let lower = request((240, 2_000, 5));
+    let decisions = [(); 2].map(|()| statements.decide(&lower, NOW));
+    assert_eq!(decisions, [Decision::Send; 2]);
+}
+
 /// Guards against a statement that puts a request behind those that give way to it, or hides those ahead of it.
 #[test]
 fn a_gate_states_the_wait_of_each_priority() {
--- a/crates/limits/tests/overload.rs
+++ b/crates/limits/tests/overload.rs
@@ -223,6 +223,7 @@
                 start_within
             },
             targets: self.gates.len(),
+            is_first: self.calls[call].tried.is_empty(),
         }
     }
 
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -262,8 +262,11 @@
             return give_up(state, pending, progress, remaining);
         }
         if progress.arrivals == 0
-            && let Err(room) =
-                outlook::check(state, &pending.id, &room_request(state, pending, remaining))
+            && let Err(room) = outlook::check(
+                state,
+                &pending.id,
+                &room_request(state, pending, &progress, remaining),
+            )
         {
             progress.room = Some(room);
             return give_up(state, pending, progress, remaining);
@@ -326,6 +329,7 @@
 fn room_request<'request>(
     state: &State,
     pending: &'request PendingRequest,
+    progress: &Progress,
     remaining: Duration,
 ) -> outlook::Pending<'request> {
     outlook::Pending {
@@ -335,6 +339,7 @@
         objective: pending.route.objective,
         start_within: start_within(state, pending, remaining),
         remaining,
+        is_first: progress.tried.is_empty() && !progress.second_round,
     }
 }
 
@@ -619,7 +624,7 @@
             if progress.gate_refusals == 0 {
                 return Room::default();
             }
-            outlook::refused_by_gates(state, &room_request(state, pending, remaining))
+            outlook::refused_by_gates(state, &room_request(state, pending, &progress, remaining))
         });
         let (random, Room { after, spread }) = (rand::random(), room);
         let wait = after::retry_after_room(refused, after, spread, random);
--- a/crates/router/src/outlook.rs
+++ b/crates/router/src/outlook.rs
@@ -53,6 +53,8 @@
     pub start_within: Duration,
     /// Remaining time until the deadline of the caller.
     pub remaining: Duration,
+    /// Whether no gate has refused it yet.
+    pub is_first: bool,
 }
 
 impl Pending<'_> {
@@ -63,6 +65,7 @@
             priority,
             start_within: slot::useful_within(self.objective, self.start_within, self.remaining),
             targets,
+            is_first: self.is_first,
         }
     }
 }
--- a/crates/router/tests/path/gates.rs
+++ b/crates/router/tests/path/gates.rs
@@ -244,6 +244,7 @@
         priority: u8::MAX,
         start_within: Duration::ZERO,
         targets: 1,
+        is_first: true,
     };
     let mut outlooks = entry.outlooks.lock();
     let statements = outlooks.of(&service_name());
