--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -5,9 +5,11 @@
 use crate::config::Config;
 use crate::fairness::Accounts;
 use crate::limit::Limit;
+use crate::outlook;
 use crate::pace;
 use crate::pace::Pace;
 use crate::pace::RecentStarts;
+use crate::queue::Place;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::ticket::Effect;
@@ -18,6 +20,7 @@
 use crate::ticket::Ticket;
 use crate::ticket::Verdict;
 use shallotrill_model::load;
+use shallotrill_model::load::Outlook;
 use shallotrill_model::load::Report;
 use shallotrill_model::partner;
 use shallotrill_model::rate::Rate;
@@ -90,18 +93,27 @@
         if self.contains(ticket.id) {
             return Verdict::Refuse(Refusal::Duplicate);
         }
-        let wait = self.expected_wait(&ticket, now);
+        self.accounts.activate(&ticket.partner, &self.config, now);
+        self.accounts.record_offer(&ticket.partner, now);
+        let place = Place {
+            priority: self.accounts.priority(&ticket, &self.config),
+            partner: Some(&ticket.partner),
+            timely: ticket.is_timely(now),
+        };
+        let wait = self.expected_wait(place, now);
         if now >= ticket.deadline || wait > ticket.deadline.since(now) {
             return Verdict::Refuse(Refusal::TooLate { wait });
         }
-        self.accounts.activate(&ticket.partner, &self.config, now);
         if self.queue.waiting.is_empty() && self.may_start(now) {
             self.start(&ticket, now);
             return Verdict::Run;
         }
         let mut displaced = None;
         if self.queue.waiting.len() >= self.config.queue as usize {
-            let Some(index) = self.queue.displaceable(&ticket, &self.accounts, now) else {
+            let Some(index) = self
+                .queue
+                .displaceable(&ticket, &self.accounts, &self.config, now)
+            else {
                 let queued = self.queue.waiting.len() as u32;
                 return Verdict::Refuse(Refusal::Full { queued });
             };
@@ -274,18 +286,38 @@
         })
     }
 
+    /// States when a new timely ticket of each priority would start, from a partner without waiting tickets.
+    ///
+    /// `None` while any ticket would start at once.
+    pub fn outlook(&self, now: Instant) -> Option<Outlook> {
+        if self.queue.waiting.is_empty() && self.may_start(now) {
+            return None;
+        }
+        let wait = |priority| {
+            let place = Place {
+                priority,
+                partner: None,
+                timely: true,
+            };
+            self.expected_wait(place, now)
+        };
+        let timely = self.queue.waiting.iter();
+        let timely = timely.filter(|w| w.ticket.is_timely(now));
+        Some(outlook::state(
+            timely.map(|w| self.accounts.priority(&w.ticket, &self.config)),
+            wait,
+        ))
+    }
+
     /// Expected time until the ticket starts.
-    fn expected_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
+    fn expected_wait(&self, place: Place<'_>, now: Instant) -> Duration {
         if self.queue.waiting.is_empty() && self.may_start(now) {
             return Duration::ZERO;
         }
         let service_us = self.limit.service_us();
-        let requests_ahead = self.queue.requests_ahead(
-            ticket,
-            &self.accounts,
-            self.config.low_priority_interval,
-            now,
-        );
+        let requests_ahead = self
+            .queue
+            .requests_ahead(place, &self.accounts, &self.config, now);
         let slots = f64::from(self.limit.current());
         let slot_wait = if self.queue.waiting.is_empty() && self.has_slot() {
             Duration::ZERO
@@ -359,9 +391,9 @@
             let lowest_first =
                 (self.dispatches + 1).is_multiple_of(self.config.low_priority_interval);
             let service_us = self.limit.service_us();
-            let Some(index) = self
-                .queue
-                .next_index(lowest_first, &self.accounts, service_us, now)
+            let Some(index) =
+                self.queue
+                    .next_index(lowest_first, &self.accounts, &self.config, service_us, now)
             else {
                 break;
             };
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod holder;
 mod limit;
 pub mod memory;
+pub mod outlook;
 pub mod pace;
 pub mod probe;
 pub mod process;
--- a/crates/router/examples/downloads.rs
+++ b/crates/router/examples/downloads.rs
@@ -115,6 +115,7 @@
         retry_window: Duration::from_secs(10),
         grace_period: Duration::from_secs(2),
         limits: Limits::default(),
+        second_attempt_permille: 0,
         names: Names::default(),
         clock: Clock::start(),
     })
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -15,6 +15,7 @@
 use crate::forwarded::Denial;
 use crate::retired;
 use crate::retired::Reason;
+use crate::slot;
 use crate::state::State;
 use shallotrill_feed::message::Departure;
 use shallotrill_limits::config::Config;
@@ -357,7 +358,8 @@
         });
         let config = Config::new(incarnation, slots, queue_length(slots))
             .service_time(INITIAL_SERVICE_TIME)
-            .tolerance(LATENCY_TOLERANCE_RATIO);
+            .tolerance(LATENCY_TOLERANCE_RATIO)
+            .timely_first(slot::RANKS);
         let draining = announcement.draining;
         let mut cold = Statements::new(now);
         cold.announce(announcement.warm_up_remaining, now);
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -23,6 +23,9 @@
 use crate::forwarded::Forwarded;
 use crate::forwarded::Workspace;
 use crate::names::Names;
+use crate::outlook;
+use crate::second;
+use crate::second::Raced;
 use crate::serve::BufferedRequest;
 use crate::state::State;
 use shallotrill_caller::ahead::Arrival;
@@ -32,11 +35,13 @@
 use shallotrill_items::table::Table;
 use shallotrill_items::workspace::Digest;
 use shallotrill_limits::memory::Kind;
+use shallotrill_limits::outlook::Room;
 use shallotrill_model::class::Class;
 use shallotrill_model::instance;
 use shallotrill_model::service;
 use shallotrill_model::time::Instant;
 use shallotrill_retry::after;
+use shallotrill_retry::second as second_attempt;
 use shallotrill_routing::choice::Choice;
 use shallotrill_routing::choice::Query;
 use shallotrill_wire::body;
@@ -302,6 +307,8 @@
     /// The last denial. `may_have_run` is set once a denial leaves open whether the request ran.
     last_denial: Option<Denial>,
     may_have_run: bool,
+    /// When targets will have room, if the request is refused because they state that they have none.
+    room: Option<Room>,
     /// The last server error that a backend server has returned.
     error_response: Option<Response<Body>>,
 }
@@ -315,7 +322,17 @@
         if remaining < REMAINING_MIN {
             return give_up(state, pending, progress, remaining);
         }
-        let Some(choice) = choose(state, pending, &progress, remaining) else {
+        if progress.arrivals == 0
+            && let Err(room) = outlook::check(
+                state,
+                &pending.id,
+                &room_request(state, pending, &progress, remaining),
+            )
+        {
+            progress.room = Some(room);
+            return give_up(state, pending, progress, remaining);
+        }
+        let Some(choice) = choose(state, pending, &progress.tried, remaining) else {
             if progress.gate_refusals > 0 && !progress.second_round {
                 progress.second_round = true;
                 progress.tried.clone_from(&progress.reached);
@@ -327,11 +344,14 @@
             cancel(state, &choice);
             return give_up(state, pending, progress, remaining);
         }
-        let forwarded = forwarded(state, pending, &choice, &progress, remaining);
         if let Some(credit) = &pending.credit {
             credit.record_use();
         }
-        let sent = attempt::send(state, pending.message.clone(), &forwarded, &choice).await;
+        let raced = send(state, pending, Earlier::of(&progress), choice, remaining).await;
+        let (sent, choice) = (raced.sent, raced.choice);
+        if let Some((other, denial)) = raced.other {
+            progress.record_other(other, denial);
+        }
         match sent {
             Ok(response) if !may_retry(pending, &progress, &response) => {
                 log_response(state, pending, &choice, &progress, response.status());
@@ -369,24 +389,125 @@
     }
 }
 
+/// The request as the statements of targets are compared with it.
+fn room_request<'request>(
+    state: &State,
+    pending: &'request PendingRequest,
+    progress: &Progress,
+    remaining: Duration,
+) -> outlook::Pending<'request> {
+    outlook::Pending {
+        service: &pending.service,
+        workspace_priority: pending.workspace.as_ref().map(|w| w.workspace.priority),
+        priority: pending.route.priority,
+        objective: pending.route.objective,
+        start_within: start_within(state, pending, remaining),
+        remaining,
+        is_first: progress.tried.is_empty() && !progress.second_round,
+    }
+}
+
+/// Time within which a request must start to meet its objective, and with it most of its value.
+fn start_within(state: &State, pending: &PendingRequest, remaining: Duration) -> Duration {
+    let elapsed = state.now().since(pending.received_at);
+    let objective_remaining = pending.route.objective.saturating_sub(elapsed);
+    objective_remaining.min(remaining).mul_f64(SLOT_WAIT_SHARE)
+}
+
+/// What the next attempt depends on. Unlike [`Progress`], it has no response, which cannot be shared across threads.
+struct Earlier {
+    tried: Vec<instance::Name>,
+    arrivals: u32,
+    last_gate: bool,
+}
+
+impl Earlier {
+    fn of(progress: &Progress) -> Self {
+        Self {
+            tried: progress.tried.clone(),
+            arrivals: progress.arrivals,
+            last_gate: progress.second_round || progress.gate_refusals + 1 >= GATE_REFUSALS_MAX,
+        }
+    }
+}
+
+impl Progress {
+    /// Records the attempt that did not decide a race.
+    fn record_other(&mut self, choice: Choice, denial: Option<Denial>) {
+        if denial.is_none_or(Denial::has_arrived) {
+            self.arrivals += 1;
+            self.reached.push(choice.instance.clone());
+        }
+        self.may_have_run |= !denial.is_some_and(Denial::is_not_run);
+        self.tried.push(choice.instance);
+    }
+}
+
+/// Sends an attempt, and a second one if it is slow and a second one is allowed.
+async fn send(
+    state: &Arc<State>,
+    pending: &PendingRequest,
+    earlier: Earlier,
+    choice: Choice,
+    remaining: Duration,
+) -> Raced {
+    let last_gate = earlier.last_gate;
+    let started = state.now();
+    let attempt = |choice: Choice| async move {
+        let remaining = remaining.saturating_sub(state.now().since(started));
+        let forwarded = forwarded(state, pending, &choice, last_gate, remaining);
+        attempt::send(state, pending.message.clone(), &forwarded, &choice).await
+    };
+    // An attempt counts towards the allotment of its workspace, from which a second one takes no credit.
+    let allotted = pending.workspace.as_ref();
+    let allotted = allotted.is_some_and(|active| active.workspace.allotment.is_some());
+    if !second::is_enabled(state) || pending.route.class != Class::Idempotent || allotted {
+        return Raced {
+            sent: attempt(choice.clone()).await,
+            choice,
+            other: None,
+        };
+    }
+    let mut tried = earlier.tried;
+    tried.push(choice.instance.clone());
+    let targets = state.routing.lock().target_count(&pending.service);
+    let raced = second::Pending {
+        id: &pending.id,
+        service: &pending.service,
+        request: second_attempt::Request {
+            class: pending.route.class,
+            attempts: earlier.arrivals + 1,
+            attempts_max: pending.route.attempts,
+            untried_targets: targets.saturating_sub(tried.len()) as u32,
+            deadline: started + remaining,
+        },
+    };
+    let choose = || {
+        let remaining = remaining.saturating_sub(state.now().since(started));
+        choose(state, pending, &tried, remaining)
+    };
+    let first = (choice.clone(), attempt(choice));
+    second::race(state, &raced, first, choose, attempt).await
+}
+
 fn choose(
     state: &State,
     pending: &PendingRequest,
-    progress: &Progress,
+    exclude: &[instance::Name],
     remaining: Duration,
 ) -> Option<Choice> {
     let now = state.now();
     let query = Query {
         service: &pending.service,
-        exclude: &progress.tried,
+        exclude,
         // Only a request that can be retried is sent to a failing target.
         priority: u8::from(pending.route.class == Class::NonIdempotent),
     };
     let mut random = || rand::rng().next_u64();
     let wait_max = remaining.mul_f64(SLOT_WAIT_SHARE);
     let mut routing = state.routing.lock();
-    let (service, tried) = (&pending.service, &progress.tried);
-    if let Some(wait) = routing.excessive_cold_wait(service, tried, wait_max, now, &mut random) {
+    let wait = routing.excessive_cold_wait(&pending.service, exclude, wait_max, now, &mut random);
+    if let Some(wait) = wait {
         drop(routing);
         state.metrics.cold_refusals.inc();
         if state.routine_log_quota.allows(now) {
@@ -409,7 +530,7 @@
 }
 
 /// Records in the routing table that an attempt whose start is recorded is not made.
-fn cancel(state: &State, choice: &Choice) {
+pub(crate) fn cancel(state: &State, choice: &Choice) {
     let sample = shallotrill_routing::sample::Sample {
         incarnation: choice.incarnation,
         outcome: shallotrill_routing::sample::Outcome::Cancelled,
@@ -426,12 +547,9 @@
     state: &State,
     pending: &PendingRequest,
     choice: &Choice,
-    progress: &Progress,
+    last_gate: bool,
     remaining: Duration,
 ) -> Forwarded {
-    // A request that starts later than this misses its objective, and with it most of its value.
-    let elapsed = state.now().since(pending.received_at);
-    let objective_remaining = pending.route.objective.saturating_sub(elapsed);
     Forwarded {
         instance: choice.instance.clone(),
         incarnation: choice.incarnation,
@@ -442,11 +560,11 @@
             priority: active.workspace.priority,
         }),
         remaining,
-        start_within: objective_remaining.min(remaining).mul_f64(SLOT_WAIT_SHARE),
+        start_within: start_within(state, pending, remaining),
         objective: pending.route.objective,
         priority: pending.route.priority,
         class: pending.route.class,
-        last_gate: progress.second_round || progress.gate_refusals + 1 >= GATE_REFUSALS_MAX,
+        last_gate,
         host: pending.host.clone(),
     }
 }
@@ -563,7 +681,8 @@
     if let Some(response) = progress.error_response {
         return response;
     }
-    let reason = progress.last_denial.map_or("no target", Denial::as_str);
+    let otherwise = progress.room.map_or("no target", |_| "no room");
+    let reason = progress.last_denial.map_or(otherwise, Denial::as_str);
     info!(
         event = "request-given-up",
         request = pending.id.as_str(),
@@ -588,7 +707,14 @@
             objective: pending.route.objective,
             limit: pending.caller_timeout,
         };
-        let wait = after::retry_after(refused, rand::random());
+        let room = progress.room.unwrap_or_else(|| {
+            if progress.gate_refusals == 0 {
+                return Room::default();
+            }
+            outlook::refused_by_gates(state, &room_request(state, pending, &progress, remaining))
+        });
+        let (random, Room { after, spread }) = (rand::random(), room);
+        let wait = after::retry_after_room(refused, after, spread, random);
         return unavailable(&pending.id, &format!("{:.3}", wait.as_secs_f64()), reason);
     }
     let status = if remaining < REMAINING_MIN || progress.last_denial == Some(Denial::Timeout) {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -29,8 +29,10 @@
 use crate::follow::RegistryViews;
 use crate::grace::Grace;
 use crate::metrics::Metrics;
+use crate::outlook;
 use crate::pacer;
 use crate::probe;
+use crate::second;
 use crate::serve;
 use crate::settings::Settings;
 use crate::state::Listeners;
@@ -270,6 +272,8 @@
         budgets: Mutex::new(Rank::Budget, Vec::new()),
         allotments: Mutex::new(Rank::Budget, allotment::Table::default()),
         credit_changed: Notify::new(),
+        seconds: Mutex::new(Rank::Pool, second::Table::default()),
+        outlooks: Mutex::new(Rank::Pool, outlook::Table::default()),
         crashes: Mutex::new(Rank::Report, Crashes::default()),
         crash_check_running: AtomicBool::new(false),
         metrics: Metrics::new()?,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -18,6 +18,8 @@
 use crate::follow::RegistryViews;
 use crate::grace::Grace;
 use crate::metrics::Metrics;
+use crate::outlook;
+use crate::second;
 use crate::settings::Settings;
 use shallotrill_backend::pool;
 use shallotrill_feed::message::Announcement;
@@ -95,6 +97,10 @@
     pub allotments: Mutex<allotment::Table>,
     /// Notified when credit has arrived or a registry process has not replied to a request for it.
     pub credit_changed: Notify,
+    /// What targets stated about their room; no other lock is held with it.
+    pub outlooks: Mutex<outlook::Table>,
+    /// Response times and second attempts of each service; no other lock is held with it.
+    pub seconds: Mutex<second::Table>,
     /// Crash records and quarantine.
     pub crashes: Mutex<Crashes>,
     /// A check is running whether the backend server has crashed.
