--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -183,19 +183,7 @@
     let credit = take_credit(state, workspace.as_deref(), timeout, id).await?;
     let waited = state.now().since(received_at);
     let body_timeout = timeout.saturating_sub(waited);
-    let holder = (&state.memory, Kind::Body);
-    let body = match body::collect_within(incoming, body_bytes_max, body_timeout, holder).await {
-        Ok(body) => body,
-        Err(body::Error::Refused(Refusal::NoRoom)) => {
-            let reason = "there is no memory for the body";
-            return Err(unavailable(id, RETRY_AFTER_NO_ROOM, reason));
-        }
-        Err(body::Error::TooLarge(_)) => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(refuse(id, status, "the body is too long"));
-        }
-        Err(error) => return Err(refuse(id, StatusCode::REQUEST_TIMEOUT, &error.to_string())),
-    };
+    let body = read_body(state, incoming, body_bytes_max, body_timeout, id).await?;
     let now = state.now();
     let remaining = timeout.saturating_sub(now.since(received_at));
     if let Some(grace) = state.grace.get()
@@ -269,6 +257,29 @@
     Err(with_retry_after(response(status, reason), &wait))
 }
 
+/// Reads the body of a request. An error is the response to the caller.
+async fn read_body(
+    state: &State,
+    incoming: Incoming,
+    body_bytes_max: usize,
+    timeout: Duration,
+    id: &str,
+) -> Result<Bytes, Response<Body>> {
+    let holder = (&state.memory, Kind::Body);
+    match body::collect_within(incoming, body_bytes_max, timeout, holder).await {
+        Ok(body) => Ok(body),
+        Err(body::Error::Refused(Refusal::NoRoom)) => {
+            let reason = "there is no memory for the body";
+            Err(unavailable(id, RETRY_AFTER_NO_ROOM, reason))
+        }
+        Err(body::Error::TooLarge(_)) => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(refuse(id, status, "the body is too long"))
+        }
+        Err(error) => Err(refuse(id, StatusCode::REQUEST_TIMEOUT, &error.to_string())),
+    }
+}
+
 /// The request has no key, or one that no workspace holds.
 struct UnknownKey;
 
--- a/crates/router/src/evacuation.rs
+++ b/crates/router/src/evacuation.rs
@@ -53,12 +53,13 @@
     if concerns(Kind::Evacuation) {
         state
             .metrics
-            .evacuated_zones
+            .evacuation
+            .zones
             .set(metrics::count(zones.len()));
         log_zones(zones);
     }
     if has_changed {
-        state.metrics.evacuated.set(i64::from(is_evacuated));
+        state.metrics.evacuation.here.set(i64::from(is_evacuated));
         let event = if is_evacuated {
             "gate-evacuated"
         } else {
@@ -89,7 +90,7 @@
 /// decides whether to end the evacuation.
 pub(crate) fn report(state: &State, service: &service::Name, refusal: &Refusal) {
     if let Refusal::AllEvacuated { evacuated, .. } = refusal {
-        state.metrics.evacuated_refusals.inc();
+        state.metrics.evacuation.refusals.inc();
         if state.routine_log_quota.allows(state.now()) {
             warn!(event = "service-evacuated", service = service.as_str(), targets = evacuated; "requests are refused because all targets of the service are in evacuated zones");
         }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -51,12 +51,8 @@
     pub backend_cold: IntGauge,
     /// Requests refused because all targets of their service are cold and too busy.
     pub cold_refusals: IntCounter,
-    /// Whether the zone of this router is evacuated, as 0 or 1.
-    pub evacuated: IntGauge,
-    /// Number of evacuated zones.
-    pub evacuated_zones: IntGauge,
-    /// Requests refused because all targets of their service are in evacuated zones.
-    pub evacuated_refusals: IntCounter,
+    /// Evacuations of zones.
+    pub evacuation: Evacuation,
     /// Requests refused because they crash backend servers.
     pub quarantined: IntCounter,
     allotments: Counters,
@@ -72,6 +68,36 @@
     pub holders: Holders,
 }
 
+/// Metrics of evacuations.
+#[derive(Debug)]
+pub struct Evacuation {
+    /// Whether the zone of this router is evacuated, as 0 or 1.
+    pub here: IntGauge,
+    /// Number of evacuated zones.
+    pub zones: IntGauge,
+    /// Requests refused because all targets of their service are in evacuated zones.
+    pub refusals: IntCounter,
+}
+
+impl Evacuation {
+    fn new(registry: &Registry) -> Result<Self, Error> {
+        Ok(Self {
+            here: registry.gauge(
+                "shallotrill_router_evacuated",
+                "Whether the zone of this router is evacuated.",
+            )?,
+            zones: registry.gauge(
+                "shallotrill_router_evacuated_zones",
+                "Availability zones whose targets take no requests.",
+            )?,
+            refusals: registry.counter(
+                "shallotrill_router_evacuated_refusals_total",
+                "Requests refused because all targets of their service are in evacuated zones.",
+            )?,
+        })
+    }
+}
+
 impl Metrics {
     /// Registers the metrics.
     ///
@@ -142,18 +168,7 @@
                 "shallotrill_router_cold_refusals_total",
                 "Requests refused because all targets of their service are cold and too busy.",
             )?,
-            evacuated: registry.gauge(
-                "shallotrill_router_evacuated",
-                "Whether the zone of this router is evacuated.",
-            )?,
-            evacuated_zones: registry.gauge(
-                "shallotrill_router_evacuated_zones",
-                "Availability zones whose targets take no requests.",
-            )?,
-            evacuated_refusals: registry.counter(
-                "shallotrill_router_evacuated_refusals_total",
-                "Requests refused because all targets of their service are in evacuated zones.",
-            )?,
+            evacuation: Evacuation::new(&registry)?,
             quarantined: registry.counter(
                 "shallotrill_router_quarantined_total",
                 "Requests refused because they crash backend servers.",
--- a/crates/router/tests/path/cold.rs
+++ b/crates/router/tests/path/cold.rs
@@ -128,7 +128,7 @@
         assert_eq!(get(address, "/a/b").await.0, 503);
     }
     assert_eq!(received(&logs), before);
-    let refusals = &fixture.routers[0].state().metrics.evacuated_refusals;
+    let refusals = &fixture.routers[0].state().metrics.evacuation.refusals;
     assert!(refusals.get() > 0);
     fixture.order(Order::Finish).await;
     fixture.wait_for_targets(2).await;
--- a/crates/soak/src/workspaces.rs
+++ b/crates/soak/src/workspaces.rs
@@ -150,7 +150,7 @@
                 run_context.history.lock().key_changes[index].acknowledged_at_ms = Some(now);
             }
             Some(false) => {
-                run_context.record_failure("valid-changes", "a change of keys was refused")
+                run_context.record_failure("valid-changes", "a change of keys was refused");
             }
             None => {}
         }
@@ -184,10 +184,8 @@
         if sent.public || sent.key != CHANGING_KEY {
             return None;
         }
-        let changes = history.key_changes.iter();
-        let last = changes
-            .filter(|change| change.sent_at_ms <= sent.at_ms)
-            .next_back()?;
+        let mut changes = history.key_changes.iter();
+        let last = changes.rfind(|change| change.sent_at_ms <= sent.at_ms)?;
         let acknowledged_at_ms = last.acknowledged_at_ms.filter(|_| !last.valid)?;
         let in_force_at_ms = acknowledged_at_ms + APPLY_TIMEOUT_MS + SLACK_MS;
         let from_ms = acknowledged_at_ms.saturating_sub(DISTURBANCE_EFFECT_MS);
