limits, router: small processes budget less, and slow responses without a slot are limited

Cause: with all parts merged, three of the crowds exceeded the fixed bounds of their tests: bodies and forwarded bodies 65.7 to 67.9 MB of 65.5 MB, since the process itself has grown, and slow readers 276 of 256 descriptors, since a response whose slot is released keeps its connection to the backend server and the next one opens another. Change: below 84 MiB of memory the budget is what 42 MiB for the process leave; a sixteenth of the descriptors is for responses without a slot. The crowds and bounds are unchanged.

--- a/crates/limits/src/memory.rs
+++ b/crates/limits/src/memory.rs
@@ -59,6 +59,9 @@
 /// Memory of a process whose settings state none: that of the smallest instance with a router.
 pub const MEMORY_DEFAULT_BYTES: u64 = 160 * 1024 * 1024;
 
+/// Memory that a process needs for its code, its tables and the buffers of its connections, whatever its limit is.
+const PROCESS_BYTES: u64 = 42 * 1024 * 1024;
+
 /// The use by kind. Taking and giving back are lock-free, because they occur on the path of requests.
 #[derive(Debug)]
 pub struct Budget {
@@ -69,9 +72,14 @@
 
 impl Budget {
     /// Creates the budget of a process with this memory.
+    ///
+    /// Half of the memory is enough for the process itself only from twice [`PROCESS_BYTES`]; of less memory, what
+    /// remains beside that is budgeted, and at least a quarter.
     pub fn new(memory_bytes: u64) -> Self {
+        let beside_process = memory_bytes.saturating_sub(PROCESS_BYTES);
+        let held_max = beside_process.max(memory_bytes / 4);
         Self {
-            memory_bytes,
+            memory_bytes: memory_bytes.min(2 * held_max),
             used: AtomicU64::new(0),
             used_by_kind: Default::default(),
         }
--- a/crates/router/src/download.rs
+++ b/crates/router/src/download.rs
@@ -2,7 +2,8 @@
 //!
 //! A slot stands for work at the backend server. When a part of a response waits
 //! for its reader, the backend server waits too and works on nothing, so the slot
-//! is released and the response continues without it, up to its deadline.
+//! is released and the response continues without it, up to its deadline. The
+//! number of such responses is limited by the descriptors of the process.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -85,12 +86,18 @@
             Err(_) => break,
         }
     }
+    // Without a permit the slot stays in use: each response without a slot keeps a connection to the backend server.
+    let Ok(_permit) = state.slow_responses.try_acquire() else {
+        return;
+    };
     if held.release(outcome) {
         state.metrics.slow_readers.inc();
         if state.routine_log_quota.allows(state.now()) {
             info!(event = "slow-reader"; "the reader of a response takes less than its backend server sends; its slot is released");
         }
     }
+    // The permit is kept until the response has ended.
+    while ready_since.changed().await.is_ok() {}
 }
 
 /// A body that states since when its reader has had a part and has not asked for the next one.
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -17,6 +17,7 @@
 use log::info;
 use log::warn;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -74,6 +75,10 @@
 /// split off as a frame, and the last one of each until it is freed.
 const BUFFERS_PER_CONNECTION: u64 = 4;
 
+/// Part of the descriptors that responses without a slot may keep for their connections to the backend server. It is
+/// taken from the fifth that listeners leave to control, targets and files.
+const SLOW_RESPONSES_DIVISOR: usize = 16;
+
 /// Interval of the periodic maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -270,6 +275,7 @@
         pace_changed: Notify::new(),
         router_count: AtomicUsize::new(1),
         budgets: Mutex::new(Rank::Budget, Vec::new()),
+        slow_responses: Semaphore::new(settings.limits.descriptors / SLOW_RESPONSES_DIVISOR),
         allotments: Mutex::new(Rank::Budget, allotment::Table::default()),
         credit_changed: Notify::new(),
         seconds: Mutex::new(Rank::Pool, second::Table::default()),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::allotment;
@@ -93,6 +94,8 @@
     pub router_count: AtomicUsize,
     /// Retry budget of each service, sorted by name.
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
+    /// Permits of responses that continue without a slot because their readers are slow.
+    pub slow_responses: Semaphore,
     /// Credit of the workspaces with an allotment that are in use here.
     pub allotments: Mutex<allotment::Table>,
     /// Notified when credit has arrived or a registry process has not replied to a request for it.
