--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -17,6 +17,8 @@
 
 use crate::backend;
 use crate::evacuation;
+use crate::reading::Progress;
+use crate::reading::Stated;
 use crate::state::State;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
@@ -235,7 +237,7 @@
 
 async fn watch_registry(state: Arc<State>, address: SocketAddr, mut stop: watch::Receiver<bool>) {
     let link = Link::new(address);
-    let mut progress = ItemsProgress::default();
+    let mut progress = Progress::default();
     let mut cursor = Cursor::default();
     let mut last_contact = state.now();
     let mut reachable = false;
@@ -245,7 +247,7 @@
         let request = Request::Watch {
             cursor: Cursor {
                 items: if reads_items {
-                    progress.read
+                    progress.revision()
                 } else {
                     cursor.items
                 },
@@ -275,7 +277,7 @@
                 reachable = true;
                 last_contact = state.now();
                 if next.session != cursor.session {
-                    progress = ItemsProgress::default();
+                    progress = Progress::default();
                 }
                 cursor = next;
                 if let Some(departures) = departures {
@@ -285,14 +287,12 @@
                 let had_none = interest == Interest::Items(ItemSetHash::default().0);
                 let was_read = reads_items && !(had_none && items.is_empty());
                 apply_items(&state, &items);
-                if was_read {
-                    progress.read_hash = Some(items_hash);
-                }
-                let is_equal = state.items().item_set_hash().0 == items_hash;
-                if reads_items || is_equal {
-                    progress.read = cursor.items;
-                }
-                progress.differs = !is_equal && progress.read_hash != Some(items_hash);
+                let stated = Stated {
+                    hash: items_hash,
+                    revision: cursor.items,
+                    was_read,
+                };
+                progress.record(stated, state.items().item_set_hash().0);
                 merge_crashes(&state, &announcements.changed);
                 state
                     .views
@@ -325,26 +325,14 @@
     }
 }
 
-/// What was read of the items of one registry process.
-#[derive(Clone, Copy, Debug, Default)]
-struct ItemsProgress {
-    /// Revision of the process up to which this router has its items.
-    read: u64,
-    /// Hash of its items when they were last read.
-    read_hash: Option<u64>,
-    /// Whether its last reply stated items that differ from those of this router and were not read since. A process
-    /// that lags behind differs for long, and has nothing to read.
-    differs: bool,
-}
-
 /// What to request of the items from a registry process now.
-fn interest(state: &State, progress: ItemsProgress, reachable: bool) -> Interest {
+fn interest(state: &State, progress: Progress, reachable: bool) -> Interest {
     let items = state.items();
     let held = items.item_set_hash().0;
     let reads = if items.is_empty() {
         reachable
     } else {
-        progress.differs
+        progress.differs()
     };
     if reads && reserve_items_read(state) {
         Interest::Items(held)
@@ -357,12 +345,12 @@
 
 /// Longest wait of the next poll. A router reads items at once, and asks again soon while it lacks some that it must
 /// read from this process unless another one sends them first.
-fn watch_wait(state: &State, interest: Interest, progress: ItemsProgress) -> Duration {
+fn watch_wait(state: &State, interest: Interest, progress: Progress) -> Duration {
     let has_items = !state.items().is_empty();
     match interest {
         Interest::Items(_) if has_items => Duration::ZERO,
         Interest::Items(_) => WATCH_WAIT,
-        Interest::Hash(_) if !progress.differs => WATCH_WAIT,
+        Interest::Hash(_) if !progress.differs() => WATCH_WAIT,
         Interest::Hash(_) | Interest::Nothing => FIRST_WATCH_WAIT,
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod outlook;
 pub mod pacer;
 pub mod probe;
+pub mod reading;
 pub mod retired;
 pub mod run;
 pub mod second;
