--- a/crates/router/src/second.rs
+++ b/crates/router/src/second.rs
@@ -164,7 +164,7 @@
         })
         && state.try_spend_retry_token(pending.service);
     if !charged {
-        crate::entry::cancel(state, &choice);
+        crate::execution::cancel(state, &choice);
         return None;
     }
     Some(choice)
