--- a/crates/limits/src/memory.rs
+++ b/crates/limits/src/memory.rs
@@ -73,7 +73,7 @@
 impl Budget {
     /// Creates the budget of a process with this memory.
     ///
-    /// Half of the memory is enough for the process itself only from twice [`PROCESS_BYTES`]; of less memory, what
+    /// Half of the memory is enough for the process itself only from twice `PROCESS_BYTES`; of less memory, what
     /// remains beside that is budgeted, and at least a quarter.
     pub fn new(memory_bytes: u64) -> Self {
         let beside_process = memory_bytes.saturating_sub(PROCESS_BYTES);
