registry: a write that is due while the process stops fails without a panic

Cause: the runtime cancels a write that it has not begun when it shuts down, and the store took every failure of the task for a panic. Ruled out: a panic of the write itself (the message names into_panic). Change: Failure::Stopping. The new test panics at the same line without it.

--- a/crates/disk/src/failure.rs
+++ b/crates/disk/src/failure.rs
@@ -106,6 +106,8 @@
         /// Number of the segment.
         segment: u64,
     },
+    /// The write was not begun because the process is stopping.
+    Stopping,
 }
 
 impl Failure {
@@ -139,6 +141,9 @@
                 operation,
                 error,
             } => write!(f, "{}: {operation:?} failed: {error}", path.display()),
+            Self::Stopping => {
+                f.write_str("the write was not begun because the process is stopping")
+            }
             Self::Locked { path } => write!(
                 f,
                 "{}: the data folder is used by another process",
--- a/crates/registry/src/store.rs
+++ b/crates/registry/src/store.rs
@@ -160,7 +160,11 @@
         });
         match written.await {
             Ok(written) => written,
-            Err(panic) => std::panic::resume_unwind(panic.into_panic()),
+            Err(error) => match error.try_into_panic() {
+                Ok(panic) => std::panic::resume_unwind(panic),
+                // The runtime does not begin the write while it shuts down.
+                Err(_) => Err(Failure::Stopping),
+            },
         }
     }
 }
--- a/crates/registry/tests/store.rs
+++ b/crates/registry/tests/store.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use tempfile::TempDir;
+use tokio::runtime::Runtime;
 
 use shallotrill_disk::calls::IoCalls;
 use shallotrill_disk::document::Document;
+use shallotrill_disk::failure::Failure;
 use shallotrill_disk::folder::Folder;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::ballot::Identity;
@@ -148,3 +150,18 @@
     }
     assert_eq!(most.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against a registry process that ends with a panic because a write is due while its runtime shuts down.
+#[test]
+fn a_write_that_is_due_during_shutdown_fails_without_a_panic() {
+    let folder = TempDir::new().expect("a temporary folder");
+    let opened = Folder::open(folder.path()).expect("a data folder");
+    let document = Document::new(folder.path(), "d", opened.identity(), IoCalls::default());
+    let revisions = Revisions::new(document);
+    let runtime = Runtime::new().expect("a runtime");
+    let handle = runtime.handle().clone();
+    runtime.shutdown_background();
+    let content = || (1, vec![1; 100]);
+    let written = handle.block_on(revisions.persist(1, &content));
+    assert!(matches!(written, Err(Failure::Stopping)), "{written:?}");
+}
