--- a/review/stand-in-2/fleet.rs
+++ b/review/stand-in-2/fleet.rs
@@ -165,7 +165,7 @@
 
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", child.id())).status();
             self.record.line(&format!("signal {name} to {}", self.name));
         }
     }
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -4,6 +4,9 @@
 
 mod fleet;
 mod lost_voters;
+mod probe;
+mod sixth_voter;
+mod target;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -27,6 +30,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "lost-voters" => lost_voters::run(&record, trouble),
+        "sixth-voter" => sixth_voter::run(&record, trouble),
+        "probe" => probe::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
