--- a/review/stand-in-2/fleet.rs
+++ b/review/stand-in-2/fleet.rs
@@ -67,6 +67,8 @@
     /// Service of its backend server; `None` for a machine of the core.
     service: Option<String>,
     pub bootstrap: bool,
+    /// Memory of a router, in MiB.
+    pub memory_mb: u64,
     seeds: Vec<Ipv4Addr>,
     folder: PathBuf,
     child: Option<Child>,
@@ -91,6 +93,10 @@
     fn settings(&self) -> String {
         let address = |port: u16| format!("\"{}:{port}\"", self.ip);
         let seeds: Vec<String> = self.seeds.iter().map(|ip| format!("\"{ip}:{ADMIN}\"")).collect();
+        let router_limits = format!(
+            r#"{{"cpuShare":0.2,"cores":1,"memoryMb":{},"maxFds":4100,"linkMbps":1000.0,"diskMb":0}}"#,
+            self.memory_mb
+        );
         let (role, class, serves, listen, data, limits, app) = match &self.service {
             None => (
                 "registry",
@@ -113,7 +119,7 @@
                     address(ADMIN)
                 ),
                 "null".to_owned(),
-                r#"{"cpuShare":0.2,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0,"diskMb":0}"#,
+                router_limits.as_str(),
                 format!(",\"appAddr\":{},\"service\":\"{service}\"", address(APP)),
             ),
         };
@@ -170,6 +176,11 @@
         }
     }
 
+    /// Id of the running process.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
@@ -214,7 +225,7 @@
                     .iter()
                     .all(|port| TcpListener::bind((Ipv4Addr::new(127, 83, network, host), *port)).is_ok())
             };
-            if (1..=20).all(free) {
+            if (1..=30).all(free) {
                 let folder = std::env::temp_dir().join(format!("shallotrill-review-{}-{network}", std::process::id()));
                 fs::create_dir_all(&folder)?;
                 return Ok(Self { record, network, folder, keep: std::env::var_os("KEEP").is_some() });
@@ -237,6 +248,7 @@
             zone: ZONES[usize::from(host) % 3],
             service: service.map(str::to_owned),
             bootstrap: true,
+            memory_mb: 260,
             seeds: vec![self.ip(1), self.ip(2), self.ip(3)],
             folder,
             child: None,
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -6,6 +6,7 @@
 mod lost_voters;
 mod probe;
 mod sixth_voter;
+mod slow_readers;
 mod target;
 
 use std::path::Path;
@@ -31,6 +32,7 @@
     let outcome = match case.as_str() {
         "lost-voters" => lost_voters::run(&record, trouble),
         "sixth-voter" => sixth_voter::run(&record, trouble),
+        "slow-readers" => slow_readers::run(&record, trouble),
         "probe" => probe::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/stand-in-2/target.rs
+++ b/review/stand-in-2/target.rs
@@ -53,6 +53,8 @@
     pub ended: AtomicBool,
     /// Whether it sends heartbeats by itself.
     pub beats: AtomicBool,
+    /// Whether its runs are left out of the record.
+    pub quiet: AtomicBool,
     running: AtomicUsize,
     record: Record,
     runs: Runs,
@@ -72,6 +74,7 @@
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             beats: AtomicBool::new(true),
+            quiet: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             record: record.clone(),
             runs: Arc::clone(runs),
@@ -178,14 +181,18 @@
                 "HTTP/1.1 421 Misdirected Request\r\nShallotrill-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
             );
         }
-        self.record.line(&format!("target {}: runs request {id} ({path})", self.id));
+        if !self.quiet.load(Ordering::Relaxed) {
+            self.record.line(&format!("target {}: runs request {id} ({path})", self.id));
+        }
         let run = Run { id: id.clone(), target: self.id.clone(), path, at: Instant::now() };
         self.runs.lock().unwrap_or_else(|e| e.into_inner()).push(run);
         self.running.fetch_add(1, Ordering::Relaxed);
         let work: u64 = field("x-work-ms").and_then(|ms| ms.parse().ok()).unwrap_or(20);
         thread::sleep(Duration::from_millis(work));
         self.running.fetch_sub(1, Ordering::Relaxed);
-        let text = format!("the answer to {id}");
+        let mut text = format!("the answer to {id}");
+        let bytes: usize = field("x-body-bytes").and_then(|bytes| bytes.parse().ok()).unwrap_or(0);
+        text.extend(std::iter::repeat_n('.', bytes.saturating_sub(text.len())));
         write!(
             stream,
             "HTTP/1.1 200 OK\r\nShallotrill-Attempt-Id: {id}\r\nShallotrill-Response-Seal: {id}.{}\r\nShallotrill-Server-Load: {}\r\nContent-Length: {}\r\n\r\n{text}",
