--- a/review/stand-in-2/fleet.rs
+++ b/review/stand-in-2/fleet.rs
@@ -169,13 +169,6 @@
         }
     }
 
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", child.id())).status();
-            self.record.line(&format!("signal {name} to {}", self.name));
-        }
-    }
-
     /// Id of the running process.
     pub fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
@@ -193,11 +186,6 @@
         self.record.line(&format!("the disk of {} is lost", self.name));
         Ok(())
     }
-
-    /// Text of the process's log.
-    pub fn log(&self) -> String {
-        fs::read(self.folder.join("log")).map(|b| String::from_utf8_lossy(&b).into_owned()).unwrap_or_default()
-    }
 }
 
 impl Drop for Machine {
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -2,11 +2,11 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crowd;
 mod fleet;
+mod legal_heads;
 mod lost_voters;
-mod probe;
-mod sixth_voter;
-mod slow_readers;
+
 mod target;
 
 use std::path::Path;
@@ -31,9 +31,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "lost-voters" => lost_voters::run(&record, trouble),
-        "sixth-voter" => sixth_voter::run(&record, trouble),
-        "slow-readers" => slow_readers::run(&record, trouble),
-        "probe" => probe::run(&record, trouble),
+        "legal-heads" => legal_heads::run(&record, trouble),
+        "stopped-bodies" => crowd::run(&record, crowd::Conduct::StopShort, trouble),
+        "slow-readers" => crowd::run(&record, crowd::Conduct::ReadSlowly, trouble),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
--- a/review/stand-in-2/target.rs
+++ b/review/stand-in-2/target.rs
@@ -15,7 +15,6 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -29,17 +28,8 @@
 /// Slots of a backend server.
 pub const SLOTS: usize = 11;
 
-/// A request that a backend server has begun to run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub id: String,
-    pub target: String,
-    pub path: String,
-    pub at: Instant,
-}
-
-/// All runs of a script.
-pub type Runs = Arc<Mutex<Vec<Run>>>;
+/// Ids of the requests that the backend servers of a script have begun to run.
+pub type Runs = Arc<Mutex<Vec<String>>>;
 
 /// A backend server. Its listener ends with the process.
 pub struct Target {
@@ -127,11 +117,6 @@
         self.post(&format!("/api/Instances.Heartbeat/{}", self.id), body)
     }
 
-    pub fn deregister(&self) -> bool {
-        let body = format!("{{\"born\":{}}}", self.born);
-        self.post(&format!("/api/Instances.Deregister/{}", self.id), &body)
-    }
-
     fn post(&self, path: &str, body: &str) -> bool {
         let request = format!(
             "POST {path} HTTP/1.1\r\nHost: admin\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
@@ -184,8 +169,7 @@
         if !self.quiet.load(Ordering::Relaxed) {
             self.record.line(&format!("target {}: runs request {id} ({path})", self.id));
         }
-        let run = Run { id: id.clone(), target: self.id.clone(), path, at: Instant::now() };
-        self.runs.lock().unwrap_or_else(|e| e.into_inner()).push(run);
+        self.runs.lock().unwrap_or_else(|e| e.into_inner()).push(id.clone());
         self.running.fetch_add(1, Ordering::Relaxed);
         let work: u64 = field("x-work-ms").and_then(|ms| ms.parse().ok()).unwrap_or(20);
         thread::sleep(Duration::from_millis(work));
