--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -3,10 +3,9 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod crowd;
+mod first_start;
 mod fleet;
-mod legal_heads;
 mod lost_voters;
-
 mod target;
 
 use std::path::Path;
@@ -31,7 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "lost-voters" => lost_voters::run(&record, trouble),
-        "legal-heads" => legal_heads::run(&record, trouble),
+        "first-start" => first_start::run(&record, trouble),
         "stopped-bodies" => crowd::run(&record, crowd::Conduct::StopShort, trouble),
         "slow-readers" => crowd::run(&record, crowd::Conduct::ReadSlowly, trouble),
         _ => Err(format!("unknown case {case}")),
