--- a/review/stand-in-2/crowd.rs
+++ b/review/stand-in-2/crowd.rs
@@ -77,7 +77,15 @@
     const fn opened(self) -> usize {
         match self {
             Self::StopShort => 200,
-            Self::ReadSlowly => 16,
+            Self::ReadSlowly => 25,
+        }
+    }
+
+    /// Time limit that each of them states.
+    const fn time_limit_ms(self) -> u32 {
+        match self {
+            Self::StopShort => 2_000,
+            Self::ReadSlowly => 1_000,
         }
     }
 
@@ -90,7 +98,7 @@
 
     fn request(self, number: usize) -> Vec<u8> {
         let head = |method: &str, path: &str, fields: &str| {
-            format!("{method} {path}{number} HTTP/1.1\r\nHost: jepu9.example\r\nShallotrill-Attempt-Id: c{number}\r\nShallotrill-Deadline-Ms: 2000\r\n{fields}\r\n").into_bytes()
+            format!("{method} {path}{number} HTTP/1.1\r\nHost: jepu9.example\r\nShallotrill-Attempt-Id: c{number}\r\nShallotrill-Deadline-Ms: {}\r\n{fields}\r\n", self.time_limit_ms()).into_bytes()
         };
         match self {
             Self::StopShort => {
