--- a/review/stand-in-2/fleet.rs
+++ b/review/stand-in-2/fleet.rs
@@ -21,6 +21,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use crate::ending;
+
 /// Port of operators at a registry process, and of the announcements of backend servers at a router.
 pub const ADMIN: u16 = 8620;
 /// Port of callers at a router.
@@ -156,6 +158,7 @@
             .stderr(log)
             .spawn()?;
         self.record.line(&format!("start {} (bootstrap {})", self.name, self.bootstrap));
+        ending::add(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -164,6 +167,7 @@
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
+            ending::remove(child.id());
             let _ = child.wait();
             self.record.line(&format!("kill {}", self.name));
         }
@@ -199,7 +203,6 @@
     pub record: Record,
     network: u8,
     folder: PathBuf,
-    keep: bool,
 }
 
 impl Fleet {
@@ -216,7 +219,7 @@
             if (1..=30).all(free) {
                 let folder = std::env::temp_dir().join(format!("shallotrill-review-{}-{network}", std::process::id()));
                 fs::create_dir_all(&folder)?;
-                return Ok(Self { record, network, folder, keep: std::env::var_os("KEEP").is_some() });
+                return Ok(Self { record, network, folder });
             }
         }
         Err(io::Error::other("no free loopback addresses"))
@@ -247,11 +250,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if self.keep {
-            println!("logs are kept in {}", self.folder.display());
-        } else {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -1,8 +1,9 @@
-//! Runs one case of the review: `review-2 CASE RECORD`.
+//! Runs one case of the review: `review-2 CASE RECORD TROUBLE`. With `TROUBLE` 0 the disruption is left out.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod crowd;
+mod ending;
 mod first_start;
 mod fleet;
 mod lost_voters;
@@ -16,8 +17,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record] = arguments.as_slice() else {
-        eprintln!("usage: review-2 CASE RECORD");
+    let [_, case, record, trouble] = arguments.as_slice() else {
+        eprintln!("usage: review-2 CASE RECORD TROUBLE");
         return ExitCode::from(2);
     };
     let record = match fleet::Record::create(Path::new(record)) {
@@ -27,7 +28,8 @@
             return ExitCode::from(2);
         }
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
+    ending::prepare();
     let outcome = match case.as_str() {
         "lost-voters" => lost_voters::run(&record, trouble),
         "first-start" => first_start::run(&record, trouble),
