registry: store the vote of a process with a new disk before it counts

Cause: become_voter made the process a voter after the write of the copied registers, and asked for a second write. Revisions writes only a revision that is not durable yet, and the vote did not raise it, so the second write did nothing. The vote reached the disk with the next change of the configuration only.

Fix: the vote is in the document with the registers, and it counts in the roster only after that write. It is decided again then; a vote that is not needed any longer is withdrawn from the disk. Ruled out: a refused write (no such line in the log, shown with a sound disk) and a late admission (logged twelve seconds before the restart).

tests/group.rs is now tests/group/main.rs, so that the new tests have a file of their own.

--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -494,23 +494,36 @@
     state.metrics.holders.set(&state.memory, &all);
 }
 
+/// Makes this process a voter once it has copied enough voters.
+///
+/// The copied registers and the vote are durable before the vote counts. A vote that was stored and is no longer needed,
+/// because another process has become a voter during the write, is withdrawn from the disk.
 async fn become_voter(state: &State) {
     let now = state.now();
-    let admitted = {
+    {
         let mut consensus = state.consensus.lock();
         if consensus.roster.own().votes {
             return;
         }
-        // The copied registers must be durable before the first vote, so that a restart does not lose them.
-        let mut trial = consensus.roster.clone();
-        let admitted = trial.admit(now);
-        consensus.changes += u64::from(admitted);
-        admitted
+        let may_vote = consensus.roster.clone().admit(now);
+        if !may_vote && !consensus.stored_vote {
+            return;
+        }
+        consensus.stored_vote = may_vote;
+        consensus.changes += 1;
+    }
+    if !state.persist().await {
+        // Either content may be on disk, so the next round writes again.
+        state.consensus.lock().stored_vote = true;
+        return;
+    }
+    let admitted = {
+        let now = state.now();
+        let mut consensus = state.consensus.lock();
+        consensus.stored_vote && consensus.roster.admit(now)
     };
-    if admitted && state.persist().await {
-        state.consensus.lock().roster.admit(now);
+    if admitted {
         state.notify();
-        info!(event = "vote-admitted"; "this process is now a voter: the registers were copied from enough voters");
-        state.persist().await;
+        info!(event = "vote-admitted"; "this process is now a voter: the registers were copied from enough voters, and its vote is on disk");
     }
 }
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -111,6 +111,7 @@
                 highest_ballot: highest_promised(&replica),
                 replica,
                 roster: Roster::new(own, settings.tolerated_disks),
+                stored_vote: own.votes,
                 changes: 1,
                 hashed: None,
             },
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -39,7 +39,12 @@
     pub roster: Roster,
     /// The highest ballot in any received message; the next proposal uses a higher one.
     pub highest_ballot: Ballot,
-    /// Number of changes of the registers and of the vote of this process.
+    /// Whether the document on disk says that this process is a voter, or may say so after a failed write.
+    ///
+    /// A process with a new disk stores its vote before the vote counts in the roster: others rely on it then, and a
+    /// restart must not lose it.
+    pub stored_vote: bool,
+    /// Number of changes of the registers and of `stored_vote`.
     pub changes: u64,
     /// Hash of the items for routers at a revision of the replica; computed again only after a change, since
     /// every router asks for it.
@@ -154,7 +159,7 @@
         let content = || {
             let consensus = self.consensus.lock();
             let content = Content {
-                votes: consensus.roster.own().votes,
+                votes: consensus.stored_vote,
                 replica: consensus.replica.clone(),
             };
             (consensus.changes, store::encode(&content))
--- a/crates/registry/tests/group.rs
+++ b/crates/registry/tests/group/main.rs
@@ -1,5 +1,7 @@
 //! A group of registry processes in one test process, with real sockets and files.
 
+mod votes;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/registry/tests/group/votes.rs
@@ -0,0 +1,120 @@
+//! Processes with lost disks that become voters, and restarts of all processes after that.
+
+use tokio::time;
+
+use crate::Member;
+use crate::POLL_INTERVAL;
+use crate::change;
+use crate::folder;
+use crate::group;
+use crate::service;
+use crate::start;
+use crate::stop;
+use crate::wait_for;
+use crate::wait_until_in_force;
+
+/// Whether a process is a voter.
+fn votes(member: &Member) -> bool {
+    let state = member.registry.state();
+    let consensus = state.consensus.lock();
+    consensus.roster.own().votes
+}
+
+/// Replaces a process by one with an empty disk that follows the others.
+async fn lose_disk(members: &mut Vec<Member>) {
+    drop(stop(members.remove(0)).await);
+    let seeds = members.iter().map(|member| member.address).collect();
+    members.push(start(seeds, false, folder()).await);
+}
+
+/// Stops all processes and starts them again; the first `lost_disks` of them have empty disks then.
+async fn restart_all(members: Vec<Member>, lost_disks: usize) -> Vec<Member> {
+    let mut folders = Vec::new();
+    for member in members {
+        folders.push(stop(member).await);
+    }
+    for lost in &mut folders[..lost_disks] {
+        *lost = folder();
+    }
+    let mut restarted: Vec<Member> = Vec::new();
+    for folder in folders {
+        let seeds = restarted.first().map(|member| member.address);
+        restarted.push(start(seeds.into_iter().collect(), false, folder).await);
+    }
+    restarted
+}
+
+struct Case {
+    name: &'static str,
+    /// Number of processes that lose their disks one after another; each is a voter before the next one.
+    lost_one_by_one: usize,
+    /// Number of other disks that are lost when all processes restart.
+    lost_in_restart: usize,
+}
+
+/// Guards against a configuration that is never in force again: a process that had become a voter on a new disk was no
+/// voter after a restart, and too few voters were left.
+const CASES: &[Case] = &[
+    Case {
+        name: "one disk, and two others in the restart",
+        lost_one_by_one: 1,
+        lost_in_restart: 2,
+    },
+    Case {
+        name: "four disks, and none in the restart",
+        lost_one_by_one: 4,
+        lost_in_restart: 0,
+    },
+];
+
+#[tokio::test]
+async fn a_voter_on_a_new_disk_does_not_vote_after_a_restart() {
+    for case in CASES {
+        let mut members = group().await;
+        let item = service("a", 1, 10);
+        change(&members[0], &item)
+            .await
+            .expect("the change is accepted");
+        for _ in 0..case.lost_one_by_one {
+            lose_disk(&mut members).await;
+            let emptied = members.last().expect("five processes");
+            wait_for("the process with a new disk is a voter", || votes(emptied)).await;
+        }
+        let members = restart_all(members, case.lost_in_restart).await;
+        for member in &members {
+            wait_until_in_force(member, &item).await;
+        }
+        for member in &members {
+            wait_for(case.name, || votes(member)).await;
+        }
+    }
+}
+
+/// Guards against a vote that counts for other processes although a restart of the process would lose it.
+#[tokio::test]
+async fn a_process_that_cannot_store_its_vote_does_not_vote() {
+    let mut members = group().await;
+    let item = service("a", 1, 10);
+    change(&members[0], &item)
+        .await
+        .expect("the change is accepted");
+    drop(stop(members.remove(0)).await);
+    let seeds = members.iter().map(|member| member.address).collect();
+    let emptied = start(seeds, false, folder()).await;
+    // The document is written under this name first, so every write fails while it is a folder.
+    let blocked = emptied.folder.path().join("registers.tmp");
+    std::fs::create_dir(&blocked).expect("nothing is written yet");
+    wait_until_in_force(&emptied, &item).await;
+    // Several rounds of maintenance end in this time.
+    for _ in 0..20 {
+        assert!(!votes(&emptied));
+        time::sleep(POLL_INTERVAL).await;
+    }
+    std::fs::remove_dir(&blocked).expect("the folder is empty");
+    wait_for("the process is a voter", || votes(&emptied)).await;
+    members.push(emptied);
+    let members = restart_all(members, 2).await;
+    for member in &members {
+        wait_until_in_force(member, &item).await;
+    }
+}
