registry: store copied departures before the vote of a new disk counts

What callers would see: a backend server whose departure was acknowledged can receive requests again, after one of the disks that had the departure is lost and later the other two are lost in a restart of all registry processes.

A process with a new disk counted as a voter, which knows all departures, while those that it had copied were only in its memory.

Fix: departures are written before the registers and the vote.

Evidence: a_departure_copied_to_a_new_disk_is_forgotten_in_a_restart failed before (no departure at any process) and passes; the 13 tests of the file pass.

--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -496,7 +496,7 @@
 
 /// Makes this process a voter once it has copied enough voters.
 ///
-/// The copied registers and the vote are durable before the vote counts. A vote that was stored and is no longer needed,
+/// The copied departures, the copied registers and the vote are durable before the vote counts. A vote that was stored and is no longer needed,
 /// because another process has become a voter during the write, is withdrawn from the disk.
 async fn become_voter(state: &State) {
     let now = state.now();
@@ -512,7 +512,7 @@
         consensus.stored_vote = may_vote;
         consensus.changes += 1;
     }
-    if !state.persist().await {
+    if !state.persist_departures().await || !state.persist().await {
         // Either content may be on disk, so the next round writes again.
         state.consensus.lock().stored_vote = true;
         return;
@@ -524,6 +524,6 @@
     };
     if admitted {
         state.notify();
-        info!(event = "vote-admitted"; "this process is now a voter: the registers were copied from enough voters, and its vote is on disk");
+        info!(event = "vote-admitted"; "this process is now a voter: what it copied from enough voters and its vote are on disk");
     }
 }
--- a/crates/registry/tests/group/votes.rs
+++ b/crates/registry/tests/group/votes.rs
@@ -2,6 +2,12 @@
 
 use tokio::time;
 
+use shallotrill_feed::message::Departure;
+use shallotrill_feed::message::Reply;
+use shallotrill_feed::message::Request;
+use shallotrill_model::instance;
+use shallotrill_registry::members;
+
 use crate::Member;
 use crate::POLL_INTERVAL;
 use crate::change;
@@ -118,3 +124,33 @@
         wait_until_in_force(member, &item).await;
     }
 }
+
+/// Guards against a departure that is forgotten: a process with a new disk had copied it and was a voter, and the other
+/// disks that had it were lost when all processes restarted.
+#[tokio::test]
+async fn a_departure_copied_to_a_new_disk_is_forgotten_in_a_restart() {
+    let mut members = group().await;
+    change(&members[0], &service("a", 1, 10))
+        .await
+        .expect("the change is accepted");
+    let departure = Departure {
+        router: "127.0.0.1:1".parse().expect("an address"),
+        instance: instance::Name::new("i-1").expect("a valid name"),
+        start_time_ms: 5,
+    };
+    let request = Request::Depart(vec![departure.clone()]);
+    for member in &members[..3] {
+        let reply = members::handle(&member.registry.state(), &request).await;
+        assert!(matches!(reply, Reply::Done), "{reply:?}");
+    }
+    lose_disk(&mut members).await;
+    let emptied = members.last().expect("five processes");
+    wait_for("the process with a new disk is a voter", || votes(emptied)).await;
+    for member in restart_all(members, 2).await {
+        let state = member.registry.state();
+        let complete = || state.consensus.lock().is_complete(state.now());
+        wait_for("the process knows what is in force", complete).await;
+        let departures = state.departures.lock().of(departure.router);
+        assert_eq!(departures, std::slice::from_ref(&departure));
+    }
+}
