registry: store the vote of a first start before the process listens

The settings of a first start made a process a voter in memory only; the vote reached the disk with its first vote on a change. After a restart before that there was no voter to copy from.

Fix: a first start allows the admission without copies, and the admission stores the vote before it counts, as after a lost disk.

--- a/crates/items/src/roster.rs
+++ b/crates/items/src/roster.rs
@@ -43,6 +43,8 @@
     own: Member,
     /// Disks that may be lost at once without loss of an item.
     tolerated: usize,
+    /// Whether the whole system starts for the first time.
+    first_start: bool,
     /// Sorted by address.
     others: Vec<KnownMember>,
 }
@@ -54,10 +56,19 @@
         Self {
             own,
             tolerated,
+            first_start: false,
             others: Vec::new(),
         }
     }
 
+    /// Creates a roster at the first start of the whole system, when there is nothing to copy: the local process is
+    /// admitted as a voter without copies.
+    pub const fn at_first_start(own: Member, tolerated: usize) -> Self {
+        let mut roster = Self::new(own, tolerated);
+        roster.first_start = true;
+        roster
+    }
+
     /// The local process.
     pub const fn own(&self) -> Member {
         self.own
@@ -143,14 +154,16 @@
         others.count() + usize::from(self.own.votes)
     }
 
-    /// Makes the local process, which has a new disk, a voter once that is safe. Returns whether it is a voter.
+    /// Makes the local process, which has a new disk, a voter once that is safe: at the first start of the whole system,
+    /// or after it has copied enough voters. Returns whether it is a voter.
     ///
     /// An item is stored on at least `tolerated + 1` replicas, so copying from
     /// that many of the `2 * tolerated + 1` voters finds every item. No voter is
     /// admitted while `2 * tolerated + 1` voters are reachable, because two
     /// quorums of a larger group might not overlap.
     pub fn admit(&mut self, now: Instant) -> bool {
-        if self.own.votes {
+        if self.own.votes || self.first_start {
+            self.own.votes = true;
             return true;
         }
         let copied = self.others.iter();
--- a/crates/items/tests/roster.rs
+++ b/crates/items/tests/roster.rs
@@ -137,6 +137,21 @@
     }
 }
 
+/// Guards against a group without voters: at the first start no process has anything to copy.
+#[test]
+fn every_process_is_admitted_at_the_first_start() {
+    let now = Instant(100_000_000);
+    for others in [0, 2, 6] {
+        let mut roster = Roster::at_first_start(member(1, false), 2);
+        for number in 0..others {
+            roster.record_contact(member(2 + number, true), now);
+        }
+        assert!(!roster.own().votes);
+        assert!(roster.admit(now));
+        assert!(roster.own().votes);
+    }
+}
+
 /// Guards against a copy made from a lost disk that counts as a copy of its empty replacement at the same address.
 #[test]
 fn a_copy_does_not_count_for_a_replaced_disk() {
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -494,11 +494,12 @@
     state.metrics.holders.set(&state.memory, &all);
 }
 
-/// Makes this process a voter once it has copied enough voters.
+/// Makes this process a voter if it may be one: at the first start of the whole system, or once it has copied enough
+/// voters.
 ///
 /// The copied departures, the copied registers and the vote are durable before the vote counts. A vote that was stored and is no longer needed,
 /// because another process has become a voter during the write, is withdrawn from the disk.
-async fn become_voter(state: &State) {
+pub(crate) async fn become_voter(state: &State) {
     let now = state.now();
     {
         let mut consensus = state.consensus.lock();
@@ -524,6 +525,6 @@
     };
     if admitted {
         state.notify();
-        info!(event = "vote-admitted"; "this process is now a voter: what it copied from enough voters and its vote are on disk");
+        info!(event = "vote-admitted"; "this process is now a voter: its vote and the copied registers, if there were any, are on disk");
     }
 }
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -88,7 +88,12 @@
     let own = Member {
         identity,
         address: settings.address(),
-        votes: was_voter || settings.first_start,
+        votes: was_voter,
+    };
+    let roster = if settings.first_start {
+        Roster::at_first_start(own, settings.tolerated_disks)
+    } else {
+        Roster::new(own, settings.tolerated_disks)
     };
     let mut departures = departures::Table::default();
     departures.merge(&departed);
@@ -110,7 +115,7 @@
             ConsensusState {
                 highest_ballot: highest_promised(&replica),
                 replica,
-                roster: Roster::new(own, settings.tolerated_disks),
+                roster,
                 stored_vote: own.votes,
                 changes: 1,
                 hashed: None,
@@ -124,6 +129,8 @@
         store,
         settings,
     });
+    // At the first start, before other processes can count this one. A refused write is repeated by the maintenance.
+    members::become_voter(&state).await;
     let handler_state = Arc::clone(&state);
     let handler: server::Handler = Arc::new(move |request| {
         let state = Arc::clone(&handler_state);
@@ -140,7 +147,8 @@
     tokio::spawn(allotments::maintain(Arc::clone(&state), stopped.clone()));
     tokio::spawn(Arc::clone(&state.memory).watch(stopped.clone()));
     tokio::spawn(members::maintain(Arc::clone(&state), stopped));
-    info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = own.votes; "registry process is listening for other processes");
+    let votes = state.consensus.lock().roster.own().votes;
+    info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = votes; "registry process is listening for other processes");
     Ok(Registry { state })
 }
 
--- a/crates/registry/tests/group/votes.rs
+++ b/crates/registry/tests/group/votes.rs
@@ -1,4 +1,4 @@
-//! Processes with lost disks that become voters, and restarts of all processes after that.
+//! Restarts of all processes after some of them have become voters.
 
 use tokio::time;
 
@@ -154,3 +154,20 @@
         assert_eq!(departures, std::slice::from_ref(&departure));
     }
 }
+
+/// Guards against a group that never accepts a change: all processes were restarted before the first change, and none
+/// was a voter any more.
+#[tokio::test]
+async fn no_process_votes_after_a_restart_before_the_first_change() {
+    for lost_disks in [0, 2] {
+        let members = restart_all(group().await, lost_disks).await;
+        let item = service("a", 1, 10);
+        change(&members[4], &item)
+            .await
+            .expect("the change is accepted");
+        for member in &members {
+            wait_until_in_force(member, &item).await;
+            wait_for("the process is a voter", || votes(member)).await;
+        }
+    }
+}
