router: count the buffers of responses in the budget of the process

Cause: a response that waits for its reader holds 143 kB of buffers at the router of its caller, which no budget counted, while the slot of the backend server is given back and further downloads are admitted.

Fix: the memory of a request is extended by what its response may hold when that arrives, and is released when it has been sent. The response is delivered in any case; beyond the limit new requests are refused as not run and slow readers are ended sooner.

--- a/crates/limits/src/memory.rs
+++ b/crates/limits/src/memory.rs
@@ -23,7 +23,7 @@
     Call,
     /// Message of another process.
     Message,
-    /// Buffers of a caller's request in progress, without its body.
+    /// Buffers of a caller's request in progress and of its response, without its body.
     Request,
 }
 
@@ -105,16 +105,22 @@
 
     /// Takes memory; returns whether there is room.
     pub fn take(&self, kind: Kind, bytes: u64) -> bool {
+        let fits = self.take_always(kind, bytes);
+        if !fits {
+            self.give_back(kind, bytes);
+        }
+        fits
+    }
+
+    /// Takes memory that is in use whether there is room or not, as that of a response that has arrived. Returns whether
+    /// there was room; without it, others are refused until enough is given back.
+    pub fn take_always(&self, kind: Kind, bytes: u64) -> bool {
         let (own, total) = self.limits(kind);
         let own_used = &self.used_by_kind[kind.index()];
         let own_after = own_used.fetch_add(bytes, Ordering::Relaxed) + bytes;
         let shared = if kind.is_shared() { bytes } else { 0 };
         let after = self.used.fetch_add(shared, Ordering::Relaxed) + shared;
-        let fits = own_after <= own && after <= total;
-        if !fits {
-            self.give_back(kind, bytes);
-        }
-        fits
+        own_after <= own && after <= total
     }
 
     /// Gives taken memory back.
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -36,6 +36,7 @@
 use shallotrill_model::time::Instant;
 use shallotrill_wire::body;
 use shallotrill_wire::body::Body;
+use shallotrill_wire::budget;
 use shallotrill_wire::budget::Permit;
 use shallotrill_wire::budget::Refusal;
 use shallotrill_wire::hop;
@@ -56,25 +57,30 @@
 /// `Retry-After` of a request that came too late for a stopping router; another one takes it at once.
 const RETRY_AFTER_STOPPING: &str = "0.05";
 
-/// Memory of a request in progress: its task and the read buffer of its connection. 800 requests that waited for their
-/// bodies took 46 kB each.
+/// Memory of a request in progress: its task and the read buffer of its connection. Requests that wait for their bodies
+/// take 46 kB each (`docs/incidents/buffers-of-bodies.md`).
 const REQUEST_BYTES: u64 = 48 * 1024;
 
-/// Further read buffers while a body arrives. 1,700 requests with 36 kB of their bodies took 42 kB each beside that.
+/// Further read buffers while a body arrives: 42 kB beside its bytes.
 const ARRIVAL_BYTES: u64 = 44 * 1024;
 
 /// Length up to which a body needs no further read buffers.
 const SMALL_BODY_BYTES_MAX: u64 = 8 * 1024;
 
+/// Most of a response that the buffers of this router hold for a reader that does not take it: the part that is
+/// buffered before the head is sent, the window of the stream between the routers, and the write buffer.
+const RESPONSE_BYTES_MAX: u64 = 144 * 1024;
+
 /// Handles one request of a caller.
 pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     let received_at = arrival(&state, &request);
     let id = header_text(request.headers().get(&state.settings.names.request)).to_owned();
     let mut response = match accept(&state, request, received_at, &id).await {
-        Ok((pending, permit)) => {
+        Ok((pending, mut permit)) => {
             let response = execution::run(&state, &pending).await;
-            drop(permit);
-            response
+            let length = body::stated_length(response.body());
+            permit.extend(length.map_or(RESPONSE_BYTES_MAX, |l| l.min(RESPONSE_BYTES_MAX)));
+            response.map(|body| budget::with_permit(body, permit))
         }
         Err(refused) => refused,
     };
--- a/crates/shallotrill/tests/clients/main.rs
+++ b/crates/shallotrill/tests/clients/main.rs
@@ -33,6 +33,8 @@
 /// Time for the process to take what was sent before it is checked. A shorter one only makes a case easier to pass.
 const fn settle_time(conduct: Conduct, place: Place) -> Duration {
     match (conduct, place) {
+        // A reader gives its slot to the next one after 250 ms.
+        (Conduct::SlowReader, Place::Upload) => Duration::from_secs(4),
         // A million small chunks wait in the buffers of the kernel and take a debug build seconds to read.
         (Conduct::Chunks, _) => Duration::from_millis(2_500),
         (Conduct::Streams(_), _) => Duration::from_secs(1),
@@ -177,6 +179,12 @@
     run_with(MANY_DESCRIPTORS, Conduct::Short(36_000), 430, &places);
 }
 
+/// Guards against buffers of responses that take all memory while their readers are slow.
+#[test]
+fn slow_readers_on_many_connections() {
+    run_with(MANY_DESCRIPTORS, Conduct::SlowReader, 430, &[Place::Upload]);
+}
+
 /// Guards against bodies whose pieces are kept with more memory than their bytes.
 #[test]
 fn bodies_in_pieces_that_stop_short() {
--- a/crates/wire/src/budget.rs
+++ b/crates/wire/src/budget.rs
@@ -3,12 +3,18 @@
 use std::error;
 use std::fmt;
 use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
 use log::info;
 use log::warn;
 use tokio::io::AsyncRead;
@@ -17,6 +23,8 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::body;
+use crate::body::Body;
 use crate::listen;
 use shallotrill_limits::holder;
 use shallotrill_limits::memory;
@@ -238,6 +246,46 @@
         }
         taken
     }
+
+    /// Adds memory that is in use whether there is room or not. Without room, slow transfers are ended sooner.
+    pub fn extend(&mut self, bytes: u64) {
+        if !self.budget.memory.take_always(self.kind, bytes) {
+            self.budget.mark_short();
+        }
+        self.bytes += bytes;
+    }
+}
+
+/// A body that keeps a permit until it is dropped.
+struct PermittedBody {
+    body: Body,
+    #[expect(dead_code, reason = "the permit takes effect when it is dropped")]
+    permit: Permit,
+}
+
+impl http_body::Body for PermittedBody {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Keeps a permit until a body has been sent or dropped.
+pub fn with_permit(body: Body, permit: Permit) -> Body {
+    PermittedBody { body, permit }.boxed_unsync()
 }
 
 impl Drop for Permit {
