--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod announcements;
 pub mod departures;
 pub mod evacuations;
+mod maintenance;
 pub mod members;
 pub mod metrics;
 pub mod propose;
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -6,7 +6,6 @@
 
 use log::info;
 use log::warn;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time;
 
@@ -26,14 +25,12 @@
 use shallotrill_feed::message::Request;
 use shallotrill_feed::note;
 use shallotrill_items::ballot::Ballot;
-use shallotrill_items::item::Content;
 use shallotrill_items::item::Item;
 use shallotrill_items::replica::Entry;
 use shallotrill_items::replica::Proposal;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_model::time::Instant;
-use shallotrill_process::metrics::count;
 use shallotrill_wire::listen;
 
 /// Longest wait of a long poll between registry processes; each poll also serves as a heartbeat.
@@ -49,7 +46,7 @@
 pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A registry process without contact for this long is removed, unless it is a seed.
-const MEMBER_RETENTION_PERIOD: Duration = Duration::from_secs(30);
+pub(crate) const MEMBER_RETENTION_PERIOD: Duration = Duration::from_secs(30);
 
 /// Handles one request of another process.
 pub async fn handle(state: &Arc<State>, request: &Request) -> Reply {
@@ -419,112 +416,3 @@
     }
     changed
 }
-
-/// Runs the periodic maintenance: expires leases, makes this process a voter when it may vote, and
-/// repairs interrupted proposals.
-pub async fn maintain(state: Arc<State>, mut stop: watch::Receiver<bool>) {
-    /// Interval of the maintenance; an item that stays uncommitted from one round to the next is
-    /// proposed again.
-    const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
-    let mut previous: Vec<(shallotrill_items::item::Key, Ballot)> = Vec::new();
-    loop {
-        tokio::select! {
-            () = time::sleep(MAINTENANCE_INTERVAL) => {}
-            () = listen::stopped(&mut stop) => return,
-        }
-        let now = state.now();
-        let expired = state.announcements.lock().expire(now);
-        for announcement in &expired {
-            warn!(event = "router-expired", router = announcement.router.to_string().as_str(); "announcement removed: its lease was not renewed");
-        }
-        if !expired.is_empty() {
-            state.notify();
-        }
-        become_voter(&state).await;
-        let uncommitted = {
-            let mut consensus = state.consensus.lock();
-            consensus.roster.remove_silent(MEMBER_RETENTION_PERIOD, now);
-            let entries = consensus.replica.uncommitted();
-            let ballots =
-                entries.filter_map(|e| Some((e.key.clone(), e.accepted.as_ref()?.ballot)));
-            ballots.collect::<Vec<_>>()
-        };
-        let stalled = uncommitted.iter().filter(|u| previous.contains(u));
-        let keys: Vec<_> = stalled.map(|(key, _)| key.clone()).collect();
-        if !keys.is_empty() {
-            let count = keys.len();
-            match crate::propose::repair(&state, keys).await {
-                Ok(()) => info!(
-                    event = "items-settled",
-                    items = count;
-                    "items of interrupted proposals are committed"
-                ),
-                Err(failure) => warn!(
-                    event = "items-unsettled",
-                    items = count;
-                    "cannot commit the items of interrupted proposals: {failure}"
-                ),
-            }
-        }
-        state.metrics.uncommitted.set(count(uncommitted.len()));
-        update_gauges(&state);
-        previous = uncommitted;
-    }
-}
-
-/// Updates the gauges.
-fn update_gauges(state: &State) {
-    let routers = state.announcements.lock().len();
-    let now = state.now();
-    let consensus = state.consensus.lock();
-    state.metrics.routers.set(count(routers));
-    let evacuations = consensus.replica.committed();
-    let evacuations = evacuations.filter(|item| item.content == Content::Evacuation);
-    state
-        .metrics
-        .evacuated_zones
-        .set(count(evacuations.count()));
-    let votes = consensus.roster.own().votes;
-    state.metrics.votes.set(i64::from(votes));
-    let quorum = consensus.roster.quorum(now);
-    state.metrics.quorum.set(count(quorum));
-    drop(consensus);
-    let limits = &state.listeners;
-    let all = [&limits.processes, &limits.operators];
-    state.metrics.holders.set(&state.memory, &all);
-}
-
-/// Makes this process a voter if it may be one: at the first start of the whole system, or once it has copied enough
-/// voters.
-///
-/// The copied departures, the copied registers and the vote are durable before the vote counts. A vote that was stored and is no longer needed,
-/// because another process has become a voter during the write, is withdrawn from the disk.
-pub(crate) async fn become_voter(state: &State) {
-    let now = state.now();
-    {
-        let mut consensus = state.consensus.lock();
-        if consensus.roster.own().votes {
-            return;
-        }
-        let may_vote = consensus.roster.clone().admit(now);
-        if !may_vote && !consensus.stored_vote {
-            return;
-        }
-        consensus.stored_vote = may_vote;
-        consensus.changes += 1;
-    }
-    if !state.persist_departures().await || !state.persist().await {
-        // Either content may be on disk, so the next round writes again.
-        state.consensus.lock().stored_vote = true;
-        return;
-    }
-    let admitted = {
-        let now = state.now();
-        let mut consensus = state.consensus.lock();
-        consensus.stored_vote && consensus.roster.admit(now)
-    };
-    if admitted {
-        state.notify();
-        info!(event = "vote-admitted"; "this process is now a voter: its vote and the copied registers, if there were any, are on disk");
-    }
-}
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -11,6 +11,7 @@
 use crate::allotments;
 use crate::announcements;
 use crate::departures;
+use crate::maintenance;
 use crate::members;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -130,7 +131,7 @@
         settings,
     });
     // At the first start, before other processes can count this one. A refused write is repeated by the maintenance.
-    members::become_voter(&state).await;
+    maintenance::become_voter(&state).await;
     let handler_state = Arc::clone(&state);
     let handler: server::Handler = Arc::new(move |request| {
         let state = Arc::clone(&handler_state);
@@ -146,7 +147,7 @@
     members::follow(&state, &seeds);
     tokio::spawn(allotments::maintain(Arc::clone(&state), stopped.clone()));
     tokio::spawn(Arc::clone(&state.memory).watch(stopped.clone()));
-    tokio::spawn(members::maintain(Arc::clone(&state), stopped));
+    tokio::spawn(maintenance::maintain(Arc::clone(&state), stopped));
     let votes = state.consensus.lock().roster.own().votes;
     info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = votes; "registry process is listening for other processes");
     Ok(Registry { state })
