wire: a request without room ends only arriving bodies of callers

Cause: with the buffers of requests in the budget, a crowd of requests without room would end the arriving holder of the most memory, also a message between processes, although that holds none of the memory that requests lack.

Fix: a shortage of the kind `request` chooses among the bodies of callers, whose requests release their buffers with them.

--- a/crates/limits/src/holder.rs
+++ b/crates/limits/src/holder.rs
@@ -67,21 +67,30 @@
     }
 
     /// Chooses the holder that holds the most for the longest, by bytes multiplied by time, and marks it as ending.
+    pub fn end_worst(&mut self, now: Instant) -> Option<(Id, &T)> {
+        self.end_worst_of(now, |_| true)
+    }
+
+    /// Chooses the worst holder as [`Table::end_worst`] does, among those whose value is `eligible`.
     ///
     /// `None` while a chosen holder has not released its memory yet, or when no holder has any: one
     /// refused request must not end more holders than it needs.
-    pub fn end_worst(&mut self, now: Instant) -> Option<(Id, &T)> {
+    pub fn end_worst_of(
+        &mut self,
+        now: Instant,
+        eligible: impl Fn(&T) -> bool,
+    ) -> Option<(Id, &T)> {
         if self.holders.iter().flatten().any(|h| h.ending) {
             return None;
         }
         let held = self.holders.iter_mut().enumerate();
         let held = held.filter_map(|(index, h)| Some((index, h.as_mut()?)));
-        let (index, holder) =
-            held.filter(|(_, holder)| holder.bytes > 0)
-                .max_by_key(|(_, holder)| {
-                    let held_for = now.since(holder.since) + Duration::from_millis(1);
-                    u128::from(holder.bytes) * held_for.as_micros()
-                })?;
+        let (index, holder) = held
+            .filter(|(_, holder)| holder.bytes > 0 && eligible(&holder.value))
+            .max_by_key(|(_, holder)| {
+                let held_for = now.since(holder.since) + Duration::from_millis(1);
+                u128::from(holder.bytes) * held_for.as_micros()
+            })?;
         holder.ending = true;
         Some((Id(index), &holder.value))
     }
--- a/crates/registry/src/maintenance.rs
+++ b/crates/registry/src/maintenance.rs
@@ -94,8 +94,8 @@
 /// Makes this process a voter if it may be one: at the first start of the whole system, or once it has copied enough
 /// voters.
 ///
-/// The copied departures, the copied registers and the vote are durable before the vote counts. A vote that was stored and is no longer needed,
-/// because another process has become a voter during the write, is withdrawn from the disk.
+/// The copied departures, the copied registers and the vote are durable before the vote counts. A stored vote that is no
+/// longer needed, because another process has become a voter during the write, is withdrawn from the disk.
 pub(crate) async fn become_voter(state: &State) {
     let now = state.now();
     {
--- a/crates/wire/src/budget.rs
+++ b/crates/wire/src/budget.rs
@@ -75,8 +75,8 @@
 #[derive(Debug)]
 pub struct Budget {
     memory: memory::Budget,
-    /// Holders whose bytes are still arriving. No other lock is held with it, `cutbacks` or `spare`.
-    arrivals: Mutex<holder::Table<Arc<Notify>>>,
+    /// Holders whose bytes are still arriving, with their kind. No other lock is held with it, `cutbacks` or `spare`.
+    arrivals: Mutex<holder::Table<(Kind, Arc<Notify>)>>,
     cutbacks: Mutex<[Cutback; Kind::ALL.len()]>,
     /// Segments that were released, for reuse by all threads. The allocator would keep them apart by thread, and
     /// under a crowd on seven threads a process then used almost twice the memory of its segments.
@@ -146,7 +146,7 @@
         }
         let ended = Arc::new(Notify::new());
         let now = self.now();
-        let id = self.arrivals.lock().add(Arc::clone(&ended), now);
+        let id = self.arrivals.lock().add((kind, Arc::clone(&ended)), now);
         Ok(Arrival {
             permit: Permit {
                 budget: Arc::clone(self),
@@ -197,7 +197,10 @@
         if begins {
             warn!(event = "memory-cutback", kind = kind.as_str(), held_bytes = self.used(kind), limit_bytes = self.memory.limit(kind); "holders of this kind are refused or ended: their part of the memory is in use");
         }
-        if let Some((_, ended)) = self.arrivals.lock().end_worst(now) {
+        // The buffers of a request are released with its own body, so ending another kind would free none of them.
+        let releases =
+            |holder: &(Kind, Arc<Notify>)| kind != Kind::Request || holder.0 == Kind::Body;
+        if let Some((_, (_, ended))) = self.arrivals.lock().end_worst_of(now, releases) {
             ended.notify_one();
         }
     }
