--- /dev/null
+++ b/review/stand-in-3/src/cases.rs
@@ -0,0 +1,295 @@
+//! The cases. Each returns whether the rule was broken, or `None` if the case could not run.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use crate::world;
+use crate::world::Life;
+use crate::world::Process;
+use crate::world::Run;
+use crate::world::World;
+use crate::world::ADMIN_PORT;
+
+/// Time in which a start, a repair or a change has to be seen.
+const PATIENCE: Duration = Duration::from_secs(12);
+
+/// `configApplyS`, in seconds.
+const CONFIG_APPLY_S: f64 = 2.0;
+
+/// `drainS`, in seconds.
+const DRAIN_S: f64 = 2.0;
+
+/// Addresses of the first routers; registries are below.
+const ROUTERS: u8 = 21;
+
+/// A deployment of five registries and two routers for each of two services.
+struct Deployment {
+    world: Arc<World>,
+    registries: Vec<Process>,
+    routers: Vec<Process>,
+    lives: Vec<Arc<Life>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Deployment {
+    /// Starts all machines, and the targets except those that the case starts itself.
+    fn start(world: &Arc<World>, own_targets: &[u8]) -> Option<Self> {
+        let seeds = [1, 2, 3];
+        let mut registries: Vec<Process> = (1..=5)
+            .map(|index| Process::registry(world, index, true, &seeds))
+            .collect();
+        let mut routers: Vec<Process> = (ROUTERS..ROUTERS + 4)
+            .map(|index| Process::router(world, index, service_of(index), &seeds))
+            .collect();
+        registries.iter_mut().for_each(Process::start);
+        routers.iter_mut().for_each(Process::start);
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let others = (ROUTERS..ROUTERS + 4).filter(|index| !own_targets.contains(index));
+        let lives = others
+            .map(|index| {
+                let id = format!("i-{index:08x}");
+                let born = world::wall_ms();
+                Life::start(world, index, &id, service_of(index), 1, born, &runs)
+            })
+            .collect();
+        let deployment = Self {
+            world: Arc::clone(world),
+            registries,
+            routers,
+            lives,
+            runs,
+        };
+        let first = world::upsert(&[
+            world::service("portal", 1),
+            world::service("ledger", 1),
+            world::limits(1),
+            world::route("r-portal", 1, "/portal/", "safe", "portal"),
+            world::route("r-ledger", 1, "/ledger/", "unsafe", "ledger"),
+        ]);
+        thread::sleep(Duration::from_secs(1));
+        if world::change(world, &[1, 2, 3], &first, PATIENCE) != Some(200) {
+            return None;
+        }
+        let served = deployment.wait_for_service();
+        // After a start, the leases and votes of all machines are known.
+        thread::sleep(Duration::from_secs(2));
+        served.then_some(deployment)
+    }
+
+    fn wait_for_service(&self) -> bool {
+        world::wait_until(&self.world, "all routes are served everywhere", PATIENCE, || {
+            self.routers.iter().all(|router| {
+                let portal = world::ask(&self.world, router.index, "GET", "/portal/ready", "");
+                let ledger = world::ask(&self.world, router.index, "POST", "/ledger/ready", "");
+                portal.1 == Some(200) && ledger.1 == Some(200)
+            })
+        })
+    }
+
+    /// All runs of a request.
+    fn runs_of(&self, id: &str) -> Vec<Run> {
+        let runs = self.runs.lock().expect("no thread panics with the runs");
+        runs.iter().filter(|run| run.id == id).cloned().collect()
+    }
+
+    fn end(&mut self) {
+        for life in &self.lives {
+            life.crash();
+        }
+        self.routers.iter_mut().for_each(Process::kill);
+        self.registries.iter_mut().for_each(Process::kill);
+    }
+}
+
+fn service_of(router: u8) -> &'static str {
+    if router < ROUTERS + 2 {
+        "portal"
+    } else {
+        "ledger"
+    }
+}
+
+/// The seeds are exchanged and their machines removed one by one; later all registries are down for 32 s at once.
+pub fn orphan(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    let mut deployment = Deployment::start(world, &[])?;
+    // Planned work: each of the first three core machines is replaced by an empty one at another address.
+    for new in 6..=8 {
+        let mut registry = Process::registry(world, new, false, &[4, 5, new - 5]);
+        registry.start();
+        deployment.registries.push(registry);
+        deployment.registries[0].kill();
+        drop(deployment.registries.remove(0));
+        let knows = world::wait_until(world, "the new core machine answers", PATIENCE, || {
+            let answer = world::get(world.address(new, ADMIN_PORT), "/api/Config.Get");
+            answer.is_ok_and(|answer| answer.status == 200)
+        });
+        if !knows {
+            return None;
+        }
+        // `catchUpS`.
+        thread::sleep(Duration::from_secs(4));
+    }
+    // The settings of all machines name seeds that run, and SIGHUP says so.
+    let seeds = [4, 6, 8];
+    let processes = deployment.registries.iter().chain(&deployment.routers);
+    for process in processes {
+        process.write_settings(false, &seeds);
+        process.signal(world::SIGHUP);
+    }
+    world.record("platform names other seeds in all settings and sends SIGHUP");
+    thread::sleep(Duration::from_secs(6));
+    if !deployment.wait_for_service() {
+        return None;
+    }
+    if trouble {
+        deployment.registries.iter_mut().for_each(Process::kill);
+    }
+    thread::sleep(Duration::from_secs(32));
+    if trouble {
+        deployment.registries.iter_mut().for_each(Process::start);
+    }
+    let nodes = [4, 5, 6, 7, 8];
+    let knows = world::wait_until(world, "all core machines answer", PATIENCE, || {
+        nodes.iter().all(|node| {
+            let answer = world::get(world.address(*node, ADMIN_PORT), "/api/Config.Get");
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+    });
+    if !knows {
+        return None;
+    }
+    // `stabilityWindowS` after the last event, all machines are in touch. Routers renew each second.
+    thread::sleep(Duration::from_secs(6));
+    let moved = world::upsert(&[
+        world::route("r-portal", 2, "/portal/", "safe", "ledger"),
+        world::route("r-new", 2, "/new/", "safe", "portal"),
+    ]);
+    if world::change(world, &nodes, &moved, PATIENCE) != Some(200) {
+        return None;
+    }
+    thread::sleep(Duration::from_secs_f64(CONFIG_APPLY_S + 2.0));
+    let mut stale = 0;
+    for router in ROUTERS..ROUTERS + 4 {
+        for _ in 0..3 {
+            let (id, _) = world::ask(world, router, "GET", "/portal/after", "");
+            stale += deployment
+                .runs_of(&id)
+                .iter()
+                .filter(|run| service_of(run.target) == "portal")
+                .count();
+            let (_, status) = world::ask(world, router, "GET", "/new/after", "");
+            stale += usize::from(status == Some(404));
+        }
+    }
+    world.record(&format!("{stale} of 24 requests were handled as only the older version allows"));
+    deployment.end();
+    Some(stale > 0)
+}
+
+/// A target starts while the time of day is ahead, crashes, and starts again under its id after the clock is back.
+pub fn born(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    /// Jump of the time of day, in milliseconds.
+    const STEP_MS: u64 = 4_000;
+    let index = ROUTERS;
+    let mut deployment = Deployment::start(world, &[index])?;
+    let id = "i-7f3a91c2";
+    let ahead = if trouble { STEP_MS } else { 0 };
+    if trouble {
+        world.record("the time of day of the machine jumps 4 s ahead");
+    }
+    let runs = Arc::clone(&deployment.runs);
+    let start = |number, born| Life::start(world, index, id, service_of(index), number, born, &runs);
+    let first = start(1, world::wall_ms() + ahead);
+    let runs_of_life = |life: u64| {
+        let runs = runs.lock().expect("no thread panics with the runs");
+        runs.iter()
+            .filter(|run| run.target == index && run.life == life)
+            .count()
+    };
+    let ask = || world::ask(world, index, "GET", "/portal/work", "");
+    let served = world::wait_until(world, "the first life runs requests", PATIENCE, || {
+        ask();
+        runs_of_life(1) > 0
+    });
+    if !served {
+        return None;
+    }
+    first.crash();
+    if trouble {
+        world.record("the time of day of the machine jumps back");
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    let second = start(2, world::wall_ms());
+    let served = world::wait_until(world, "the second life runs requests", PATIENCE, || {
+        (0..10).for_each(|_| drop(ask()));
+        runs_of_life(2) > 0
+    });
+    if !served {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(4));
+    let acknowledged = second.drain(Duration::from_secs(8))?;
+    let mut late = 0;
+    while world.now() < acknowledged + DRAIN_S + 6.0 {
+        let (request, _) = ask();
+        let runs = deployment.runs_of(&request);
+        let after = runs.iter().filter(|run| {
+            run.target == index && run.life == 2 && run.at > acknowledged + DRAIN_S
+        });
+        late += after.count();
+        thread::sleep(Duration::from_millis(50));
+    }
+    world.record(&format!(
+        "{late} requests reached the target later than drainS after its draining was acknowledged"
+    ));
+    second.crash();
+    deployment.end();
+    Some(late > 0)
+}
+
+/// A route has a time of 17 significant digits.
+pub fn number(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    let mut deployment = Deployment::start(world, &[])?;
+    let sent = if trouble { "1.1500000000000001" } else { "1.15" };
+    let route = world::route("r-number", 2, "/number/", "safe", "portal");
+    let route = route.replace("\"timeoutS\":1", &format!("\"timeoutS\":{sent}"));
+    if world::change(world, &[1, 2, 3], &world::upsert(&[route]), PATIENCE) != Some(200) {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let answer = world::get(world.address(4, ADMIN_PORT), "/api/Config.Get").ok()?;
+    world.record(&format!("core-4 answers {} {}", answer.status, answer.body));
+    let (_, rest) = answer.body.split_once("\"/number/\"")?;
+    let (_, rest) = rest.split_once("\"timeoutS\":")?;
+    let end = rest.find([',', '}'])?;
+    let read: f64 = rest[..end].parse().ok()?;
+    let wanted: f64 = sent.parse().ok()?;
+    world.record(&format!("sent {wanted:?}, read back {read:?}"));
+    deployment.end();
+    Some(read != wanted)
+}
+
+/// Requests with a head just below `maxHeaderBytes`.
+pub fn head(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    let mut deployment = Deployment::start(world, &[])?;
+    let length = if trouble { 5_350 } else { 500 };
+    let field = |name: &str| format!("{name}: {}\r\n", "v".repeat(length));
+    let more: String = ["X-First", "X-Second", "X-Third"].map(field).concat();
+    let mut refused = 0;
+    let total = 200;
+    for number in 0..total {
+        let machine = ROUTERS + (number % 4) as u8;
+        let (_, status) = world::ask(world, machine, "GET", "/portal/head", &more);
+        refused += usize::from(status.is_some_and(|status| {
+            (300..500).contains(&status) && ![408, 421, 429].contains(&status)
+        }));
+    }
+    let allowed = 5 + total / 500;
+    world.record(&format!(
+        "{refused} of {total} proper requests were ended with a 3xx or 4xx, {allowed} may be"
+    ));
+    deployment.end();
+    Some(refused > allowed)
+}
