--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -249,6 +249,79 @@
     Some(late > 0)
 }
 
+/// After many lifetimes a target deregisters; its router is killed, and a check-in from before arrives late.
+pub fn history(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    /// Earlier lifetimes of the target at this machine.
+    const LIVES: u64 = 40;
+    let index = ROUTERS;
+    let mut deployment = Deployment::start(world, &[index])?;
+    let runs = Arc::clone(&deployment.runs);
+    // Ids as the bench draws them: ten hexadecimal digits.
+    let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mut draw = || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        format!("i-{:010x}", state & 0xff_ffff_ffff)
+    };
+    let start = |id: &str, number| {
+        let born = world::wall_ms();
+        Life::start(world, index, id, service_of(index), number, born, &runs)
+    };
+    for number in 1..=LIVES {
+        let life = start(&draw(), number);
+        thread::sleep(Duration::from_millis(150));
+        life.deregister(Duration::from_secs(5))?;
+        life.crash();
+    }
+    let last = start(&draw(), LIVES + 1);
+    let ran = |id: &str| {
+        let runs = runs.lock().expect("no thread panics with the runs");
+        let mut found = runs.iter().filter(|run| run.id == id);
+        found.find(|run| run.life == LIVES + 1).cloned()
+    };
+    let served = world::wait_until(world, "the last life runs requests", PATIENCE, || {
+        let (id, _) = world::ask(world, index, "GET", "/portal/work", "");
+        ran(&id).is_some()
+    });
+    if !served {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(4));
+    let late_check_in = last.check_in();
+    world.record(&format!("target {} sends a check-in that is delayed", last.id));
+    let acknowledged = last.deregister(Duration::from_secs(5))?;
+    if trouble {
+        deployment.routers[0].kill();
+        thread::sleep(Duration::from_millis(500));
+        deployment.routers[0].start();
+    }
+    let started = world.now();
+    thread::sleep(Duration::from_millis(2_500));
+    let answered = last.send_check_in(&late_check_in);
+    world.record(&format!("the delayed check-in arrives, answered with 200: {answered}"));
+    // `stabilityWindowS` after its start, the machine is in touch again.
+    let in_touch = started + 3.5;
+    let mut late = 0;
+    while world.now() < acknowledged + 12.0 {
+        for machine in ROUTERS..ROUTERS + 4 {
+            let sent = world.now();
+            let (id, _) = world::ask(world, machine, "GET", "/portal/work", "");
+            let is_late = |run: &Run| {
+                run.at > acknowledged + DRAIN_S && sent > in_touch
+            };
+            late += usize::from(ran(&id).is_some_and(|run| is_late(&run)));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    world.record(&format!(
+        "{late} requests reached the target later than drainS after its deregistration was acknowledged, by machines in touch"
+    ));
+    last.crash();
+    deployment.end();
+    Some(late > 0)
+}
+
 /// A route has a time of 17 significant digits.
 pub fn number(world: &Arc<World>, trouble: bool) -> Option<bool> {
     let mut deployment = Deployment::start(world, &[])?;
--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -30,6 +30,7 @@
     let broken = match case.as_str() {
         "orphan" => cases::orphan(&world, trouble),
         "born" => cases::born(&world, trouble),
+        "history" => cases::history(&world, trouble),
         "number" => cases::number(&world, trouble),
         "head" => cases::head(&world, trouble),
         _ => None,
--- a/review/stand-in-3/src/world.rs
+++ b/review/stand-in-3/src/world.rs
@@ -354,6 +354,7 @@
     born: u64,
     sequence: AtomicU64,
     draining: AtomicBool,
+    silent: AtomicBool,
     stop: AtomicBool,
     runs: Arc<Mutex<Vec<Run>>>,
 }
@@ -378,6 +379,7 @@
             born,
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             stop: AtomicBool::new(false),
             runs: Arc::clone(runs),
         });
@@ -394,7 +396,9 @@
         let beating = Arc::clone(&life);
         thread::spawn(move || {
             while !beating.stop.load(Ordering::Relaxed) {
-                beating.beat();
+                if !beating.silent.load(Ordering::Relaxed) {
+                    beating.beat();
+                }
                 thread::sleep(Duration::from_millis(500));
             }
         });
@@ -410,19 +414,52 @@
 
     /// Sends one check-in. Returns whether it was acknowledged.
     pub fn beat(&self) -> bool {
+        let body = self.check_in();
+        self.send_check_in(&body)
+    }
+
+    /// The next check-in.
+    pub fn check_in(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let draining = self.draining.load(Ordering::Relaxed);
         let state = if draining { "draining" } else { "ready" };
         let address = self.world.address(self.index, TARGET_PORT);
-        let body = format!(
+        format!(
             r#"{{"address":"{address}","born":{},"info":{{"service":"{}","version":"v1","zone":"bodo","slots":6}},"status":{{"state":"{state}","sequence":{sequence},"coldRemainingS":0}}}}"#,
             self.born, self.service
-        );
+        )
+    }
+
+    /// Sends a check-in, maybe late. Returns whether it was acknowledged.
+    pub fn send_check_in(&self, body: &str) -> bool {
         let path = format!("/api/Instances.Heartbeat/{}", self.id);
-        let answer = post(self.world.address(self.index, ADMIN_PORT), &path, &body);
+        let answer = post(self.world.address(self.index, ADMIN_PORT), &path, body);
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Sends no further check-ins.
+    pub fn be_silent(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Deregisters until that is acknowledged. Returns the time of the acknowledgement.
+    pub fn deregister(&self, patience: Duration) -> Option<f64> {
+        self.be_silent();
+        let started = Instant::now();
+        let path = format!("/api/Instances.Deregister/{}", self.id);
+        let body = format!(r#"{{"born":{}}}"#, self.born);
+        while started.elapsed() < patience {
+            let answer = post(self.world.address(self.index, ADMIN_PORT), &path, &body);
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                let at = self.world.now();
+                self.world.record(&format!("deregistration of {} is acknowledged", self.id));
+                return Some(at);
+            }
+            thread::sleep(Duration::from_millis(300));
+        }
+        None
+    }
+
     /// Reports that it drains until that is acknowledged. Returns the time of the acknowledgement.
     pub fn drain(&self, patience: Duration) -> Option<f64> {
         self.draining.store(true, Ordering::Relaxed);
