--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use crate::network::Network;
@@ -352,33 +353,7 @@
     let portals = [21, 22, 25, 26];
     let caller = 24;
     let mut deployment = Deployment::start_with(world, &[], 6)?;
-    let ended = Arc::new(AtomicBool::new(false));
-    let keepers: Vec<_> = portals
-        .into_iter()
-        .map(|index| {
-            let (world, runs) = (Arc::clone(world), Arc::clone(&deployment.runs));
-            let ended = Arc::clone(&ended);
-            let mut lives = deployment.lives.iter();
-            let life = lives.find(|life| life.index == index).map(Arc::clone);
-            thread::spawn(move || {
-                let Some(mut life) = life else { return };
-                let mut number = 1;
-                while !ended.load(Ordering::Relaxed) {
-                    if !life.has_ended() {
-                        thread::sleep(Duration::from_millis(20));
-                        continue;
-                    }
-                    // The target is back after some seconds.
-                    thread::sleep(Duration::from_secs(2));
-                    number += 1;
-                    let id = format!("i-{index:05x}{number:05x}");
-                    let born = world::wall_ms();
-                    life = Life::start(&world, index, &id, "portal", number, born, &runs);
-                }
-                life.crash();
-            })
-        })
-        .collect();
+    let keepers = Keepers::start(&deployment, &portals);
     thread::sleep(Duration::from_secs(2));
     let mut crashes: Vec<f64> = Vec::new();
     let mut retries = 0;
@@ -425,10 +400,103 @@
         ));
         thread::sleep(Duration::from_millis(2_500));
     }
-    ended.store(true, Ordering::Relaxed);
-    for keeper in keepers {
-        keeper.join().ok()?;
+    keepers.end();
+    deployment.end();
+    Some(retries > 3)
+}
+
+/// Threads that start targets again after they have crashed.
+struct Keepers {
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Keepers {
+    fn start(deployment: &Deployment, machines: &[u8]) -> Self {
+        let ended = Arc::new(AtomicBool::new(false));
+        let keep = |machine: &u8| {
+            let (world, runs) = (Arc::clone(&deployment.world), Arc::clone(&deployment.runs));
+            let (machine, ended) = (*machine, Arc::clone(&ended));
+            let mut lives = deployment.lives.iter();
+            let life = lives.find(|life| life.index == machine).map(Arc::clone);
+            thread::spawn(move || {
+                let Some(mut life) = life else { return };
+                let mut number = 1;
+                while !ended.load(Ordering::Relaxed) {
+                    if !life.has_ended() {
+                        thread::sleep(Duration::from_millis(20));
+                        continue;
+                    }
+                    // The target is back after some seconds.
+                    thread::sleep(Duration::from_secs(2));
+                    number += 1;
+                    let id = format!("i-{machine:05x}{number:05x}");
+                    let (service, born) = (service_of(machine), world::wall_ms());
+                    life = Life::start(&world, machine, &id, service, number, born, &runs);
+                }
+                life.crash();
+            })
+        };
+        let threads = machines.iter().map(keep).collect();
+        Self { ended, threads }
+    }
+
+    fn end(self) {
+        self.ended.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            drop(thread.join());
+        }
+    }
+}
+
+/// A request that crashes its targets in the middle of their answers comes again and again.
+pub fn midway(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    /// `stabilityWindowS`, in seconds.
+    const STABILITY_WINDOW_S: f64 = 3.0;
+    let portals = [21, 22, 25, 26];
+    let mut deployment = Deployment::start_with(world, &[], 6)?;
+    let keepers = Keepers::start(&deployment, &portals);
+    let orders = world::upsert(&[world::route("r-order", 2, "/order/", "unsafe", "portal")]);
+    if world::change(world, &[1, 2, 3], &orders, PATIENCE) != Some(200) {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let path = if trouble { "/portal/midway" } else { "/portal/calm" };
+    let mut lost = 0;
+    let mut reached: Vec<f64> = Vec::new();
+    let mut retries = 0;
+    for round in 0..10 {
+        // Orders of others, which are at work at the targets.
+        let orders: Vec<_> = (0..8)
+            .map(|number| {
+                let world = Arc::clone(world);
+                let machine = ROUTERS + number % 4;
+                let path = format!("/order/slow/{round}/{number}");
+                thread::spawn(move || world::ask(&world, machine, "POST", &path, ""))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(100));
+        let sent = world.now();
+        let (id, _) = world::ask(world, 24, "GET", path, "");
+        let runs = deployment.runs_of(&id);
+        if trouble {
+            let is_late = reached.get(2).is_some_and(|third| sent > third + STABILITY_WINDOW_S);
+            retries += usize::from(is_late && !runs.is_empty());
+            reached.extend(runs.iter().map(|run| run.at));
+            reached.sort_by(f64::total_cmp);
+        }
+        for order in orders {
+            let (id, status) = order.join().ok()?;
+            let ran = !deployment.runs_of(&id).is_empty();
+            lost += usize::from(ran && status != Some(200));
+        }
+        world.record(&format!(
+            "{} targets have crashed, {retries} retries have reached some later than stabilityWindowS after the third; {lost} orders ran and got no success",
+            reached.len()
+        ));
+        thread::sleep(Duration::from_millis(3_300));
     }
+    keepers.end();
     deployment.end();
     Some(retries > 3)
 }
--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -34,6 +34,7 @@
         "history" => cases::history(&world, trouble),
         "crash" => cases::crash(&world, trouble),
         "quota" => cases::quota(&world, trouble),
+        "midway" => cases::midway(&world, trouble),
         "number" => cases::number(&world, trouble),
         "head" => cases::head(&world, trouble),
         _ => None,
--- a/review/stand-in-3/src/world.rs
+++ b/review/stand-in-3/src/world.rs
@@ -589,6 +589,11 @@
                 return Ok(());
             }
             stream.write_all(answer.as_bytes())?;
+            if head.split(' ').nth(1).is_some_and(|path| path.ends_with("/midway")) {
+                thread::sleep(Duration::from_millis(20));
+                self.end();
+                return Ok(());
+            }
         }
     }
 
@@ -646,7 +651,15 @@
             self.end();
             return String::new();
         }
-        thread::sleep(Duration::from_millis(10));
+        if path.ends_with("/midway") {
+            // The first part of a longer answer; the caller of this function sends it and ends the target.
+            let part = "a".repeat(1_000);
+            return format!(
+                "HTTP/1.1 200 OK\r\nShallotrill-Attempt-Id: {id}\r\nShallotrill-Response-Seal: seal-{id}\r\n{load}Content-Length: 20000\r\n\r\n{part}"
+            );
+        }
+        let work_ms = if path.contains("/slow/") { 300 } else { 10 };
+        thread::sleep(Duration::from_millis(work_ms));
         let body = format!("{} {id}", self.service);
         format!(
             "HTTP/1.1 200 OK\r\nShallotrill-Attempt-Id: {id}\r\nShallotrill-Response-Seal: seal-{id}\r\n{load}Content-Length: {}\r\n\r\n{body}",
