--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -508,7 +508,7 @@
     }
 }
 
-/// The machines are cut in two for 18 s while clients of one tenant press on both sides.
+/// A zone is cut off for 18 s while clients of one tenant press on both sides.
 pub fn quota(world: &Arc<World>, trouble: bool) -> Option<bool> {
     const RATE: f64 = 40.0;
     const BURST: f64 = 10.0;
@@ -517,6 +517,7 @@
     const OVERAGE: f64 = 0.1;
     const SLACK: f64 = 20.0;
     world.use_forwarders();
+    // The machines of the zone `bodo`: two of the five registries and two of the four routers.
     let network = Network::new(world, &[1, 2, 21, 23]);
     (1..=5).for_each(|machine| network.forward(machine, world::PEER_PORT));
     (ROUTERS..ROUTERS + 4).for_each(|machine| network.forward(machine, world::INBOUND_PORT));
@@ -582,6 +583,76 @@
     Some(most as f64 > allowed)
 }
 
+/// A sixth core machine is added; then the six are cut into halves, and two operators send one version to the two sides.
+pub fn halves(world: &Arc<World>, trouble: bool) -> Option<bool> {
+    world.use_forwarders();
+    let added = 6;
+    let network = Network::new(world, &[4, 5, added, 22, 24]);
+    (1..=added).for_each(|machine| network.forward(machine, world::PEER_PORT));
+    (ROUTERS..ROUTERS + 4).for_each(|machine| network.forward(machine, world::INBOUND_PORT));
+    let started = Arc::clone(&network);
+    let mut deployment = Deployment::start_then(world, &[], 4, move |process| {
+        if let Some(pid) = process.pid() {
+            started.record(pid, process.index);
+        }
+    })?;
+    let mut sixth = Process::registry(world, added, false, &[1, 2, 3]);
+    sixth.start();
+    network.record(sixth.pid()?, added);
+    deployment.registries.push(sixth);
+    let read = |node: u8| {
+        let answer = world::get(world.address(node, ADMIN_PORT), "/api/Config.Get").ok()?;
+        (answer.status == 200).then_some(answer.body)
+    };
+    let knows = || read(added).is_some();
+    if !world::wait_until(world, "the added core machine answers", PATIENCE, knows) {
+        return None;
+    }
+    // `catchUpS`.
+    thread::sleep(Duration::from_secs(4));
+    if trouble {
+        network.set_cut(true);
+    }
+    thread::sleep(Duration::from_secs(11));
+    let send = |node: u8, service: &str| {
+        let body = world::upsert(&[world::route("r-race", 5, "/race/", "unsafe", service)]);
+        world::change(world, &[node], &body, Duration::from_secs(3))
+    };
+    let first = send(1, "portal");
+    let second = send(4, "ledger");
+    thread::sleep(Duration::from_millis(500));
+    if trouble {
+        network.set_cut(false);
+    }
+    // Long after `stabilityWindowS` and `catchUpS`.
+    thread::sleep(Duration::from_secs(10));
+    let mut lost = 0;
+    for node in 1..=added {
+        let body = (0..10).find_map(|_| {
+            let body = read(node);
+            if body.is_none() {
+                thread::sleep(Duration::from_millis(300));
+            }
+            body
+        });
+        let held = body.as_deref().and_then(|body| service_in(body, "/race/"));
+        world.record(&format!("core-{node} shows r-race, version 5, of service {held:?}"));
+        for (acknowledged, service) in [(first, "portal"), (second, "ledger")] {
+            lost += usize::from(acknowledged == Some(200) && held.as_deref() != Some(service));
+        }
+    }
+    world.record(&format!("{lost} times an acknowledged item isn't what was sent"));
+    deployment.end();
+    Some(lost > 0)
+}
+
+/// The service of the route with this prefix.
+fn service_in(body: &str, prefix: &str) -> Option<String> {
+    let (_, rest) = body.split_once(&format!("\"{prefix}\""))?;
+    let (_, rest) = rest.split_once("\"service\":\"")?;
+    rest.split_once('"').map(|(service, _)| service.to_owned())
+}
+
 /// A route has a time of 17 significant digits.
 pub fn number(world: &Arc<World>, trouble: bool) -> Option<bool> {
     let mut deployment = Deployment::start(world, &[])?;
--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -35,6 +35,7 @@
         "crash" => cases::crash(&world, trouble),
         "quota" => cases::quota(&world, trouble),
         "midway" => cases::midway(&world, trouble),
+        "halves" => cases::halves(&world, trouble),
         "number" => cases::number(&world, trouble),
         "head" => cases::head(&world, trouble),
         _ => None,
--- a/review/stand-in-3/src/world.rs
+++ b/review/stand-in-3/src/world.rs
@@ -190,7 +190,11 @@
             .map(|seed| format!("\"{}\"", self.world.address(self.seen_at(*seed), ADMIN_PORT)))
             .collect();
         let seeds = seeds.join(",");
-        let zone = ["bodo", "svolvaer", "narvik"][usize::from(self.index % 3)];
+        let zone = match self.index {
+            1 | 2 | 21 | 23 => "bodo",
+            3 | 4 | 22 | 26 => "svolvaer",
+            _ => "narvik",
+        };
         let name = &self.name;
         let own = match &self.service {
             Some(service) => format!(
