--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -1,20 +1,20 @@
 //! The cases. Each returns whether the rule was broken, or `None` if the case could not run.
 
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use crate::network::Network;
 use crate::world;
+use crate::world::ADMIN_PORT;
 use crate::world::Life;
 use crate::world::Process;
 use crate::world::Run;
 use crate::world::World;
-use crate::world::ADMIN_PORT;
 
 /// Time in which a start, a repair or a change has to be seen.
 const PATIENCE: Duration = Duration::from_secs(12);
@@ -100,13 +100,18 @@
     }
 
     fn wait_for_service(&self) -> bool {
-        world::wait_until(&self.world, "all routes are served everywhere", PATIENCE, || {
-            self.routers.iter().all(|router| {
-                let portal = world::ask(&self.world, router.index, "GET", "/portal/ready", "");
-                let ledger = world::ask(&self.world, router.index, "POST", "/ledger/ready", "");
-                portal.1 == Some(200) && ledger.1 == Some(200)
-            })
-        })
+        world::wait_until(
+            &self.world,
+            "all routes are served everywhere",
+            PATIENCE,
+            || {
+                self.routers.iter().all(|router| {
+                    let portal = world::ask(&self.world, router.index, "GET", "/portal/ready", "");
+                    let ledger = world::ask(&self.world, router.index, "POST", "/ledger/ready", "");
+                    portal.1 == Some(200) && ledger.1 == Some(200)
+                })
+            },
+        )
     }
 
     /// All runs of a request.
@@ -204,7 +209,9 @@
             stale += usize::from(status == Some(404));
         }
     }
-    world.record(&format!("{stale} of 24 requests were handled as only the older version allows"));
+    world.record(&format!(
+        "{stale} of 24 requests were handled as only the older version allows"
+    ));
     deployment.end();
     Some(stale > 0)
 }
@@ -221,7 +228,8 @@
         world.record("the time of day of the machine jumps 4 s ahead");
     }
     let runs = Arc::clone(&deployment.runs);
-    let start = |number, born| Life::start(world, index, id, service_of(index), number, born, &runs);
+    let start =
+        |number, born| Life::start(world, index, id, service_of(index), number, born, &runs);
     let first = start(1, world::wall_ms() + ahead);
     let runs_of_life = |life: u64| {
         let runs = runs.lock().expect("no thread panics with the runs");
@@ -256,9 +264,9 @@
     while world.now() < acknowledged + DRAIN_S + 6.0 {
         let (request, _) = ask();
         let runs = deployment.runs_of(&request);
-        let after = runs.iter().filter(|run| {
-            run.target == index && run.life == 2 && run.at > acknowledged + DRAIN_S
-        });
+        let after = runs
+            .iter()
+            .filter(|run| run.target == index && run.life == 2 && run.at > acknowledged + DRAIN_S);
         late += after.count();
         thread::sleep(Duration::from_millis(50));
     }
@@ -310,7 +318,10 @@
     }
     thread::sleep(Duration::from_secs(4));
     let late_check_in = last.check_in();
-    world.record(&format!("target {} sends a check-in that is delayed", last.id));
+    world.record(&format!(
+        "target {} sends a check-in that is delayed",
+        last.id
+    ));
     let acknowledged = last.deregister(Duration::from_secs(5))?;
     if trouble {
         deployment.routers[0].kill();
@@ -320,7 +331,9 @@
     let started = world.now();
     thread::sleep(Duration::from_millis(2_500));
     let answered = last.send_check_in(&late_check_in);
-    world.record(&format!("the delayed check-in arrives, answered with 200: {answered}"));
+    world.record(&format!(
+        "the delayed check-in arrives, answered with 200: {answered}"
+    ));
     // `stabilityWindowS` after its start, the machine is in touch again.
     let in_touch = started + 3.5;
     let mut late = 0;
@@ -328,9 +341,7 @@
         for machine in ROUTERS..ROUTERS + 4 {
             let sent = world.now();
             let (id, _) = world::ask(world, machine, "GET", "/portal/work", "");
-            let is_late = |run: &Run| {
-                run.at > acknowledged + DRAIN_S && sent > in_touch
-            };
+            let is_late = |run: &Run| run.at > acknowledged + DRAIN_S && sent > in_touch;
             late += usize::from(ran(&id).is_some_and(|run| is_late(&run)));
         }
         thread::sleep(Duration::from_millis(50));
@@ -361,13 +372,19 @@
         if round > 0 && trouble {
             for index in 0..deployment.routers.len() {
                 deployment.routers[index].signal(world::SIGTERM);
-                world.record(&format!("platform stops {}", deployment.routers[index].name));
+                world.record(&format!(
+                    "platform stops {}",
+                    deployment.routers[index].name
+                ));
                 thread::sleep(GAP);
                 deployment.routers.iter_mut().for_each(restart_ended);
             }
             world::wait_until(world, "all routers have started again", STOP_MAX, || {
                 deployment.routers.iter_mut().for_each(restart_ended);
-                deployment.routers.iter_mut().all(|router| !router.has_ended() && router.is_ready())
+                deployment
+                    .routers
+                    .iter_mut()
+                    .all(|router| !router.has_ended() && router.is_ready())
             });
             // The machines are in touch again after `stabilityWindowS`.
             thread::sleep(Duration::from_secs_f64(STABILITY_WINDOW_S + 0.2));
@@ -381,7 +398,10 @@
                 let (world, machine) = (Arc::clone(world), caller - copy);
                 thread::spawn(move || {
                     let at = world.now();
-                    (at, world::ask(&world, machine, "GET", "/portal/crash", "").0)
+                    (
+                        at,
+                        world::ask(&world, machine, "GET", "/portal/crash", "").0,
+                    )
                 })
             })
             .collect();
@@ -461,7 +481,11 @@
         return None;
     }
     thread::sleep(Duration::from_secs(2));
-    let path = if trouble { "/portal/midway" } else { "/portal/calm" };
+    let path = if trouble {
+        "/portal/midway"
+    } else {
+        "/portal/calm"
+    };
     let mut lost = 0;
     let mut reached: Vec<f64> = Vec::new();
     let mut retries = 0;
@@ -480,7 +504,9 @@
         let (id, _) = world::ask(world, 24, "GET", path, "");
         let runs = deployment.runs_of(&id);
         if trouble {
-            let is_late = reached.get(2).is_some_and(|third| sent > third + STABILITY_WINDOW_S);
+            let is_late = reached
+                .get(2)
+                .is_some_and(|third| sent > third + STABILITY_WINDOW_S);
             retries += usize::from(is_late && !runs.is_empty());
             reached.extend(runs.iter().map(|run| run.at));
             reached.sort_by(f64::total_cmp);
@@ -544,7 +570,9 @@
                 while !ended.load(Ordering::Relaxed) {
                     let at = world.now();
                     let (id, _) = world::ask(&world, machine, "GET", "/portal/tenant", key);
-                    sent.lock().expect("no thread panics with the times").push((id, at));
+                    sent.lock()
+                        .expect("no thread panics with the times")
+                        .push((id, at));
                     thread::sleep(Duration::from_millis(10));
                 }
             })
@@ -563,15 +591,25 @@
     for client in clients {
         client.join().ok()?;
     }
-    let sent = sent.lock().expect("no thread panics with the times").clone();
+    let sent = sent
+        .lock()
+        .expect("no thread panics with the times")
+        .clone();
     let mut spans: Vec<(f64, f64)> = Vec::new();
-    for run in deployment.runs.lock().expect("no thread panics with the runs").iter() {
+    for run in deployment
+        .runs
+        .lock()
+        .expect("no thread panics with the runs")
+        .iter()
+    {
         if let Some((_, at)) = sent.iter().find(|(id, _)| *id == run.id) {
             spans.push((*at, run.at));
         }
     }
     let windows = spans.iter().map(|(from, _)| {
-        let inside = spans.iter().filter(|(sent, ran)| sent >= from && *ran <= from + WINDOW_S);
+        let inside = spans
+            .iter()
+            .filter(|(sent, ran)| sent >= from && *ran <= from + WINDOW_S);
         (inside.count(), *from)
     });
     let (most, from) = windows.max_by_key(|(count, _)| *count)?;
@@ -613,7 +651,7 @@
     if trouble {
         network.set_cut(true);
     }
-    thread::sleep(Duration::from_secs(11));
+    thread::sleep(Duration::from_secs(12));
     let send = |node: u8, service: &str| {
         let body = world::upsert(&[world::route("r-race", 5, "/race/", "unsafe", service)]);
         world::change(world, &[node], &body, Duration::from_secs(3))
@@ -636,12 +674,16 @@
             body
         });
         let held = body.as_deref().and_then(|body| service_in(body, "/race/"));
-        world.record(&format!("core-{node} shows r-race, version 5, of service {held:?}"));
+        world.record(&format!(
+            "core-{node} shows r-race, version 5, of service {held:?}"
+        ));
         for (acknowledged, service) in [(first, "portal"), (second, "ledger")] {
             lost += usize::from(acknowledged == Some(200) && held.as_deref() != Some(service));
         }
     }
-    world.record(&format!("{lost} times an acknowledged item isn't what was sent"));
+    world.record(&format!(
+        "{lost} times an acknowledged item isn't what was sent"
+    ));
     deployment.end();
     Some(lost > 0)
 }
@@ -656,7 +698,11 @@
 /// A route has a time of 17 significant digits.
 pub fn number(world: &Arc<World>, trouble: bool) -> Option<bool> {
     let mut deployment = Deployment::start(world, &[])?;
-    let sent = if trouble { "1.1500000000000001" } else { "1.15" };
+    let sent = if trouble {
+        "1.1500000000000001"
+    } else {
+        "1.15"
+    };
     let route = world::route("r-number", 2, "/number/", "safe", "portal");
     let route = route.replace("\"timeoutS\":1", &format!("\"timeoutS\":{sent}"));
     if world::change(world, &[1, 2, 3], &world::upsert(&[route]), PATIENCE) != Some(200) {
--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -21,6 +21,11 @@
         eprintln!("usage: review-stand-in-3 CASE RECORD");
         return ExitCode::from(2);
     };
+    // What the program needs is missing, such as a free address; its processes end with it.
+    std::panic::set_hook(Box::new(|problem| {
+        eprintln!("{problem}");
+        std::process::exit(2);
+    }));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let world = World::new(record);
     thread::spawn(|| {
--- a/review/stand-in-3/src/network.rs
+++ b/review/stand-in-3/src/network.rs
@@ -7,17 +7,18 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-use crate::world::World;
 use crate::world::FORWARDERS;
+use crate::world::World;
 
 /// Time without bytes after which a copying thread looks at the cut again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -44,14 +45,18 @@
 
     /// Records the process of a machine.
     pub fn record(&self, pid: u32, machine: u8) {
-        let mut machines = self.machines.lock().expect("no thread panics with the machines");
+        let mut machines = self
+            .machines
+            .lock()
+            .expect("no thread panics with the machines");
         machines.push((pid, machine));
     }
 
     pub fn set_cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::Relaxed);
         let text = if is_cut { "cut" } else { "joined" };
-        self.world.record(&format!("network: machines {:?} are {text}", self.side));
+        self.world
+            .record(&format!("network: machines {:?} are {text}", self.side));
     }
 
     /// Forwards a port of a machine.
@@ -68,10 +73,14 @@
     }
 
     fn serve(&self, client: TcpStream, machine: u8, port: u16) {
-        let from = client.peer_addr().ok().and_then(|from| self.machine_of(from.port()));
-        let crosses = from.is_some_and(|from| {
-            self.side.contains(&from) != self.side.contains(&machine)
-        });
+        let (Ok(from), Ok(to)) = (client.peer_addr(), client.local_addr()) else {
+            return;
+        };
+        // A connection that was closed at once is not found; nothing is lost with it.
+        let Some(from) = self.machine_of(from, to) else {
+            return;
+        };
+        let crosses = self.side.contains(&from) != self.side.contains(&machine);
         while crosses && self.is_cut.load(Ordering::Relaxed) {
             thread::sleep(CHECK_INTERVAL);
         }
@@ -104,22 +113,37 @@
         drop((from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both)));
     }
 
-    /// The machine whose process has this local port.
-    fn machine_of(&self, port: u16) -> Option<u8> {
+    /// The machine whose process has the connection between these addresses.
+    fn machine_of(&self, from: SocketAddr, to: SocketAddr) -> Option<u8> {
         let table = fs::read_to_string("/proc/net/tcp").ok()?;
-        let local = format!(":{port:04X}");
-        let inode = table.lines().skip(1).find_map(|line| {
+        let (local, remote) = (encode(from)?, encode(to)?);
+        let inode = table.lines().find_map(|line| {
             let fields: Vec<&str> = line.split_whitespace().collect();
-            let is_found = fields.get(1)?.ends_with(&local) && *fields.get(3)? == "01";
+            let is_found = *fields.get(1)? == local && *fields.get(2)? == remote;
             is_found.then(|| fields.get(9).map(|inode| format!("socket:[{inode}]")))?
         })?;
-        let machines = self.machines.lock().expect("no thread panics with the machines").clone();
+        let machines = self
+            .machines
+            .lock()
+            .expect("no thread panics with the machines")
+            .clone();
         machines.into_iter().find_map(|(pid, machine)| {
             let files = fs::read_dir(format!("/proc/{pid}/fd")).ok()?;
-            let mut links = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
+            let mut links = files
+                .flatten()
+                .filter_map(|file| fs::read_link(file.path()).ok());
             links
                 .any(|link| link.to_string_lossy() == inode)
                 .then_some(machine)
         })
     }
 }
+
+/// An address as the kernel's table has it.
+fn encode(address: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(address) = address else {
+        return None;
+    };
+    let ip = u32::from_le_bytes(address.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
+}
--- a/review/stand-in-3/src/world.rs
+++ b/review/stand-in-3/src/world.rs
@@ -14,11 +14,11 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -82,8 +82,13 @@
 
     pub fn record(&self, line: &str) {
         let line = format!("{:8.3} {line}\n", self.now());
-        let mut record = self.record.lock().expect("no thread panics with the record");
-        record.write_all(line.as_bytes()).expect("the record can be written");
+        let mut record = self
+            .record
+            .lock()
+            .expect("no thread panics with the record");
+        record
+            .write_all(line.as_bytes())
+            .expect("the record can be written");
         print!("{line}");
     }
 
@@ -187,7 +192,12 @@
         let ip = self.world.ip(self.index);
         let seeds: Vec<String> = seeds
             .iter()
-            .map(|seed| format!("\"{}\"", self.world.address(self.seen_at(*seed), ADMIN_PORT)))
+            .map(|seed| {
+                format!(
+                    "\"{}\"",
+                    self.world.address(self.seen_at(*seed), ADMIN_PORT)
+                )
+            })
             .collect();
         let seeds = seeds.join(",");
         let zone = match self.index {
@@ -314,7 +324,10 @@
     stream.read_to_end(&mut bytes)?;
     let text = String::from_utf8_lossy(&bytes).into_owned();
     let (head, body) = text.split_once("\r\n\r\n").ok_or(failed("no head"))?;
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     let lower = head.to_ascii_lowercase();
     if let Some(length) = field(&lower, "content-length") {
         if length.parse() != Ok(body.len()) {
@@ -476,11 +489,15 @@
 
     fn end(&self) {
         self.stop.store(true, Ordering::Relaxed);
-        let streams = self.streams.lock().expect("no thread panics with the streams");
+        let streams = self
+            .streams
+            .lock()
+            .expect("no thread panics with the streams");
         for stream in streams.iter() {
             drop(stream.shutdown(Shutdown::Both));
         }
-        self.world.record(&format!("target {} life {} crashes", self.id, self.number));
+        self.world
+            .record(&format!("target {} life {} crashes", self.id, self.number));
     }
 
     pub fn has_ended(&self) -> bool {
@@ -527,7 +544,8 @@
             let answer = post(self.world.address(self.index, ADMIN_PORT), &path, &body);
             if answer.is_ok_and(|answer| answer.status == 200) {
                 let at = self.world.now();
-                self.world.record(&format!("deregistration of {} is acknowledged", self.id));
+                self.world
+                    .record(&format!("deregistration of {} is acknowledged", self.id));
                 return Some(at);
             }
             thread::sleep(Duration::from_millis(300));
@@ -539,11 +557,15 @@
     pub fn drain(&self, patience: Duration) -> Option<f64> {
         self.draining.store(true, Ordering::Relaxed);
         let started = Instant::now();
-        self.world.record(&format!("target {} life {} reports draining", self.id, self.number));
+        self.world.record(&format!(
+            "target {} life {} reports draining",
+            self.id, self.number
+        ));
         while started.elapsed() < patience {
             if self.beat() {
                 let at = self.world.now();
-                self.world.record(&format!("draining of {} is acknowledged", self.id));
+                self.world
+                    .record(&format!("draining of {} is acknowledged", self.id));
                 return Some(at);
             }
             thread::sleep(Duration::from_millis(300));
@@ -568,7 +590,10 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_millis(50)))?;
         let clone = stream.try_clone()?;
-        self.streams.lock().expect("no thread panics with the streams").push(clone);
+        self.streams
+            .lock()
+            .expect("no thread panics with the streams")
+            .push(clone);
         let mut bytes: Vec<u8> = Vec::new();
         loop {
             let Some(end) = find(&bytes, b"\r\n\r\n") else {
@@ -593,7 +618,11 @@
                 return Ok(());
             }
             stream.write_all(answer.as_bytes())?;
-            if head.split(' ').nth(1).is_some_and(|path| path.ends_with("/midway")) {
+            if head
+                .split(' ')
+                .nth(1)
+                .is_some_and(|path| path.ends_with("/midway"))
+            {
                 thread::sleep(Duration::from_millis(20));
                 self.end();
                 return Ok(());
@@ -650,7 +679,10 @@
             "target {} of {} runs {id} {path}, life {}",
             self.id, self.service, self.number
         ));
-        self.runs.lock().expect("no thread panics with the runs").push(run);
+        self.runs
+            .lock()
+            .expect("no thread panics with the runs")
+            .push(run);
         if path.ends_with("/crash") {
             self.end();
             return String::new();
@@ -673,13 +705,23 @@
 }
 
 fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|window| window == wanted)
+    bytes
+        .windows(wanted.len())
+        .position(|window| window == wanted)
 }
 
 /// Sends one request of a client to the `outbound` address of a machine, and records the answer.
-pub fn ask(world: &World, machine: u8, method: &str, path: &str, more: &str) -> (String, Option<u16>) {
+pub fn ask(
+    world: &World,
+    machine: u8,
+    method: &str,
+    path: &str,
+    more: &str,
+) -> (String, Option<u16>) {
     let id = world.id();
-    world.record(&format!("client at sidecar-{machine} sends {id} {method} {path}"));
+    world.record(&format!(
+        "client at sidecar-{machine} sends {id} {method} {path}"
+    ));
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: nony.example\r\nShallotrill-Attempt-Id: {id}\r\nShallotrill-Deadline-Ms: 2000\r\n{more}"
     );
@@ -703,7 +745,12 @@
 }
 
 /// Waits until a condition holds.
-pub fn wait_until(world: &World, what: &str, limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+pub fn wait_until(
+    world: &World,
+    what: &str,
+    limit: Duration,
+    mut holds: impl FnMut() -> bool,
+) -> bool {
     let started = Instant::now();
     while started.elapsed() < limit {
         if holds() {
