--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -186,8 +186,8 @@
     if !knows {
         return None;
     }
-    // `stabilityWindowS` after the last event, all machines are in touch. Routers renew each second.
-    thread::sleep(Duration::from_secs(6));
+    // `recoveryS` after all are back, and long after `stabilityWindowS`.
+    thread::sleep(Duration::from_secs(16));
     let moved = world::upsert(&[
         world::route("r-portal", 2, "/portal/", "safe", "ledger"),
         world::route("r-new", 2, "/new/", "safe", "portal"),
