feed: keep the addresses of registry processes through a cut of any length

Cause: routers and registry processes removed an address after 30 s of silence unless it was a seed of the settings at their start. A reload did not replace those seeds, so an outage of 30 s emptied the list.

Ruled out by the logs: an unread reload (settings-reloaded is logged), registry processes that do not come back (they show the change), and failed connections (registry-forgotten is logged five times and no attempt follows).

Change: feed::directory::Directory holds the addresses for both roles. Seeds follow each reload. An address that is not a seed is removed only after 30 s of silence and only if more than half of the known processes are in contact and do not name it, so the smaller side of a cut removes nothing.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -9,6 +9,7 @@
 //! Routers and registry processes are the roles of `shallotrill platform`. The roles
 //! of `shallotrill run`, node and control process, do not use this protocol.
 
+pub mod directory;
 pub mod frame;
 pub mod link;
 pub mod message;
--- a/crates/registry/src/maintenance.rs
+++ b/crates/registry/src/maintenance.rs
@@ -8,9 +8,9 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::members::MEMBER_RETENTION_PERIOD;
 use crate::propose;
 use crate::state::State;
+use shallotrill_feed::directory::RETENTION_PERIOD;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::item::Content;
 use shallotrill_items::item::Key;
@@ -40,7 +40,7 @@
         become_voter(&state).await;
         let uncommitted = {
             let mut consensus = state.consensus.lock();
-            consensus.roster.remove_silent(MEMBER_RETENTION_PERIOD, now);
+            consensus.roster.remove_silent(RETENTION_PERIOD, now);
             let entries = consensus.replica.uncommitted();
             let ballots =
                 entries.filter_map(|e| Some((e.key.clone(), e.accepted.as_ref()?.ballot)));
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -45,9 +45,6 @@
 /// Delay after a failed poll.
 pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// A registry process without contact for this long is removed, unless it is a seed.
-pub(crate) const MEMBER_RETENTION_PERIOD: Duration = Duration::from_secs(30);
-
 /// Handles one request of another process.
 pub async fn handle(state: &Arc<State>, request: &Request) -> Reply {
     match request {
@@ -266,15 +263,17 @@
             continue;
         }
         let peer = {
+            let now = state.now();
             let mut peers = state.peers.lock();
-            let Err(index) = peers.binary_search_by(|p| p.link.address().cmp(&address)) else {
+            if !peers.directory.add(address, now) {
                 continue;
-            };
+            }
             let peer = Arc::new(Peer {
                 link: Link::new(address),
                 cursor: Mutex::new(Rank::Claims, Cursor::default()),
             });
-            peers.insert(index, Arc::clone(&peer));
+            let index = peers.list.partition_point(|p| p.link.address() < address);
+            peers.list.insert(index, Arc::clone(&peer));
             peer
         };
         info!(event = "registry-met", address = address.to_string().as_str(); "following a new registry process");
@@ -282,13 +281,11 @@
     }
 }
 
-/// Copies the registers of another process by long polls, until it is unreachable for
-/// [`MEMBER_RETENTION_PERIOD`].
+/// Copies the registers of another process by long polls, until the directory removes it.
 async fn copy_from_peer(state: Arc<State>, peer: Arc<Peer>) {
     let address = peer.link.address();
     let link = Link::new(address);
     let mut stop = state.stop.subscribe();
-    let mut last_contact = state.now();
     let mut reachable = false;
     loop {
         let request = copy_request(&state, &peer, COPY_WAIT);
@@ -303,7 +300,12 @@
                     info!(event = "registry-reachable", address = address.to_string().as_str(); "registry process is reachable");
                 }
                 reachable = true;
-                last_contact = state.now();
+                let now = state.now();
+                state
+                    .peers
+                    .lock()
+                    .directory
+                    .record_contact(address, &registers.registries, now);
                 apply_copy(&state, &peer, &registers, requested_at);
                 follow(&state, &registers.registries);
             }
@@ -312,14 +314,21 @@
                     warn!(event = "registry-lost", address = address.to_string().as_str(); "long poll of the registry process failed: {other:?}");
                 }
                 reachable = false;
+                state.peers.lock().directory.record_failure(address);
                 time::sleep(RETRY_INTERVAL).await;
             }
         }
-        let expired = state.now().since(last_contact) > MEMBER_RETENTION_PERIOD;
-        if expired && !state.settings.seeds.contains(&address) {
+        let now = state.now();
+        let is_removed = {
             let mut peers = state.peers.lock();
-            peers.retain(|p| p.link.address() != address);
-            info!(event = "registry-forgotten", address = address.to_string().as_str(); "registry process removed after a long time without contact");
+            let is_removed = peers.directory.remove_replaced(address, now);
+            if is_removed {
+                peers.list.retain(|p| p.link.address() != address);
+            }
+            is_removed
+        };
+        if is_removed {
+            info!(event = "registry-forgotten", address = address.to_string().as_str(); "registry process removed: it has been replaced");
             return;
         }
     }
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use log::info;
@@ -17,6 +18,7 @@
 use crate::settings::Settings;
 use crate::state::ConsensusState;
 use crate::state::Listeners;
+use crate::state::Peers;
 use crate::state::State;
 use crate::store;
 use crate::store::Content;
@@ -109,7 +111,7 @@
         announcements: Mutex::new(Rank::Membership, announcements::Table::default()),
         allotments: Mutex::new(Rank::Budget, allotments::Table::new(clock.now())),
         departures: Mutex::new(Rank::Report, departures),
-        peers: Mutex::new(Rank::Pool, Vec::new()),
+        peers: Mutex::new(Rank::Pool, Peers::default()),
         confirming: AsyncMutex::new(()),
         consensus: Mutex::new(
             Rank::Consensus,
@@ -144,6 +146,7 @@
         handler,
     ));
     let seeds = state.settings.seeds.clone();
+    state.peers.lock().directory.set_seeds(&seeds);
     members::follow(&state, &seeds);
     tokio::spawn(allotments::maintain(Arc::clone(&state), stopped.clone()));
     tokio::spawn(Arc::clone(&state.memory).watch(stopped.clone()));
@@ -173,8 +176,9 @@
         Arc::clone(&self.state)
     }
 
-    /// Starts to follow the seeds of a changed configuration.
-    pub fn set_seeds(&self, seeds: &[std::net::SocketAddr]) {
+    /// Replaces the seeds by those of a changed configuration, and starts to follow them.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        self.state.peers.lock().directory.set_seeds(seeds);
         members::follow(&self.state, seeds);
     }
 
--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -14,7 +14,8 @@
     pub listen: SocketAddr,
     /// Address at which other processes reach this one; `None` when it is `listen`.
     pub advertised: Option<SocketAddr>,
-    /// Registry processes to contact first; they need not be reachable.
+    /// Registry processes to contact first; they need not be reachable. The seeds at the start, which
+    /// `Registry::set_seeds` replaces.
     pub seeds: Vec<SocketAddr>,
     /// Number of disks that may be lost at the same time without losing a configured item.
     pub tolerated_disks: usize,
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -16,6 +16,7 @@
 use crate::store;
 use crate::store::Content;
 use crate::store::Store;
+use shallotrill_feed::directory::Directory;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Cursor;
 use shallotrill_items::ballot::Ballot;
@@ -93,6 +94,15 @@
     pub cursor: Mutex<Cursor>,
 }
 
+/// The other registry processes that this one follows.
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// Their addresses, and when one is removed.
+    pub directory: Directory,
+    /// Sorted by address; the same addresses as in `directory`.
+    pub list: Vec<Arc<Peer>>,
+}
+
 /// Limits of the listeners of a registry process.
 #[derive(Debug)]
 pub struct Listeners {
@@ -122,8 +132,8 @@
     pub allotments: Mutex<allotments::Table>,
     /// Departures that routers have acknowledged to their backend servers.
     pub departures: Mutex<departures::Table>,
-    /// Other registry processes, sorted by address.
-    pub peers: Mutex<Vec<Arc<Peer>>>,
+    /// Other registry processes.
+    pub peers: Mutex<Peers>,
     /// Held while the registers of the other processes are copied to confirm what is in force.
     pub confirming: AsyncMutex<()>,
     /// The replicated registers.
@@ -191,7 +201,7 @@
 
     /// All other known registry processes.
     pub fn peers(&self) -> Vec<Arc<Peer>> {
-        self.peers.lock().clone()
+        self.peers.lock().list.clone()
     }
 
     /// Addresses of all known registry processes, including this one.
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -20,6 +20,7 @@
 use crate::reading::Progress;
 use crate::reading::Stated;
 use crate::state::State;
+use shallotrill_feed::directory::Directory;
 use shallotrill_feed::link::Link;
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Announcements;
@@ -54,9 +55,6 @@
 /// Longest wait for the reply to an announcement that is sent outside the long poll.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A registry without contact for this long is removed, unless it is a seed.
-const REGISTRY_RETENTION_PERIOD: Duration = Duration::from_secs(30);
-
 /// The view of a registry without contact for this long counts only when no view is fresher.
 const VIEW_AGE_MAX: Duration = Duration::from_secs(5);
 
@@ -92,6 +90,7 @@
 /// Announcements that all registry processes report, and the targets that follow from them.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryViews {
+    directory: Directory,
     /// Sorted by address.
     views: Vec<View>,
     /// Targets at the last call of `difference`, sorted by instance.
@@ -114,8 +113,14 @@
 }
 
 impl RegistryViews {
+    /// Replaces the seeds by those of the settings in force.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.directory.set_seeds(seeds);
+    }
+
     /// Adds a registry process. Returns whether it is new.
-    fn add(&mut self, registry: SocketAddr) -> bool {
+    fn add(&mut self, registry: SocketAddr, now: Instant) -> bool {
+        self.directory.add(registry, now);
         let Err(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) else {
             return false;
         };
@@ -129,12 +134,24 @@
         true
     }
 
-    fn remove(&mut self, registry: SocketAddr) {
-        self.changed = true;
-        self.views.retain(|view| view.registry != registry);
+    /// Removes a registry process that has been replaced. Returns whether it was removed.
+    fn remove_replaced(&mut self, registry: SocketAddr, now: Instant) -> bool {
+        let is_removed = self.directory.remove_replaced(registry, now);
+        if is_removed {
+            self.changed = true;
+            self.views.retain(|view| view.registry != registry);
+        }
+        is_removed
     }
 
-    fn record_view(&mut self, registry: SocketAddr, announcements: Announcements, now: Instant) {
+    fn record_view(
+        &mut self,
+        registry: SocketAddr,
+        announcements: Announcements,
+        named: &[SocketAddr],
+        now: Instant,
+    ) {
+        self.directory.record_contact(registry, named, now);
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
             let view = &mut self.views[index];
             view.last_contact = Some(now);
@@ -145,6 +162,7 @@
     }
 
     fn record_lost(&mut self, registry: SocketAddr) {
+        self.directory.record_failure(registry);
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
             self.views[index].contact_since = None;
         }
@@ -227,7 +245,8 @@
 /// Starts to follow those registry processes that are not followed yet.
 pub fn follow(state: &Arc<State>, addresses: &[SocketAddr], stop: &watch::Receiver<bool>) {
     for &address in addresses {
-        if state.views.lock().add(address) {
+        let now = state.now();
+        if state.views.lock().add(address, now) {
             info!(event = "registry-met", address = address.to_string().as_str(); "following a new registry process");
             tokio::spawn(watch_registry(Arc::clone(state), address, stop.clone()));
             tokio::spawn(push_announcements(Arc::clone(state), address, stop.clone()));
@@ -239,7 +258,6 @@
     let link = Link::new(address);
     let mut progress = Progress::default();
     let mut cursor = Cursor::default();
-    let mut last_contact = state.now();
     let mut reachable = false;
     loop {
         let interest = interest(&state, progress, reachable);
@@ -275,7 +293,6 @@
                     info!(event = "registry-reachable", address = address.to_string().as_str(); "registry process is reachable");
                 }
                 reachable = true;
-                last_contact = state.now();
                 if next.session != cursor.session {
                     progress = Progress::default();
                 }
@@ -294,10 +311,11 @@
                 };
                 progress.record(stated, state.items().item_set_hash().0);
                 merge_crashes(&state, &announcements.changed);
+                let now = state.now();
                 state
                     .views
                     .lock()
-                    .record_view(address, announcements, last_contact);
+                    .record_view(address, announcements, &registries, now);
                 apply_targets(&state);
                 follow(&state, &registries, &stop);
                 if reads_items {
@@ -316,10 +334,9 @@
                 time::sleep(RETRY_INTERVAL).await;
             }
         }
-        let expired = state.now().since(last_contact) > REGISTRY_RETENTION_PERIOD;
-        if expired && !state.settings.registries.contains(&address) {
-            state.views.lock().remove(address);
-            info!(event = "registry-forgotten", address = address.to_string().as_str(); "registry process removed after a long time without contact");
+        let now = state.now();
+        if state.views.lock().remove_replaced(address, now) {
+            info!(event = "registry-forgotten", address = address.to_string().as_str(); "registry process removed: it has been replaced");
             return;
         }
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -181,6 +181,7 @@
             Arc::new(move |request| Box::pin(serve::handle(Arc::clone(&serve_state), request))),
         )),
     ];
+    state.views.lock().set_seeds(&registries);
     follow::follow(&state, &registries, &loops_stopped);
     tokio::spawn(probe::run(Arc::clone(&state), loops_stopped.clone()));
     tokio::spawn(pacer::run(Arc::clone(&state), loops_stopped.clone()));
@@ -338,8 +339,9 @@
         Arc::clone(&self.state)
     }
 
-    /// Starts to follow the registry processes of a changed configuration.
+    /// Replaces the seeds by those of a changed configuration, and starts to follow them.
     pub fn set_seeds(&self, registries: &[SocketAddr]) {
+        self.state.views.lock().set_seeds(registries);
         follow::follow(&self.state, registries, &self.stop_loops.subscribe());
     }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -27,7 +27,8 @@
     pub zone: zone::Name,
     /// Region of the availability zone.
     pub region: region::Name,
-    /// Registry processes to contact first; they report the others.
+    /// Registry processes to contact first; they report the others. The seeds at the start, which
+    /// `Router::set_seeds` replaces.
     pub registries: Vec<SocketAddr>,
     /// Retries allowed for each thousand first attempts, over all routers.
     pub retry_permille: u32,
