items, registry: agree on the voters instead of counting those heard from

Cause: a quorum was more than half of the voters heard from in the last ten seconds, and a process became a voter by itself when it had heard from fewer than five for two seconds.

Change: the list of voters is an item of its own, which a quorum of each version changes by one process (items::voters, items::roster, registry::election). A step of a proposal names the version of the list; a voter with a later one refuses. A departure counts the voters of the agreed list, and a router that has none does not acknowledge it. Wire version 5.

The group test `a_vote_that_is_no_longer_needed_stays_on_disk` is replaced: a vote is no longer stored by the process alone, so there is none to keep. Its replacement `a_process_whose_place_was_taken_is_no_voter_after_a_restart` checks after a restart that the late process is no voter and that the list has five.

--- a/crates/feed/src/directory.rs
+++ b/crates/feed/src/directory.rs
@@ -37,6 +37,11 @@
         self.seeds = seeds.to_vec();
     }
 
+    /// The seeds of the settings in force.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
     /// Adds a registry process. Returns whether it is new.
     pub fn add(&mut self, address: SocketAddr, now: Instant) -> bool {
         let Err(index) = self.find(address) else {
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -11,6 +11,7 @@
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::item::Item;
 use shallotrill_items::item::Key;
+use shallotrill_items::replica::Accepted;
 use shallotrill_items::replica::Entry;
 use shallotrill_items::replica::Promise;
 use shallotrill_items::replica::Proposal;
@@ -23,7 +24,7 @@
 use shallotrill_retry::containment::CrashRecord;
 
 /// Version of the message format. Frames with another version are rejected.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// State that a router announces to the registry: its address and its local backend server. The backend server
 /// reports its own state to the router in another type, `ServerAnnouncement` of the router package.
@@ -117,6 +118,19 @@
     pub announcements: u64,
     /// Last revision of the departures that was read; only registry processes read them by revision.
     pub departures: u64,
+    /// Version of the voters that the process had on disk; only registry processes read it.
+    pub voters: u64,
+}
+
+/// The voters that a registry process knows, for routers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Electorate {
+    /// Version of the list; 0 before the first one.
+    pub version: u64,
+    /// Number of voters that are a quorum.
+    pub quorum: u32,
+    /// Addresses of the voters.
+    pub voters: Vec<SocketAddr>,
 }
 
 /// What a router requests of the items in force.
@@ -148,8 +162,13 @@
     },
     /// A router announces a change without waiting for its next watch request.
     Announce(Announcement),
-    /// A router reports departures, which must be durable before it acknowledges them.
-    Depart(Vec<Departure>),
+    /// A router reports departures, which must be durable at a quorum before it acknowledges them.
+    Depart {
+        /// Version of the voters that the router knows.
+        voters: u64,
+        /// The departures.
+        departures: Vec<Departure>,
+    },
     /// A registry process copies the registers of another one.
     Copy {
         /// Position up to which the requesting process has read.
@@ -167,6 +186,8 @@
         ballot: Ballot,
         /// Keys of the registers that the proposal needs.
         keys: Vec<Key>,
+        /// The voters of which a quorum is needed, with the ballot at which they were accepted.
+        voters: Accepted,
     },
     /// Second phase of a proposal: requests that a voter accepts the items.
     Accept {
@@ -174,6 +195,8 @@
         ballot: Ballot,
         /// Items to accept, sorted by key.
         items: Vec<Proposed>,
+        /// The voters of which a quorum is needed, with the ballot at which they were accepted.
+        voters: Accepted,
     },
     /// Reports that a majority has accepted a proposal.
     Commit {
@@ -228,6 +251,8 @@
         departures: Option<Vec<Departure>>,
         /// Addresses of the registry processes, including the one that replies.
         registries: Vec<SocketAddr>,
+        /// The voters among them.
+        electorate: Electorate,
     },
     /// Reply to [`Request::Copy`]: the changes since the requesting process's cursor.
     Registers(Registers),
@@ -239,6 +264,8 @@
     Done,
     /// The voter has promised a higher ballot, so it rejects the proposal; contains that ballot.
     Overtaken(Ballot),
+    /// The request wants a quorum of an earlier version of the voters; contains the one in force.
+    Outdated(Accepted),
     /// The process cannot execute the request: it is not a voter, its disk rejects writes, or the session of the
     /// router has ended.
     Unable,
--- a/crates/feed/tests/frames.rs
+++ b/crates/feed/tests/frames.rs
@@ -17,6 +17,7 @@
 use shallotrill_feed::message::VERSION;
 use shallotrill_feed::server;
 use shallotrill_items::ballot::Ballot;
+use shallotrill_items::voters;
 use shallotrill_wire::listen::Listener;
 
 /// Time limit for a call that is expected to get a reply.
@@ -114,6 +115,7 @@
             ..Ballot::default()
         },
         keys: Vec::new(),
+        voters: voters::first(Vec::new()),
     };
     let timed_out = link.call(&prepare(1), Duration::from_millis(50)).await;
     assert!(
@@ -149,6 +151,7 @@
     let request = Request::Prepare {
         ballot: Ballot::default(),
         keys: Vec::new(),
+        voters: voters::first(Vec::new()),
     };
     assert!(link.call(&request, REPLY_TIMEOUT).await.is_err());
     assert!(matches!(
--- a/crates/items/src/item.rs
+++ b/crates/items/src/item.rs
@@ -10,6 +10,7 @@
 use crate::route::Route;
 use crate::route::Service;
 use crate::stored;
+use crate::voters::Voter;
 use crate::workspace::Workspace;
 use shallotrill_model::workspace;
 
@@ -28,6 +29,8 @@
     KeyHolder,
     /// An availability zone whose targets take no requests.
     Evacuation,
+    /// The list of the voters among the registry processes. There is one such item, kept by registry processes only.
+    Voters,
 }
 
 impl fmt::Display for Kind {
@@ -39,6 +42,7 @@
             Self::Workspace => "workspace",
             Self::KeyHolder => "key holder",
             Self::Evacuation => "evacuation",
+            Self::Voters => "voters",
         })
     }
 }
@@ -79,6 +83,8 @@
     KeyHolder(workspace::Name),
     /// The targets of the availability zone that the item names take no requests.
     Evacuation,
+    /// The registry processes whose replicas count towards a quorum.
+    Voters(Vec<Voter>),
 }
 
 /// One version of an item.
@@ -134,12 +140,12 @@
     pub const fn is_configuration(self) -> bool {
         match self {
             Self::Service | Self::Route | Self::Limits | Self::Workspace => true,
-            Self::KeyHolder | Self::Evacuation => false,
+            Self::KeyHolder | Self::Evacuation | Self::Voters => false,
         }
     }
 
     /// Whether routers need items of this kind.
     pub const fn is_for_routers(self) -> bool {
-        !matches!(self, Self::KeyHolder)
+        !matches!(self, Self::KeyHolder | Self::Voters)
     }
 }
--- a/crates/items/src/lib.rs
+++ b/crates/items/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod split;
 mod stored;
 pub mod table;
+pub mod voters;
 pub mod workspace;
--- a/crates/items/src/stored.rs
+++ b/crates/items/src/stored.rs
@@ -12,6 +12,7 @@
 
 use crate::item;
 use crate::route;
+use crate::voters::Voter;
 use crate::workspace::Workspace;
 use shallotrill_model::class::Class;
 use shallotrill_model::workspace;
@@ -29,6 +30,7 @@
     Workspace(Workspace),
     KeyHolder(workspace::Name),
     Evacuation,
+    Voters(Vec<Voter>),
 }
 
 #[derive(Clone, Serialize, Deserialize)]
@@ -109,6 +111,7 @@
             item::Content::Workspace(workspace) => Self::Workspace(workspace),
             item::Content::KeyHolder(name) => Self::KeyHolder(name),
             item::Content::Evacuation => Self::Evacuation,
+            item::Content::Voters(list) => Self::Voters(list),
         }
     }
 }
@@ -128,6 +131,7 @@
             Content::Workspace(workspace) => Self::Workspace(workspace),
             Content::KeyHolder(name) => Self::KeyHolder(name),
             Content::Evacuation => Self::Evacuation,
+            Content::Voters(list) => Self::Voters(list),
         }
     }
 }
--- a/crates/items/src/table.rs
+++ b/crates/items/src/table.rs
@@ -80,7 +80,7 @@
                 Kind::Route => self.rebuild_routes(),
                 Kind::Workspace => self.update_workspaces(items),
                 Kind::Evacuation => self.rebuild_evacuated(),
-                Kind::Service | Kind::Limits | Kind::KeyHolder => {}
+                Kind::Service | Kind::Limits | Kind::KeyHolder | Kind::Voters => {}
             }
         }
         !changed.is_empty()
--- a/crates/registry/src/evacuations.rs
+++ b/crates/registry/src/evacuations.rs
@@ -8,6 +8,7 @@
 use log::warn;
 
 use crate::propose;
+use crate::propose::Electors;
 use crate::propose::Failure;
 use crate::state::State;
 use shallotrill_items::evacuation;
@@ -75,7 +76,7 @@
         return Err(Error::UnknownZone { allowed });
     };
     let keys = vec![evacuation::key(zone)];
-    propose::propose(state, keys, &|reading, _| {
+    propose::propose(state, keys, Electors::InForce, &|reading, _| {
         evacuation::plan(order, zone, reading)
     })
     .await
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod allotments;
 pub mod announcements;
 pub mod departures;
+mod election;
 pub mod evacuations;
 mod maintenance;
 pub mod members;
--- a/crates/registry/src/maintenance.rs
+++ b/crates/registry/src/maintenance.rs
@@ -1,4 +1,4 @@
-//! Periodic maintenance of a registry process: expired leases, its vote, and interrupted proposals.
+//! Periodic maintenance of a registry process: expired leases and interrupted proposals.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +17,7 @@
 use shallotrill_process::metrics::count;
 use shallotrill_wire::listen;
 
-/// Runs the periodic maintenance: expires leases, makes this process a voter when it may vote, and
-/// repairs interrupted proposals.
+/// Runs the periodic maintenance: expires leases and repairs interrupted proposals.
 pub async fn maintain(state: Arc<State>, mut stop: watch::Receiver<bool>) {
     /// Interval of the maintenance; an item that stays uncommitted from one round to the next is
     /// proposed again.
@@ -37,7 +36,6 @@
         if !expired.is_empty() {
             state.notify();
         }
-        become_voter(&state).await;
         let uncommitted = {
             let mut consensus = state.consensus.lock();
             consensus.roster.remove_silent(RETENTION_PERIOD, now);
@@ -72,7 +70,6 @@
 /// Updates the gauges.
 fn update_gauges(state: &State) {
     let routers = state.announcements.lock().len();
-    let now = state.now();
     let consensus = state.consensus.lock();
     state.metrics.routers.set(count(routers));
     let evacuations = consensus.replica.committed();
@@ -83,45 +80,12 @@
         .set(count(evacuations.count()));
     let votes = consensus.roster.own().votes;
     state.metrics.votes.set(i64::from(votes));
-    let quorum = consensus.roster.quorum(now);
+    let quorum = consensus.roster.quorum();
+    let voters = consensus.roster.voters().len();
+    state.metrics.voters.set(count(voters));
     state.metrics.quorum.set(count(quorum));
     drop(consensus);
     let limits = &state.listeners;
     let all = [&limits.processes, &limits.operators];
     state.metrics.holders.set(&state.memory, &all);
 }
-
-/// Makes this process a voter if it may be one: at the first start of the whole system, or once it has copied enough
-/// voters.
-///
-/// The copied departures, the copied registers and the vote are durable before the vote counts. A stored vote that is no
-/// longer needed, because another process has become a voter during the write, is withdrawn from the disk.
-pub(crate) async fn become_voter(state: &State) {
-    let now = state.now();
-    {
-        let mut consensus = state.consensus.lock();
-        if consensus.roster.own().votes {
-            return;
-        }
-        let may_vote = consensus.roster.clone().admit(now);
-        if !may_vote && !consensus.stored_vote {
-            return;
-        }
-        consensus.stored_vote = may_vote;
-        consensus.changes += 1;
-    }
-    if !state.persist_departures().await || !state.persist().await {
-        // Either content may be on disk, so the next round writes again.
-        state.consensus.lock().stored_vote = true;
-        return;
-    }
-    let admitted = {
-        let now = state.now();
-        let mut consensus = state.consensus.lock();
-        consensus.stored_vote && consensus.roster.admit(now)
-    };
-    if admitted {
-        state.notify();
-        info!(event = "vote-admitted"; "this process is now a voter: its vote and the copied registers, if there were any, are on disk");
-    }
-}
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -26,8 +26,11 @@
 use shallotrill_feed::note;
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::item::Item;
+use shallotrill_items::item::Kind;
+use shallotrill_items::replica::Accepted;
 use shallotrill_items::replica::Entry;
 use shallotrill_items::replica::Proposal;
+use shallotrill_items::roster::Admission;
 use shallotrill_locks::Mutex;
 use shallotrill_locks::Rank;
 use shallotrill_model::time::Instant;
@@ -68,9 +71,14 @@
             announce(state, announcement.clone());
             Reply::Done
         }
-        Request::Depart(departures) => {
+        Request::Depart { voters, departures } => {
             merge_departures(state, departures);
-            if state.persist_departures().await {
+            // A process that knows a later version of the voters may have been copied from for it.
+            let counts = {
+                let consensus = state.consensus.lock();
+                consensus.roster.own().votes && consensus.roster.version() <= *voters
+            };
+            if state.persist_departures().await && counts {
                 Reply::Done
             } else {
                 Reply::Unable
@@ -89,8 +97,12 @@
             registers(state, *cursor)
         }
         Request::Show => Reply::Shown(show(state)),
-        Request::Prepare { ballot, keys } => {
-            let promised = vote(state, *ballot, |consensus| {
+        Request::Prepare {
+            ballot,
+            keys,
+            voters,
+        } => {
+            let promised = vote(state, *ballot, voters, |consensus| {
                 consensus
                     .replica
                     .prepare(*ballot, keys)
@@ -98,8 +110,12 @@
             });
             send_when_durable(state, promised).await
         }
-        Request::Accept { ballot, items } => {
-            let accepted = vote(state, *ballot, |consensus| {
+        Request::Accept {
+            ballot,
+            items,
+            voters,
+        } => {
+            let accepted = vote(state, *ballot, voters, |consensus| {
                 consensus
                     .replica
                     .accept(*ballot, items)
@@ -119,15 +135,26 @@
     }
 }
 
+/// Executes a step of a proposal if this process is one of the voters of the request, and those are in force.
+///
+/// The reply makes a newer version of the voters durable here too. After that, this process refuses steps that want a
+/// quorum of an earlier one.
 fn vote(
     state: &State,
     ballot: Ballot,
+    requested: &Accepted,
     step: impl FnOnce(&mut ConsensusState) -> Result<Reply, Ballot>,
 ) -> Reply {
     let mut consensus = state.consensus.lock();
     consensus.highest_ballot = consensus.highest_ballot.max(ballot);
-    if !consensus.roster.own().votes {
-        return Reply::Unable;
+    if consensus.roster.admission(&requested.item) == Admission::Newer {
+        consensus.commit(requested.ballot, std::slice::from_ref(&requested.item));
+        state.voters_changed.notify_one();
+    }
+    match consensus.roster.admission(&requested.item) {
+        Admission::Voter => {}
+        Admission::Outdated => return consensus.voters().map_or(Reply::Unable, Reply::Outdated),
+        Admission::NoVoter | Admission::Newer => return Reply::Unable,
     }
     match step(&mut consensus) {
         Ok(reply) => {
@@ -151,11 +178,12 @@
 pub(crate) fn commit(state: &State, ballot: Ballot, items: &[Arc<Item>]) {
     let changed = {
         let mut consensus = state.consensus.lock();
-        let changed = consensus.replica.commit(ballot, items);
-        consensus.changes += u64::from(changed);
-        changed
+        consensus.commit(ballot, items)
     };
     if changed {
+        if items.iter().any(|item| item.key.kind == Kind::Voters) {
+            state.voters_changed.notify_one();
+        }
         note::log_effective_items(items);
         state.notify();
     }
@@ -215,7 +243,7 @@
     let others = consensus.roster.others(now);
     RegistryStatus {
         member: consensus.roster.own(),
-        quorum: consensus.roster.quorum(now) as u32,
+        quorum: consensus.roster.quorum() as u32,
         others: others.map(|(m, elapsed)| (m, millis(elapsed))).collect(),
         entries: consensus.replica.entries().to_vec(),
         announcements,
@@ -223,9 +251,11 @@
 }
 
 fn registers_have_changed(state: &State, cursor: Cursor) -> bool {
-    cursor.session != state.session
-        || cursor.departures != state.departures.lock().revision()
-        || cursor.items != state.consensus.lock().replica.revision()
+    cursor.session != state.session || cursor.departures != state.departures.lock().revision() || {
+        let consensus = state.consensus.lock();
+        cursor.items != consensus.replica.revision()
+            || cursor.voters != consensus.roster.own().voters
+    }
 }
 
 fn registers(state: &State, cursor: Cursor) -> Reply {
@@ -247,6 +277,7 @@
             items: consensus.replica.revision(),
             announcements: 0,
             departures: departures_revision,
+            voters: consensus.roster.own().voters,
         },
         entries: consensus.replica.since(from.items),
         proposals: consensus.replica.proposals_since(from.items),
@@ -371,14 +402,7 @@
     let called_at = state.now();
     // Calls that wait here share the next copy.
     let _confirming = state.confirming.lock().await;
-    let is_confirmed = || {
-        let now = state.now();
-        state
-            .consensus
-            .lock()
-            .roster
-            .has_copied_quorum(called_at, now)
-    };
+    let is_confirmed = || state.consensus.lock().roster.has_copied_quorum(called_at);
     let mut copies = JoinSet::new();
     if !is_confirmed() {
         for peer in state.peers() {
@@ -406,10 +430,11 @@
 fn merge_entries(state: &State, entries: &[Entry], proposals: &[Proposal]) {
     let changed = {
         let mut consensus = state.consensus.lock();
-        let promised = entries.iter().map(|e| e.promised).max();
-        consensus.highest_ballot = consensus.highest_ballot.max(promised.unwrap_or_default());
-        let changed = consensus.replica.merge(entries, proposals);
-        consensus.changes += u64::from(changed);
+        let version = consensus.roster.version();
+        let changed = consensus.merge(entries, proposals);
+        if consensus.roster.version() != version {
+            state.voters_changed.notify_one();
+        }
         changed
     };
     if changed {
--- a/crates/registry/src/metrics.rs
+++ b/crates/registry/src/metrics.rs
@@ -19,6 +19,8 @@
     pub evacuated_zones: IntGauge,
     /// Whether this process is a voter, as 0 or 1.
     pub votes: IntGauge,
+    /// Number of voters in the list that this process knows.
+    pub voters: IntGauge,
     /// Number of replicas that must accept a change.
     pub quorum: IntGauge,
     /// Number of announced routers.
@@ -56,6 +58,10 @@
                 "Availability zones that are evacuated.",
             )?,
             votes: registry.gauge("shallotrill_registry_votes", "Whether this process votes.")?,
+            voters: registry.gauge(
+                "shallotrill_registry_voters",
+                "Voters in the list that this process knows.",
+            )?,
             quorum: registry.gauge(
                 "shallotrill_registry_quorum",
                 "Replicas that must accept a change.",
--- a/crates/registry/src/propose.rs
+++ b/crates/registry/src/propose.rs
@@ -23,7 +23,11 @@
 use shallotrill_items::proposal;
 use shallotrill_items::proposal::Plan;
 use shallotrill_items::proposal::QuorumRead;
+use shallotrill_items::replica::Accepted;
 use shallotrill_items::replica::Proposed;
+use shallotrill_items::roster::Change;
+use shallotrill_items::voters;
+use shallotrill_items::voters::Voter;
 
 /// Longest wait for a quorum in one step; a slow disk syncs in a few hundred milliseconds.
 const STEP_TIMEOUT: Duration = Duration::from_millis(900);
@@ -79,7 +83,8 @@
 /// Returns a [`Failure`], from which it follows whether the change can still come into force.
 pub async fn change(state: &Arc<State>, items: &[Item]) -> Result<(), Failure> {
     let keys = check::required_keys(items);
-    let plan = propose(state, keys, &|reading, _| proposal::plan(items, reading)).await;
+    let decide = |reading: &QuorumRead, _: &[Ballot]| proposal::plan(items, reading);
+    let plan = propose(state, keys, Electors::InForce, &decide).await;
     let outcome = match plan {
         Ok(plan) => plan.refusal.map_or(Ok(()), |r| Err(Failure::Refused(r))),
         Err(failure) => Err(failure),
@@ -118,7 +123,49 @@
             missing: Vec::new(),
         }
     };
-    propose(state, keys, &unchanged).await.map(|_| ())
+    let proposed = propose(state, keys, Electors::InForce, &unchanged);
+    proposed.await.map(|_| ())
+}
+
+/// Brings the next version of the voters into force.
+///
+/// # Errors
+///
+/// Returns a [`Failure`] when no quorum of the present version responds or every proposal is overtaken.
+pub(crate) async fn change_voters(state: &Arc<State>, change: &Change) -> Result<(), Failure> {
+    let electors = match change.base {
+        0 => Electors::First(&change.list),
+        _ => Electors::InForce,
+    };
+    let plan =
+        |reading: &QuorumRead, _: &[Ballot]| voters::plan(change.base, &change.list, reading);
+    let proposed = propose(state, vec![voters::key()], electors, &plan);
+    proposed.await.map(|_| ())
+}
+
+/// The processes of which a proposal needs a quorum.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Electors<'a> {
+    /// The voters in force.
+    InForce,
+    /// All of those that are to be the first list.
+    First(&'a [Voter]),
+}
+
+impl Electors<'_> {
+    /// The voters to state in requests, and how many of them must reply.
+    fn resolve(self, state: &State) -> Result<(Accepted, usize), Failure> {
+        let consensus = state.consensus.lock();
+        let quorum = consensus.roster.quorum();
+        match (consensus.voters(), self) {
+            (Some(in_force), _) => Ok((in_force, quorum)),
+            (None, Electors::First(list)) => Ok((voters::first(list.to_vec()), list.len())),
+            (None, Electors::InForce) => Err(Failure::Unavailable {
+                answered: 0,
+                needed: quorum,
+            }),
+        }
+    }
 }
 
 /// Decides what to propose, given what a quorum has accepted and the ballots of the proposals that were settled.
@@ -128,6 +175,7 @@
 pub(crate) async fn propose(
     state: &Arc<State>,
     mut keys: Vec<Key>,
+    electors: Electors<'_>,
     decide: &Decide<'_>,
 ) -> Result<Plan, Failure> {
     let mut settled = Vec::new();
@@ -135,7 +183,8 @@
     // Each step below settles a proposal, adds its registers, or counts as overtaken.
     for _ in 0..STEPS_MAX {
         let ballot = next_ballot(state);
-        match attempt(state, ballot, &keys, &settled, decide).await {
+        let electors = electors.resolve(state)?;
+        match attempt(state, ballot, &electors, &keys, &settled, decide).await {
             Ok(Step::Proposed(plan)) => return Ok(plan),
             Ok(Step::Settled) => settled.push(ballot),
             Ok(Step::Missing(missing)) => {
@@ -144,6 +193,7 @@
                 keys.dedup();
             }
             Err(AttemptFailure::Failed(failure)) => return Err(failure),
+            Err(AttemptFailure::Outdated) => {}
             Err(AttemptFailure::Overtaken(by)) => {
                 {
                     let mut consensus = state.consensus.lock();
@@ -170,6 +220,8 @@
 /// Why one proposal failed.
 enum AttemptFailure {
     Overtaken(Ballot),
+    /// Another version of the voters is in force, which is known here now.
+    Outdated,
     Failed(Failure),
 }
 
@@ -186,6 +238,7 @@
 async fn attempt(
     state: &Arc<State>,
     ballot: Ballot,
+    electors: &(Accepted, usize),
     keys: &[Key],
     settled: &[Ballot],
     decide: &Decide<'_>,
@@ -194,8 +247,9 @@
     let prepare = Request::Prepare {
         ballot,
         keys: keys.to_vec(),
+        voters: electors.0.clone(),
     };
-    for reply in call_quorum(state, prepare).await? {
+    for reply in call_quorum(state, prepare, electors.1).await? {
         if let Reply::Promised(promise) = reply {
             reading.add(promise);
         }
@@ -205,7 +259,7 @@
         return Ok(Step::Missing(missing));
     }
     if let Some(items) = reading.unsettled(settled) {
-        accept(state, ballot, items).await?;
+        accept(state, ballot, electors, items).await?;
         return Ok(Step::Settled);
     }
     let plan = decide(&reading, settled);
@@ -213,7 +267,7 @@
         return Ok(Step::Missing(plan.missing));
     }
     if !plan.items.is_empty() {
-        accept(state, ballot, plan.items.clone()).await?;
+        accept(state, ballot, electors, plan.items.clone()).await?;
     }
     Ok(Step::Proposed(plan))
 }
@@ -222,10 +276,16 @@
 async fn accept(
     state: &Arc<State>,
     ballot: Ballot,
+    electors: &(Accepted, usize),
     items: Vec<Proposed>,
 ) -> Result<(), AttemptFailure> {
     let accepted: Vec<Arc<Item>> = items.iter().map(|p| Arc::clone(&p.item)).collect();
-    call_quorum(state, Request::Accept { ballot, items }).await?;
+    let request = Request::Accept {
+        ballot,
+        items,
+        voters: electors.0.clone(),
+    };
+    call_quorum(state, request, electors.1).await?;
     commit(state, ballot, &accepted);
     Ok(())
 }
@@ -247,9 +307,13 @@
     }
 }
 
-/// Sends a request to all replicas, including the local one, and waits for the replies of a quorum.
-async fn call_quorum(state: &Arc<State>, request: Request) -> Result<Vec<Reply>, AttemptFailure> {
-    let needed = state.consensus.lock().roster.quorum(state.now());
+/// Sends a request to all replicas, including the local one, and waits for the replies of a quorum. Only voters of the
+/// list in the request reply with a promise or an acceptance.
+async fn call_quorum(
+    state: &Arc<State>,
+    request: Request,
+    needed: usize,
+) -> Result<Vec<Reply>, AttemptFailure> {
     let request = Arc::new(request);
     let mut calls = JoinSet::new();
     for peer in state.peers() {
@@ -264,6 +328,10 @@
         match reply {
             Ok(Some(reply @ (Reply::Promised(_) | Reply::Done))) => replies.push(reply),
             Ok(Some(Reply::Overtaken(by))) => overtaken = overtaken.max(Some(by)),
+            Ok(Some(Reply::Outdated(voters))) => {
+                members::commit(state, voters.ballot, &[voters.item]);
+                return Err(AttemptFailure::Outdated);
+            }
             _ => {}
         }
         if replies.len() >= needed {
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -7,11 +7,13 @@
 
 use log::info;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::allotments;
 use crate::announcements;
 use crate::departures;
+use crate::election;
 use crate::maintenance;
 use crate::members;
 use crate::metrics::Metrics;
@@ -27,8 +29,8 @@
 use shallotrill_items::ballot::Ballot;
 use shallotrill_items::ballot::Identity;
 use shallotrill_items::item::Item;
+use shallotrill_items::item::Kind;
 use shallotrill_items::replica::Replica;
-use shallotrill_items::roster::Member;
 use shallotrill_items::roster::Roster;
 use shallotrill_limits::connection::Shares;
 use shallotrill_limits::process::Limits;
@@ -83,21 +85,14 @@
         departures: departed,
     } = store::open(&settings.folder).await;
     let clock = settings.clock;
-    let was_voter = content.as_ref().is_some_and(|c| c.votes);
-    let Content { replica, .. } = content.unwrap_or(Content {
-        votes: false,
-        replica: Replica::default(),
-    });
-    let own = Member {
+    let Content { founder, replica } = content.unwrap_or_default();
+    let roster = Roster::new(
         identity,
-        address: settings.address(),
-        votes: was_voter,
-    };
-    let roster = if settings.first_start {
-        Roster::at_first_start(own, settings.tolerated_disks)
-    } else {
-        Roster::new(own, settings.tolerated_disks)
-    };
+        settings.address(),
+        founder || settings.first_start,
+        settings.tolerated_disks,
+        clock.now(),
+    );
     let mut departures = departures::Table::default();
     departures.merge(&departed);
     let (changed, _) = watch::channel(0);
@@ -119,12 +114,12 @@
                 highest_ballot: highest_promised(&replica),
                 replica,
                 roster,
-                stored_vote: own.votes,
                 changes: 1,
                 hashed: None,
             },
         ),
         changed,
+        voters_changed: Notify::new(),
         stop,
         memory,
         listeners,
@@ -132,8 +127,11 @@
         store,
         settings,
     });
-    // At the first start, before other processes can count this one. A refused write is repeated by the maintenance.
-    maintenance::become_voter(&state).await;
+    state.consensus.lock().restore_voters();
+    if state.settings.first_start {
+        // Before others count on this process for the first list: a restart must not forget it.
+        state.persist().await;
+    }
     let handler_state = Arc::clone(&state);
     let handler: server::Handler = Arc::new(move |request| {
         let state = Arc::clone(&handler_state);
@@ -150,6 +148,9 @@
     members::follow(&state, &seeds);
     tokio::spawn(allotments::maintain(Arc::clone(&state), stopped.clone()));
     tokio::spawn(Arc::clone(&state.memory).watch(stopped.clone()));
+    // A process that is the only one needs nobody else for the first list.
+    election::decide(&state).await;
+    tokio::spawn(election::maintain(Arc::clone(&state), stopped.clone()));
     tokio::spawn(maintenance::maintain(Arc::clone(&state), stopped));
     let votes = state.consensus.lock().roster.own().votes;
     info!(event = "registry-started", address = state.settings.listen.to_string().as_str(), votes = votes; "registry process is listening for other processes");
@@ -182,6 +183,11 @@
         members::follow(&self.state, seeds);
     }
 
+    /// Leaves the voters before a stop if another process is ready to replace this one.
+    pub async fn hand_over(&self) {
+        election::hand_over(&self.state).await;
+    }
+
     /// Stops: later requests get no reply, and the other processes are no longer followed.
     pub fn stop(&self) {
         self.state.stop.send_replace(true);
@@ -198,5 +204,7 @@
     if consensus.replica.uncommitted().next().is_some() {
         return None;
     }
-    Some(consensus.replica.committed().cloned().collect())
+    let items = consensus.replica.committed();
+    let items = items.filter(|item| item.key.kind != Kind::Voters);
+    Some(items.cloned().collect())
 }
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use log::info;
 use log::warn;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::allotments;
@@ -23,8 +27,12 @@
 use shallotrill_items::ballot::Identity;
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
+use shallotrill_items::replica::Accepted;
+use shallotrill_items::replica::Entry;
+use shallotrill_items::replica::Proposal;
 use shallotrill_items::replica::Replica;
 use shallotrill_items::roster::Roster;
+use shallotrill_items::voters;
 use shallotrill_locks::Mutex;
 use shallotrill_model::time::Instant;
 use shallotrill_process::clock::Clock;
@@ -40,12 +48,7 @@
     pub roster: Roster,
     /// The highest ballot in any received message; the next proposal uses a higher one.
     pub highest_ballot: Ballot,
-    /// Whether the document on disk says that this process is a voter, or may say so after a failed write.
-    ///
-    /// A process with a new disk stores its vote before the vote counts in the roster: others rely on it then, and a
-    /// restart must not lose it.
-    pub stored_vote: bool,
-    /// Number of changes of the registers and of `stored_vote`.
+    /// Number of changes of the registers.
     pub changes: u64,
     /// Hash of the items for routers at a revision of the replica; computed again only after a change, since
     /// every router asks for it.
@@ -76,12 +79,56 @@
         committed.filter(|item| item.key.kind.is_for_routers())
     }
 
+    /// Commits items that a quorum has accepted. Returns whether this changes anything.
+    pub fn commit(&mut self, ballot: Ballot, items: &[Arc<Item>]) -> bool {
+        let changed = self.replica.commit(ballot, items);
+        self.record_change(changed);
+        changed
+    }
+
+    /// Merges registers of another process. Returns whether this changes anything.
+    pub fn merge(&mut self, entries: &[Entry], proposals: &[Proposal]) -> bool {
+        let promised = entries.iter().map(|e| e.promised).max();
+        self.highest_ballot = self.highest_ballot.max(promised.unwrap_or_default());
+        let changed = self.replica.merge(entries, proposals);
+        self.record_change(changed);
+        changed
+    }
+
+    fn record_change(&mut self, changed: bool) {
+        self.changes += u64::from(changed);
+        let committed = self.replica.get(&voters::key());
+        if let Some(list) = committed.and_then(|entry| entry.committed.as_ref())
+            && self.roster.set_voters(list)
+        {
+            info!(event = "voters-changed", version = list.version, voters = voters::of(list).len(), votes = self.roster.own().votes; "a new list of voters is in force");
+        }
+    }
+
+    /// Takes over the list of voters that was read from disk.
+    pub fn restore_voters(&mut self) {
+        self.record_change(false);
+        self.roster.record_durable(self.roster.version());
+    }
+
+    /// The list of voters in force, as far as it is known here, with its ballot.
+    pub fn voters(&self) -> Option<Accepted> {
+        let entry = self.replica.get(&voters::key())?;
+        let item = entry.committed.as_ref()?;
+        let accepted = entry.accepted.as_ref();
+        let accepted = accepted.filter(|accepted| accepted.item == *item);
+        Some(Accepted {
+            ballot: accepted.map(|accepted| accepted.ballot).unwrap_or_default(),
+            item: Arc::clone(item),
+        })
+    }
+
     /// Whether the local replica has all items that were committed up to `COPY_AGE_MAX` before `now`.
     ///
     /// What is in force at present is known only after `members::confirm`.
     pub fn is_complete(&self, now: Instant) -> bool {
         let since = Instant(now.0.saturating_sub(COPY_AGE_MAX.as_micros() as u64));
-        self.roster.has_copied_quorum(since, now)
+        self.roster.has_copied_quorum(since)
     }
 }
 
@@ -140,6 +187,8 @@
     pub consensus: Mutex<ConsensusState>,
     /// Counter of changes; a change wakes the waiting long polls.
     pub changed: watch::Sender<u64>,
+    /// Notified when a new version of the voters is in force here.
+    pub voters_changed: Notify,
     /// Set when the process stops.
     pub stop: watch::Sender<bool>,
     /// Memory that is kept for others.
@@ -166,16 +215,23 @@
     /// Writes the current registers to disk. Returns whether they are durable.
     pub async fn persist(&self) -> bool {
         let changes = self.consensus.lock().changes;
+        let written_version = AtomicU64::new(0);
         let content = || {
             let consensus = self.consensus.lock();
             let content = Content {
-                votes: consensus.stored_vote,
+                founder: consensus.roster.own().founder,
                 replica: consensus.replica.clone(),
             };
+            written_version.store(consensus.roster.version(), Ordering::Relaxed);
             (consensus.changes, store::encode(&content))
         };
         match self.store.registers.persist(changes, &content).await {
-            Ok(()) => true,
+            Ok(()) => {
+                let version = written_version.load(Ordering::Relaxed);
+                let mut consensus = self.consensus.lock();
+                consensus.roster.record_durable(version);
+                true
+            }
             Err(failure) => {
                 warn!(event = "disk-refused"; "cannot write the registers to disk: {failure}");
                 false
--- a/crates/registry/src/store.rs
+++ b/crates/registry/src/store.rs
@@ -1,4 +1,4 @@
-//! Durable state of a registry process: a document with its registers and its vote, and one with the departures of
+//! Durable state of a registry process: a document with its registers, and one with the departures of
 //! backend servers, which change more often and are small.
 
 use std::path::Path;
@@ -22,7 +22,7 @@
 use shallotrill_items::ballot::Identity;
 use shallotrill_items::replica::Replica;
 
-/// Name of the document with the registers and the vote.
+/// Name of the document with the registers.
 const REGISTERS_NAME: &str = "registers";
 
 /// Name of the document with the departures.
@@ -34,8 +34,9 @@
 /// Content of the document with the registers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Content {
-    /// Whether the process is a voter.
-    pub votes: bool,
+    /// Whether the process was there at the first start of the whole system, or a voter in a release without a list of
+    /// voters. It may then take part in forming the first list.
+    pub founder: bool,
     /// Replica of the registers.
     pub replica: Replica,
 }
@@ -43,7 +44,7 @@
 /// Store of a registry process.
 #[derive(Debug)]
 pub struct Store {
-    /// The registers and the vote.
+    /// The registers.
     pub registers: Revisions,
     /// The departures of backend servers.
     pub departures: Revisions,
@@ -57,7 +58,7 @@
     pub store: Store,
     /// Identity of the disk.
     pub identity: Identity,
-    /// Registers and vote; `None` if they were never written or cannot be decoded.
+    /// Registers; `None` if they were never written or cannot be decoded.
     pub content: Option<Content>,
     /// Departures of backend servers.
     pub departures: Vec<Departure>,
--- a/crates/registry/src/view.rs
+++ b/crates/registry/src/view.rs
@@ -10,10 +10,12 @@
 use crate::state::ConsensusState;
 use crate::state::State;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Electorate;
 use shallotrill_feed::message::Interest;
 use shallotrill_feed::message::Reply;
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
+use shallotrill_items::roster::Roster;
 
 /// What a router that waits for changes has, and what it requests.
 #[derive(Clone, Copy, Debug)]
@@ -113,12 +115,22 @@
             items: items_revision,
             announcements: announcements_revision,
             departures: 0,
+            voters: 0,
         },
         items,
         items_hash,
         announcements,
         departures,
         registries,
+        electorate: electorate(&consensus.roster),
+    }
+}
+
+fn electorate(roster: &Roster) -> Electorate {
+    Electorate {
+        version: roster.version(),
+        quorum: u32::try_from(roster.quorum()).unwrap_or(u32::MAX),
+        voters: roster.voters().iter().map(|v| v.address).collect(),
     }
 }
 
--- a/crates/registry/tests/group/main.rs
+++ b/crates/registry/tests/group/main.rs
@@ -22,6 +22,7 @@
 use shallotrill_items::item::Key;
 use shallotrill_items::item::Kind;
 use shallotrill_items::item_set_hash::ItemSetHash;
+use shallotrill_items::replica::Accepted;
 use shallotrill_items::replica::Proposed;
 use shallotrill_items::route::Service;
 use shallotrill_limits::process::Limits;
@@ -76,7 +77,39 @@
     TempDir::new().expect("a temporary folder")
 }
 
+/// Starts five processes for the first time and waits until all of them are voters.
 async fn group() -> Vec<Member> {
+    let members = start_group().await;
+    for member in &members {
+        wait_for("the process is a voter", || votes(member)).await;
+    }
+    members
+}
+
+/// Whether a process is a voter.
+fn votes(member: &Member) -> bool {
+    let state = member.registry.state();
+    let consensus = state.consensus.lock();
+    consensus.roster.own().votes
+}
+
+/// The list of voters that a process knows, as in the requests of a proposal.
+fn voters(member: &Member) -> Accepted {
+    let state = member.registry.state();
+    let voters = state.consensus.lock().voters();
+    voters.expect("a list is in force")
+}
+
+/// A request to store departures.
+fn depart(member: &Member, departures: &[Departure]) -> Request {
+    Request::Depart {
+        voters: voters(member).item.version,
+        departures: departures.to_vec(),
+    }
+}
+
+/// Starts five processes for the first time.
+async fn start_group() -> Vec<Member> {
     let first = start(Vec::new(), true, folder()).await;
     let seed = first.address;
     let mut members = vec![first];
@@ -408,7 +441,12 @@
         async |member: &Member, request| members::handle(&member.registry.state(), &request).await;
     for member in &members {
         let keys = keys.clone();
-        let promised = handle(member, Request::Prepare { ballot, keys }).await;
+        let prepare = Request::Prepare {
+            ballot,
+            keys,
+            voters: voters(member),
+        };
+        let promised = handle(member, prepare).await;
         assert!(matches!(promised, Reply::Promised(_)), "{promised:?}");
     }
     let previous = [
@@ -428,6 +466,7 @@
         let prepare = Request::Prepare {
             ballot: next,
             keys: key.clone(),
+            voters: voters(member),
         };
         let promised = handle(member, prepare).await;
         assert!(matches!(promised, Reply::Promised(_)), "{promised:?}");
@@ -435,7 +474,12 @@
     let mut accepted = 0;
     for member in &members {
         let items = items.clone();
-        let reply = handle(member, Request::Accept { ballot, items }).await;
+        let accept = Request::Accept {
+            ballot,
+            items,
+            voters: voters(member),
+        };
+        let reply = handle(member, accept).await;
         accepted += usize::from(matches!(reply, Reply::Done));
     }
     assert_eq!(accepted, 2);
@@ -449,6 +493,7 @@
             Request::Accept {
                 ballot: next,
                 items,
+                voters: voters(member),
             },
         )
         .await;
@@ -494,12 +539,12 @@
         instance: instance::Name::new("i-1").expect("a valid name"),
         start_time_ms: 5,
     };
-    let request = Request::Depart(vec![departure.clone()]);
     // A process becomes a voter for good when it has stored something.
     change(&members[0], &service("a", 1, 10))
         .await
         .expect("the change is accepted");
     for member in &members[..3] {
+        let request = depart(member, std::slice::from_ref(&departure));
         let reply = members::handle(&member.registry.state(), &request).await;
         assert!(matches!(reply, Reply::Done), "{reply:?}");
     }
--- a/crates/registry/tests/group/votes.rs
+++ b/crates/registry/tests/group/votes.rs
@@ -4,29 +4,25 @@
 
 use shallotrill_feed::message::Departure;
 use shallotrill_feed::message::Reply;
-use shallotrill_feed::message::Request;
+use shallotrill_items::voters;
 use shallotrill_model::instance;
 use shallotrill_registry::members;
-use shallotrill_registry::store;
 
 use crate::Member;
 use crate::POLL_INTERVAL;
 use crate::change;
+use crate::depart;
 use crate::folder;
 use crate::group;
 use crate::service;
 use crate::start;
+use crate::start_group;
 use crate::stop;
+use crate::voters as voters_of;
+use crate::votes;
 use crate::wait_for;
 use crate::wait_until_in_force;
 
-/// Whether a process is a voter.
-fn votes(member: &Member) -> bool {
-    let state = member.registry.state();
-    let consensus = state.consensus.lock();
-    consensus.roster.own().votes
-}
-
 /// Replaces a process by one with an empty disk that follows the others.
 async fn lose_disk(members: &mut Vec<Member>) {
     drop(stop(members.remove(0)).await);
@@ -126,9 +122,9 @@
     }
 }
 
-/// Guards against a sixth voter after a restart: the place of a lost disk was taken while the write of a vote failed.
+/// Guards against a sixth voter after a restart: the place of a lost disk was taken while a write failed.
 #[tokio::test]
-async fn a_vote_that_is_no_longer_needed_stays_on_disk() {
+async fn a_process_whose_place_was_taken_is_no_voter_after_a_restart() {
     let mut members = group().await;
     let item = service("a", 1, 10);
     change(&members[0], &item)
@@ -141,9 +137,7 @@
     let late = start(seeds.clone(), false, folder()).await;
     let blocked = late.folder.path().join("registers.tmp");
     std::fs::create_dir(&blocked).expect("nothing is written yet");
-    let late_state = late.registry.state();
-    let is_storing = || late_state.consensus.lock().stored_vote;
-    wait_for("the process tries to store its vote", is_storing).await;
+    wait_until_in_force(&late, &item).await;
     for _ in 0..2 {
         members.push(start(seeds.clone(), false, folder()).await);
     }
@@ -151,22 +145,21 @@
         wait_for("the process is a voter", || votes(member)).await;
     }
     let knows_five = || {
-        let consensus = late_state.consensus.lock();
-        let others = consensus.roster.others(late_state.now());
+        let state = late.registry.state();
+        let consensus = state.consensus.lock();
+        let others = consensus.roster.others(state.now());
         others.filter(|(member, _)| member.votes).count() == 5
     };
     wait_for("the process knows five voters", knows_five).await;
     std::fs::remove_dir(&blocked).expect("the folder is empty");
-    wait_for("the vote is withdrawn", || !is_storing()).await;
     wait_for("the document is written", || {
         late.folder.path().join("registers").exists()
     })
     .await;
+    let late = start(seeds, false, stop(late).await).await;
+    wait_until_in_force(&late, &item).await;
     assert!(!votes(&late));
-    drop(late_state);
-    let opened = store::open(stop(late).await.path()).await;
-    let content = opened.content.expect("the document is written");
-    assert!(!content.votes);
+    assert_eq!(voters::of(&voters_of(&late).item).len(), 5);
 }
 
 /// Guards against a departure that is forgotten: a process with a new disk had copied it and was a voter, and the other
@@ -182,8 +175,8 @@
         instance: instance::Name::new("i-1").expect("a valid name"),
         start_time_ms: 5,
     };
-    let request = Request::Depart(vec![departure.clone()]);
     for member in &members[..3] {
+        let request = depart(member, std::slice::from_ref(&departure));
         let reply = members::handle(&member.registry.state(), &request).await;
         assert!(matches!(reply, Reply::Done), "{reply:?}");
     }
@@ -203,8 +196,14 @@
 /// was a voter any more.
 #[tokio::test]
 async fn no_process_votes_after_a_restart_before_the_first_change() {
-    for lost_disks in [0, 2] {
-        let members = restart_all(group().await, lost_disks).await;
+    // With the first list on disk, and perhaps without it.
+    for (is_formed, lost_disks) in [(true, 0), (true, 2), (false, 0), (false, 2)] {
+        let members = if is_formed {
+            group().await
+        } else {
+            start_group().await
+        };
+        let members = restart_all(members, lost_disks).await;
         let item = service("a", 1, 10);
         change(&members[4], &item)
             .await
--- a/crates/registry/tests/store.rs
+++ b/crates/registry/tests/store.rs
@@ -81,7 +81,7 @@
     for case in CASES {
         let folder = TempDir::new().expect("a temporary folder");
         let content = Content {
-            votes: true,
+            founder: true,
             replica: replica(),
         };
         assert_eq!(content.replica.proposals_since(0), []);
--- a/crates/router/src/departure.rs
+++ b/crates/router/src/departure.rs
@@ -43,7 +43,8 @@
 
 impl error::Error for Unconfirmed {}
 
-/// Stores the departures that are not stored yet at a majority of the known registry processes.
+/// Stores the departures that are not stored yet at a quorum of the voters among the registry processes. Only voters
+/// reply that they have stored them.
 ///
 /// # Errors
 ///
@@ -53,9 +54,20 @@
     if departures.is_empty() {
         return Ok(());
     }
-    let registries = state.views.lock().registries();
-    let needed = registries.len() / 2 + 1;
-    let request = Arc::new(Request::Depart(departures.clone()));
+    let (registries, voters, quorum) = {
+        let views = state.views.lock();
+        let electorate = views.electorate();
+        (views.registries(), electorate.version, electorate.quorum)
+    };
+    // Before a registry process has told of the voters, no number of replies is enough.
+    let needed = match voters {
+        0 => registries.len() + 1,
+        _ => quorum as usize,
+    };
+    let request = Arc::new(Request::Depart {
+        voters,
+        departures: departures.clone(),
+    });
     let mut calls = JoinSet::new();
     for address in registries {
         let request = Arc::clone(&request);
@@ -81,7 +93,7 @@
     calls.detach_all();
     state.backend.lock().confirm(&departures);
     for departure in &departures {
-        info!(event = "departure-stored", instance = departure.instance.as_str(), born = departure.start_time_ms; "a departure is stored by a majority of the registry processes");
+        info!(event = "departure-stored", instance = departure.instance.as_str(), born = departure.start_time_ms; "a departure is stored by a quorum of the registry processes");
     }
     Ok(())
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -25,6 +25,7 @@
 use shallotrill_feed::message::Announcement;
 use shallotrill_feed::message::Announcements;
 use shallotrill_feed::message::Cursor;
+use shallotrill_feed::message::Electorate;
 use shallotrill_feed::message::Interest;
 use shallotrill_feed::message::Reply;
 use shallotrill_feed::message::Request;
@@ -91,6 +92,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RegistryViews {
     directory: Directory,
+    electorate: Electorate,
     /// Sorted by address.
     views: Vec<View>,
     /// Targets at the last call of `difference`, sorted by instance.
@@ -161,6 +163,18 @@
         }
     }
 
+    /// Takes over a later version of the voters.
+    fn record_electorate(&mut self, electorate: Electorate) {
+        if electorate.version > self.electorate.version {
+            self.electorate = electorate;
+        }
+    }
+
+    /// The latest voters that a registry process has reported.
+    pub const fn electorate(&self) -> &Electorate {
+        &self.electorate
+    }
+
     fn record_lost(&mut self, registry: SocketAddr) {
         self.directory.record_failure(registry);
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
@@ -288,6 +302,7 @@
                 announcements,
                 departures,
                 registries,
+                electorate,
             }) => {
                 if !reachable {
                     info!(event = "registry-reachable", address = address.to_string().as_str(); "registry process is reachable");
@@ -316,6 +331,7 @@
                     .views
                     .lock()
                     .record_view(address, announcements, &registries, now);
+                state.views.lock().record_electorate(electorate);
                 apply_targets(&state);
                 follow(&state, &registries, &stop);
                 if reads_items {
--- a/crates/shallotctl/tests/registry.rs
+++ b/crates/shallotctl/tests/registry.rs
@@ -25,6 +25,8 @@
         identity: Identity(port.into()),
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         votes,
+        founder: false,
+        voters: 1,
     }
 }
 
