limits, registry, router: only a side with a quorum grants the whole rate

Cause: an owner of a count compares the routers it hears from with the highest number of the last ten seconds. Both sides of the cut forgot the routers of the other one, and both owners granted the whole rate.

Change: an owner forgets routers by the time of its last contact with a quorum of the voters, and only 30 s after it heard from them. It grants nothing from 25 s after that contact on, so the smaller side stops before the larger side takes its part; a router's own part ends likewise. Registry processes report the highest number of routers they have heard from, so that an owner that has restarted knows it too. Routers count those that share a limit by the same rule (allotments, retry budgets).

Tests: allotment_replay.rs has partitions of 5, 18, 28 and 32 s and one hour, and a restart of an owner in one of 12 s. The time of the cut in `peers_alive` of the replay was a fixed 12 s and follows the case now. In allotment.rs the owner has contact with a quorum at each observation.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -231,6 +231,8 @@
     pub member: Member,
     /// Addresses of the other registry processes known to the one that replies.
     pub registries: Vec<SocketAddr>,
+    /// Highest recent number of routers that the one that replies has heard from, for the shares of allotments.
+    pub routers: u32,
 }
 
 /// A reply of a registry process.
--- a/crates/items/src/roster.rs
+++ b/crates/items/src/roster.rs
@@ -223,10 +223,16 @@
     /// since then. They include the list of voters, if there is a newer one. Only voters count: each of them has all
     /// that it ever accepted.
     pub fn has_copied_quorum(&self, since: Instant) -> bool {
-        let own = usize::from(self.contains(self.identity));
-        let copied = self.voter_copies();
-        let copied = copied.filter(|(copied_at, _)| *copied_at >= since);
-        copied.count() + own >= self.quorum()
+        let contact = self.quorum_contact(since);
+        contact.is_some_and(|contact| contact >= since)
+    }
+
+    /// Latest time at or after which the local process has copied from each member of a quorum of the voters, to which
+    /// it may belong itself; `None` if it has copied from fewer.
+    pub fn quorum_contact(&self, now: Instant) -> Option<Instant> {
+        let own = self.contains(self.identity).then_some(now);
+        let copied = self.voter_copies().map(|(copied_at, _)| copied_at);
+        voters::quorum_contact(copied.chain(own), self.quorum())
     }
 
     /// When the registers of other voters were copied, and the version that each had on disk.
--- a/crates/items/src/voters.rs
+++ b/crates/items/src/voters.rs
@@ -19,6 +19,7 @@
 use crate::proposal::Plan;
 use crate::proposal::QuorumRead;
 use crate::replica::Accepted;
+use shallotrill_model::time::Instant;
 
 /// A registry process in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,3 +82,11 @@
         missing: Vec::new(),
     }
 }
+
+/// Latest time at or after which each member of a quorum was in contact, from the time of the contact with each voter;
+/// `None` if fewer were.
+pub fn quorum_contact(contacts: impl Iterator<Item = Instant>, quorum: usize) -> Option<Instant> {
+    let mut contacts: Vec<Instant> = contacts.collect();
+    contacts.sort_unstable_by(|a, b| b.cmp(a));
+    contacts.get(quorum.checked_sub(1)?).copied()
+}
--- a/crates/items/tests/roster.rs
+++ b/crates/items/tests/roster.rs
@@ -491,6 +491,53 @@
     }
 }
 
+struct Contact {
+    name: &'static str,
+    /// Seconds of the contact with each voter.
+    contacts_s: &'static [u64],
+    quorum: usize,
+    seen_s: Option<u64>,
+}
+
+/// Guards against authority that lasts on the smaller side of a partition.
+const CONTACTS: &[Contact] = &[
+    Contact {
+        name: "the latest contact with a quorum is that of its least recent member",
+        contacts_s: &[7, 2, 9, 3, 1],
+        quorum: 3,
+        seen_s: Some(3),
+    },
+    Contact {
+        name: "two recent contacts are no quorum of three",
+        contacts_s: &[90, 90],
+        quorum: 3,
+        seen_s: None,
+    },
+    Contact {
+        name: "a single voter is a quorum of one",
+        contacts_s: &[5],
+        quorum: 1,
+        seen_s: Some(5),
+    },
+    Contact {
+        name: "no voters are known",
+        contacts_s: &[5],
+        quorum: 0,
+        seen_s: None,
+    },
+];
+
+#[test]
+fn contact_with_a_quorum() {
+    for case in CONTACTS {
+        let contacts = case.contacts_s.iter();
+        let contacts = contacts.map(|s| Instant(0) + Duration::from_secs(*s));
+        let seen = voters::quorum_contact(contacts, case.quorum);
+        let expected = case.seen_s.map(|s| Instant(0) + Duration::from_secs(s));
+        assert_eq!(seen, expected, "{}", case.name);
+    }
+}
+
 /// Guards against a planned stop that leaves the group with one voter less although another process is ready.
 #[test]
 fn a_process_that_stops_leaves_its_place_to_one_that_is_ready() {
--- a/crates/limits/src/allotment.rs
+++ b/crates/limits/src/allotment.rs
@@ -3,6 +3,7 @@
 //! A request of a workspace takes one unit of credit. The [`ledger`] at the owner grants units from a bucket for each
 //! workspace; the [`share`] at a router spends them.
 
+pub mod authority;
 pub mod ledger;
 pub mod presence;
 pub mod share;
--- a/crates/limits/src/allotment/ledger.rs
+++ b/crates/limits/src/allotment/ledger.rs
@@ -10,6 +10,7 @@
 use super::EMPTY_MAX;
 use super::Limit;
 use super::WINDOW;
+use super::authority::Authority;
 use super::presence::Presence;
 use shallotrill_model::time::Instant;
 use shallotrill_model::workspace;
@@ -144,6 +145,7 @@
     /// Sorted by workspace.
     buckets: Vec<Bucket>,
     presence: Presence,
+    authority: Authority,
     epoch: u64,
     observed_at: Instant,
 }
@@ -154,6 +156,7 @@
         Self {
             buckets: Vec::new(),
             presence: Presence::new(),
+            authority: Authority::new(now),
             epoch,
             observed_at: now,
         }
@@ -200,7 +203,8 @@
         let suspended = self.begin_after_suspension(now);
         self.observed_at = now;
         let before = self.presence.share();
-        self.presence.observe(routers, now);
+        self.presence
+            .observe(routers, self.authority.contact(), now);
         let share = self.presence.share();
         // The time so far is credited at the share that applied to it, and a lower share also lowers the levels.
         if share < 1.0 || before < 1.0 {
@@ -215,16 +219,47 @@
         let suspended = now.since(self.observed_at) > SUSPENSION_MIN;
         if suspended {
             self.observed_at = now;
-            self.epoch += 1;
-            for bucket in &mut self.buckets {
-                bucket.begin(now);
-            }
+            self.begin(now);
         }
         suspended
     }
 
-    /// Grants credit to a router; `None` for a workspace without an allotment. `peers_alive` is whether all other
-    /// owners are reachable from this one, so that a router without contact to them is alone with that.
+    /// Begins all buckets again: others may have granted credit meanwhile.
+    fn begin(&mut self, now: Instant) {
+        self.epoch += 1;
+        for bucket in &mut self.buckets {
+            bucket.begin(now);
+        }
+    }
+
+    /// Records the time of the last contact with a quorum of the voters. Returns whether this process may grant credit
+    /// again after a time without, in which case all buckets begin again.
+    pub fn record_contact(&mut self, contact: Option<Instant>, now: Instant) -> bool {
+        let begins = self.authority.record(contact, now);
+        if begins {
+            self.begin(now);
+        }
+        begins
+    }
+
+    /// Whether this process may grant credit. Without, the owners on another side of a partition may grant all of it.
+    pub fn has_authority(&self, now: Instant) -> bool {
+        self.authority.holds(now)
+    }
+
+    /// Records the number of routers that another owner reports.
+    pub fn record_report(&mut self, from: SocketAddr, routers: u32, at: Instant) {
+        self.presence.record_report(from, routers, at);
+    }
+
+    /// Highest recent number of routers that this process has heard from.
+    pub fn routers(&self) -> u32 {
+        self.presence.highest()
+    }
+
+    /// Grants credit to a router; `None` for a workspace without an allotment. To be called only with authority.
+    /// `peers_alive` is whether all other owners are reachable from this one, so that a router without contact to them
+    /// is alone with that.
     pub fn ask(
         &mut self,
         router: SocketAddr,
@@ -237,7 +272,7 @@
             .buckets
             .binary_search_by(|b| b.workspace.cmp(&ask.workspace))
             .ok()?;
-        let routers = self.presence.highest().max(1);
+        let routers = self.presence.known().max(1);
         let share = self.presence.share();
         let mut rate_share = share;
         let bucket = &mut self.buckets[index];
--- a/crates/limits/tests/allotment.rs
+++ b/crates/limits/tests/allotment.rs
@@ -242,6 +242,7 @@
                 Step::Run(period_ms, routers) => {
                     for _ in 0..period_ms / 300 {
                         now = now + Duration::from_millis(300);
+                        ledger.record_contact(Some(now), now);
                         ledger.observe(routers, now);
                     }
                 }
--- a/crates/limits/tests/allotment_replay.rs
+++ b/crates/limits/tests/allotment_replay.rs
@@ -7,6 +7,7 @@
 use shallotrill_limits::allotment::Answer;
 use shallotrill_limits::allotment::Ask;
 use shallotrill_limits::allotment::Limit;
+use shallotrill_limits::allotment::authority;
 use shallotrill_limits::allotment::ledger::HEARD_PERIOD;
 use shallotrill_limits::allotment::ledger::Ledger;
 use shallotrill_limits::allotment::share::Decision;
@@ -35,6 +36,11 @@
 const RETURN_DELAY_MS: u64 = 1_000;
 const WAIT_MAX_MS: u64 = 400;
 const LENGTH_MS: u64 = 60_000;
+/// Least time after a fault.
+const AFTER_FAULT_MS: u64 = 18_000;
+/// Owners of which a quorum is two. Each copies from the others at this interval.
+const QUORUM: usize = 2;
+const COPY_MS: u64 = 500;
 /// Time within which routers have a change, `configApplyS`.
 const APPLY_MS: u64 = 2_000;
 /// Traffic starts this long after the processes.
@@ -64,6 +70,8 @@
     RoutersRestarted(u64),
     /// The first owner and half of the routers on one side, the others on the other side.
     Partition(u64),
+    /// A partition for this time, in which an owner on the larger side is restarted after two seconds.
+    OneSideRestarted(u64),
     /// One router cannot reach the first owner for this time.
     OneLinkCut(u64),
     /// The clocks of half of the routers, and the clock of the first owner, step ahead by these times.
@@ -74,6 +82,7 @@
 use Fault::Healthy;
 use Fault::LimitLowered;
 use Fault::OneLinkCut;
+use Fault::OneSideRestarted;
 use Fault::OwnerFrozen;
 use Fault::OwnerKilled;
 use Fault::Partition;
@@ -136,6 +145,8 @@
 const SURGE_DEMAND: Demand = &[(0, 10.0, All), (FAULT_MS, 300.0, All)];
 const LARGE_SURGE: Load = load("large surge", 300, 2_000.0, 2_000, LARGE_SURGE_DEMAND);
 const LARGE_SURGE_DEMAND: Demand = &[(0, 20.0, All), (FAULT_MS, 6_000.0, All)];
+/// A small deployment with much more demand than the rate.
+const FEW: Load = load("few routers", 4, 40.0, 10, &[(0, 400.0, All)]);
 const ONE_ROUTER: Load = load("one router", 300, 100.0, 100, &[(0, 60.0, One)]);
 
 /// Guards against more requests than the rule allows, requests refused within rate and burst, and more messages than
@@ -162,6 +173,12 @@
     case(SURGE, Partition(12_000)),
     case(LARGE_SURGE, Partition(12_000)),
     case(SINGLE, Partition(12_000)),
+    case(FEW, Partition(5_000)),
+    case(FEW, Partition(18_000)),
+    case(FEW, Partition(28_000)),
+    case(FEW, Partition(3_600_000)),
+    case(OVERLOAD, Partition(32_000)),
+    case(FEW, OneSideRestarted(12_000)),
     case(OVERLOAD, OneLinkCut(12_000)),
     case(ONE_ROUTER, OneLinkCut(12_000)),
 ];
@@ -178,6 +195,8 @@
     call: Option<Call>,
     failed_at: [Option<u64>; OWNERS],
     clock_offset_ms: u64,
+    /// Time of the last contact with a quorum of the owners.
+    contact: u64,
 }
 
 enum Event {
@@ -291,12 +310,35 @@
 
     fn connected(&self, router: usize, owner: usize, at: u64) -> bool {
         match self.case.fault {
-            Partition(d) => router % 2 == owner.min(1) || !faulty_for(at, d),
+            Partition(d) | OneSideRestarted(d) => router % 2 == owner.min(1) || !faulty_for(at, d),
             OneLinkCut(d) => router != 0 || owner != 0 || !faulty_for(at, d),
             _ => true,
         }
     }
 
+    fn owners_connected(&self, owner: usize, other: usize, at: u64) -> bool {
+        let runs = self.owner_runs(owner, at) && self.owner_runs(other, at);
+        let is_cut = match self.case.fault {
+            Partition(d) | OneSideRestarted(d) => (owner == 0) != (other == 0) && faulty_for(at, d),
+            _ => false,
+        };
+        runs && !is_cut
+    }
+
+    /// Contact of an owner with others, and with a quorum that includes itself.
+    fn copy(&mut self, owner: usize) {
+        let now = self.owner_now(owner);
+        let reached = (0..OWNERS)
+            .filter(|other| *other != owner && self.owners_connected(owner, *other, self.now));
+        let reached: Vec<usize> = reached.collect();
+        for other in &reached {
+            let routers = self.owners[*other].routers();
+            self.owners[owner].record_report(address(10_000 + other), routers, now);
+        }
+        let contact = (reached.len() + 1 >= QUORUM).then_some(now);
+        self.owners[owner].record_contact(contact, now);
+    }
+
     fn router_now(&self, router: usize) -> Instant {
         Instant((self.now + self.routers[router].clock_offset_ms) * 1_000)
     }
@@ -326,6 +368,13 @@
         if self.now.is_multiple_of(300) {
             self.observe();
         }
+        if self.now.is_multiple_of(COPY_MS) {
+            for owner in 0..OWNERS {
+                if self.owner_runs(owner, self.now) {
+                    self.copy(owner);
+                }
+            }
+        }
         if self.now.is_multiple_of(500) {
             for router in 0..self.routers.len() {
                 self.ask(router);
@@ -356,6 +405,11 @@
                 self.owners[0].set_limits(&limits, Instant(at * 1_000));
                 self.held_back.clear();
             }
+            OneSideRestarted(_) if at == FAULT_MS + 2_000 => {
+                let limits = [(name(), self.limit_at(at))];
+                self.owners[1] = Ledger::new(500, Instant(at * 1_000));
+                self.owners[1].set_limits(&limits, Instant(at * 1_000));
+            }
             OwnerFrozen(d) if at == FAULT_MS + d => {
                 for event in std::mem::take(&mut self.held_back) {
                     self.handle(event);
@@ -376,6 +430,14 @@
     }
 
     fn observe(&mut self) {
+        for router in 0..self.routers.len() {
+            let reached = (0..OWNERS).filter(|owner| {
+                self.connected(router, *owner, self.now) && self.owner_runs(*owner, self.now)
+            });
+            if reached.count() >= QUORUM {
+                self.routers[router].contact = self.now;
+            }
+        }
         for owner in 0..OWNERS {
             if !self.owner_runs(owner, self.now) {
                 continue;
@@ -400,15 +462,17 @@
                     return;
                 }
                 let now = self.owner_now(owner);
-                let partitioned = matches!(self.case.fault, Partition(_));
                 let peers_alive = (0..OWNERS).all(|other| {
                     let earlier = self.now.saturating_sub(heard_ms());
-                    let cut = partitioned && (owner == 0) != (other == 0);
-                    let reached =
-                        |at| self.owner_runs(other, at) && !(cut && faulty_for(at, 12_000));
-                    reached(self.now) || reached(earlier)
+                    let reached = |at| self.owners_connected(owner, other, at);
+                    other == owner || reached(self.now) || reached(earlier)
                 });
-                let answer = self.owners[owner].ask(address(router), &ask, peers_alive, now);
+                let ledger = &mut self.owners[owner];
+                let answer = if ledger.has_authority(now) {
+                    ledger.ask(address(router), &ask, peers_alive, now)
+                } else {
+                    None
+                };
                 if self.connected(router, owner, self.now) {
                     self.schedule(ONE_WAY_MS, Event::Reply(router, number, answer));
                 }
@@ -416,11 +480,16 @@
             Event::Reply(router, number, answer) => {
                 let now = self.router_now(router);
                 let state = &mut self.routers[router];
-                if state.call.take_if(|c| c.number == number).is_none() {
+                let Some(Call { owner, .. }) = state.call.take_if(|c| c.number == number) else {
                     return;
+                };
+                match answer {
+                    Some(answer) => state.share.record_answer(&answer, now),
+                    None => {
+                        state.failed_at[owner] = Some(self.now);
+                        state.share.record_failure();
+                    }
                 }
-                let answer = answer.expect("the owner knows the workspace");
-                state.share.record_answer(&answer, now);
                 self.resume(router);
             }
             Event::Timeout(router, number) => {
@@ -478,7 +547,10 @@
     fn take_own(&mut self, router: usize, arrived: u64) {
         let now = self.router_now(router);
         let routers = self.routers.len();
-        if self.routers[router].share.take_own(routers, now).is_some() {
+        let contact = Instant(self.routers[router].contact * 1_000);
+        let has_part = authority::lasts(Some(contact), Instant(self.now * 1_000));
+        let share = &mut self.routers[router].share;
+        if has_part && share.take_own(routers, now).is_some() {
             self.outcome.admitted.push(arrived);
         } else {
             self.outcome.unavailable += 1;
@@ -520,7 +592,7 @@
     fn run(mut self) -> Outcome {
         let mut ideal_level = f64::from(self.case.load.burst);
         let mut next = TRAFFIC_START_MS as f64;
-        while self.now < LENGTH_MS {
+        while self.now < length_ms(self.case) {
             self.step();
             let limit = self.limit_at(self.now);
             ideal_level =
@@ -574,6 +646,15 @@
         call: None,
         failed_at: [None; OWNERS],
         clock_offset_ms: 0,
+        contact: at,
+    }
+}
+
+/// Time of a replay: a partition is followed by some time without.
+fn length_ms(case: &Case) -> u64 {
+    match case.fault {
+        Partition(d) => LENGTH_MS.max(FAULT_MS + d + AFTER_FAULT_MS),
+        _ => LENGTH_MS,
     }
 }
 
@@ -623,7 +704,7 @@
         let excess = excess(case, &mut outcome.admitted);
         let admitted = outcome.admitted.len() as f64 + outcome.returned as f64;
         let shortfall = (1.0 - admitted / outcome.ideal as f64).max(0.0);
-        let seconds = (LENGTH_MS - TRAFFIC_START_MS) as f64 / 1_000.0;
+        let seconds = (length_ms(case) - TRAFFIC_START_MS) as f64 / 1_000.0;
         let messages_per_s = outcome.messages as f64 / seconds;
         let per_router = messages_per_s / case.load.routers as f64;
         let name = format!(
--- a/crates/registry/src/allotments.rs
+++ b/crates/registry/src/allotments.rs
@@ -11,6 +11,7 @@
 
 use crate::state::ConsensusState;
 use crate::state::State;
+use shallotrill_feed::message::Registers;
 use shallotrill_feed::message::Reply;
 use shallotrill_items::item::Content;
 use shallotrill_limits::allotment::Answer;
@@ -37,6 +38,8 @@
     ledger: Ledger,
     /// Revision of the registers from which the limits were read.
     revision: u64,
+    /// Whether this process could grant credit at the last observation.
+    has_authority: bool,
     short_log_quota: Quota,
 }
 
@@ -48,6 +51,7 @@
         Self {
             ledger: Ledger::new(epoch, now),
             revision: 0,
+            has_authority: false,
             short_log_quota: Quota::new(SHORT_LINES_PER_SECOND),
         }
     }
@@ -62,6 +66,23 @@
         self.ledger.is_empty()
     }
 
+    /// Highest recent number of routers that this process has heard from.
+    pub fn routers(&self) -> u32 {
+        self.ledger.routers()
+    }
+
+    /// Records the time of the last contact with a quorum of the voters.
+    fn record_contact(&mut self, contact: Option<Instant>, now: Instant) {
+        let had_authority = self.has_authority;
+        if self.ledger.record_contact(contact, now) {
+            info!(event = "allotments-begun"; "contact with a quorum is restored: the credit of all workspaces begins again");
+        }
+        self.has_authority = self.ledger.has_authority(now);
+        if had_authority && !self.has_authority {
+            warn!(event = "allotments-ended", workspaces = self.len(); "no contact with a quorum of the registry processes: no credit is granted until it is restored");
+        }
+    }
+
     /// Reads the limits again when the registers have changed.
     fn refresh(&mut self, consensus: &ConsensusState, now: Instant) {
         let revision = consensus.replica.revision();
@@ -99,7 +120,7 @@
     limits
 }
 
-/// Grants credit to a router.
+/// Grants credit to a router. A router without a grant asks the next owner.
 pub(crate) fn reply(state: &State, router: SocketAddr, session: u64, asks: &[Ask]) -> Reply {
     let announced = state.announcements.lock().session(router);
     if announced.is_some_and(|announced| announced > session) {
@@ -114,6 +135,9 @@
             let mut others = consensus.roster.others(now);
             others.all(|(_, since_contact)| since_contact < HEARD_PERIOD)
         };
+        if !table.ledger.has_authority(now) {
+            return Reply::Unable;
+        }
         let answers = asks.iter().map(|ask| {
             let answer = table.ledger.ask(router, ask, peers_alive, now);
             if let Some(answer) = answer
@@ -150,6 +174,13 @@
     );
 }
 
+/// Records the number of routers that another registry process has heard from.
+pub(crate) fn record_report(state: &State, registers: &Registers, at: Instant) {
+    let mut table = state.allotments.lock();
+    let from = registers.member.address;
+    table.ledger.record_report(from, registers.routers, at);
+}
+
 /// Observes at an interval how many routers this process hears from. A task of its own, because a delay by a disk or a
 /// proposal would be taken for a suspension of the process.
 pub(crate) async fn maintain(state: Arc<State>, mut stop: watch::Receiver<bool>) {
@@ -166,8 +197,12 @@
     let now = state.now();
     let is_empty = {
         let mut table = state.allotments.lock();
-        table.refresh(&state.consensus.lock(), now);
+        let consensus = state.consensus.lock();
+        table.refresh(&consensus, now);
+        table.record_contact(consensus.roster.quorum_contact(now), now);
         state.metrics.allotments.set(count(table.len()));
+        let has_authority = table.ledger.has_authority(now);
+        state.metrics.authority.set(i64::from(has_authority));
         table.is_empty()
     };
     if is_empty {
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -260,6 +260,7 @@
 
 fn registers(state: &State, cursor: Cursor) -> Reply {
     let registries = state.registries();
+    let routers = state.allotments.lock().routers();
     let from = if cursor.session == state.session {
         cursor
     } else {
@@ -284,6 +285,7 @@
         departures,
         member: consensus.roster.own(),
         registries,
+        routers,
     })
 }
 
@@ -380,6 +382,7 @@
 fn apply_copy(state: &State, peer: &Peer, registers: &Registers, requested_at: Instant) {
     merge_entries(state, &registers.entries, &registers.proposals);
     merge_departures(state, &registers.departures);
+    allotments::record_report(state, registers, requested_at);
     let now = state.now();
     let completed = {
         let mut consensus = state.consensus.lock();
--- a/crates/registry/src/metrics.rs
+++ b/crates/registry/src/metrics.rs
@@ -28,6 +28,8 @@
     credit: Counters,
     /// Number of workspaces with an allotment.
     pub allotments: IntGauge,
+    /// Whether this process may grant credit.
+    pub authority: IntGauge,
     /// Number of items with an accepted proposal that is not known to be committed.
     pub uncommitted: IntGauge,
     /// What the process keeps for others.
@@ -79,6 +81,10 @@
                 "shallotrill_registry_allotments",
                 "Workspaces with an allotment.",
             )?,
+            authority: registry.gauge(
+                "shallotrill_registry_allotment_authority",
+                "1 if this process may grant credit of allotments: it has been in contact with a quorum of the voters.",
+            )?,
             uncommitted: registry.gauge(
                 "shallotrill_registry_unsettled",
                 "Items whose last proposal is not known to be settled.",
--- a/crates/router/src/allotment.rs
+++ b/crates/router/src/allotment.rs
@@ -21,6 +21,7 @@
 use shallotrill_items::table::ActiveWorkspace;
 use shallotrill_limits::allotment::Ask;
 use shallotrill_limits::allotment::Limit;
+use shallotrill_limits::allotment::authority;
 use shallotrill_limits::allotment::share::Decision;
 use shallotrill_limits::allotment::share::Unit;
 use shallotrill_model::workspace;
@@ -168,15 +169,19 @@
     }
 }
 
-/// Takes a unit of this router's own part of the rate, because no owner can be reached.
+/// Takes a unit of this router's own part of the rate, because no owner can be reached. Some time after the last contact
+/// with a quorum, the owners may grant that part to other routers.
 fn take_own(state: &Arc<State>, name: &workspace::Name) -> Result<Option<Credit>, Refusal> {
     let routers = state.router_count.load(Ordering::Relaxed);
     let now = state.now();
-    let unit = state
-        .allotments
-        .lock()
-        .account(name)
-        .and_then(|account| account.share.take_own(routers, now));
+    let has_part = authority::lasts(state.views.lock().quorum_contact(), now);
+    let unit = if has_part {
+        let mut table = state.allotments.lock();
+        let account = table.account(name);
+        account.and_then(|account| account.share.take_own(routers, now))
+    } else {
+        None
+    };
     if let Some(unit) = unit {
         state.metrics.record_allotment("own");
         return Ok(Some(credit(state, name, unit)));
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -32,6 +32,8 @@
 use shallotrill_feed::note;
 use shallotrill_items::item::Item;
 use shallotrill_items::item_set_hash::ItemSetHash;
+use shallotrill_items::voters;
+use shallotrill_limits::allotment::presence::Presence;
 use shallotrill_model::instance;
 use shallotrill_model::target::Target;
 use shallotrill_model::time::Instant;
@@ -64,6 +66,8 @@
 struct View {
     registry: SocketAddr,
     last_contact: Option<Instant>,
+    /// Time of the request that was answered last.
+    confirmed: Option<Instant>,
     /// Since when every poll has been answered; `None` after a failed one.
     contact_since: Option<Instant>,
     /// Sorted by the address of the router.
@@ -99,6 +103,8 @@
     targets: Vec<Target>,
     /// Number of routers at the last call of `difference`.
     routers: usize,
+    /// Recent numbers of routers.
+    presence: Presence,
     /// Whether an announcement has changed since the last call of `difference`.
     changed: bool,
     /// The registry processes whose views counted at the last call of `difference`.
@@ -129,6 +135,7 @@
         let view = View {
             registry,
             last_contact: None,
+            confirmed: None,
             contact_since: None,
             announcements: Vec::new(),
         };
@@ -151,12 +158,14 @@
         registry: SocketAddr,
         announcements: Announcements,
         named: &[SocketAddr],
+        requested_at: Instant,
         now: Instant,
     ) {
         self.directory.record_contact(registry, named, now);
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
             let view = &mut self.views[index];
             view.last_contact = Some(now);
+            view.confirmed = Some(requested_at);
             view.contact_since.get_or_insert(now);
             self.changed |= !announcements.is_empty();
             announcements.apply(&mut view.announcements);
@@ -175,6 +184,24 @@
         &self.electorate
     }
 
+    /// Latest time at or after which each registry process of a quorum of the voters has answered this router; `None`
+    /// if fewer have.
+    pub fn quorum_contact(&self) -> Option<Instant> {
+        let is_voter = |view: &&View| self.electorate.voters.contains(&view.registry);
+        let voters = self.views.iter().filter(is_voter);
+        let contacts = voters.filter_map(|view| view.confirmed);
+        let quorum = usize::try_from(self.electorate.quorum).ok()?;
+        voters::quorum_contact(contacts, quorum)
+    }
+
+    /// Number of routers that share the limits of all routers: the highest recent number. Those behind a partition
+    /// use their part too.
+    fn sharing_routers(&mut self, now: Instant) -> usize {
+        let routers = u32::try_from(self.routers).unwrap_or(u32::MAX);
+        self.presence.observe(routers, self.quorum_contact(), now);
+        usize::try_from(self.presence.highest()).unwrap_or(usize::MAX)
+    }
+
     fn record_lost(&mut self, registry: SocketAddr) {
         self.directory.record_failure(registry);
         if let Ok(index) = self.views.binary_search_by(|v| v.registry.cmp(&registry)) {
@@ -290,6 +317,7 @@
             interest,
             needs_departures: !state.backend.lock().is_restored(),
         };
+        let requested_at = state.now();
         let reply = tokio::select! {
             () = listen::stopped(&mut stop) => return,
             reply = link.call(&request, WATCH_WAIT + REPLY_SLACK) => reply,
@@ -327,11 +355,11 @@
                 progress.record(stated, state.items().item_set_hash().0);
                 merge_crashes(&state, &announcements.changed);
                 let now = state.now();
-                state
-                    .views
-                    .lock()
-                    .record_view(address, announcements, &registries, now);
-                state.views.lock().record_electorate(electorate);
+                {
+                    let mut views = state.views.lock();
+                    views.record_view(address, announcements, &registries, requested_at, now);
+                    views.record_electorate(electorate);
+                }
                 apply_targets(&state);
                 follow(&state, &registries, &stop);
                 if reads_items {
@@ -459,7 +487,8 @@
     let now = state.now();
     let mut views = state.views.lock();
     let difference = views.difference(now);
-    state.router_count.store(views.routers, Ordering::Relaxed);
+    let sharing = views.sharing_routers(now);
+    state.router_count.store(sharing, Ordering::Relaxed);
     if difference.changed.is_empty() && difference.removed.is_empty() {
         return;
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -90,7 +90,7 @@
     pub backend: Mutex<Backend>,
     /// Notified when a request waits at the gate only for the pace of the backend server.
     pub pace_changed: Notify,
-    /// Number of routers that the registry processes report.
+    /// Number of routers that share the limits of all routers.
     pub router_count: AtomicUsize,
     /// Retry budget of each service, sorted by name.
     pub budgets: Mutex<Vec<(service::Name, Budget)>>,
