registry, router: remember the latest departures of an address

Cause: the router keeps the last 16 names, and the registry process sent the departures sorted by name. The same list discarded departures that were not stored yet, which were then acknowledged.

Change: departures are sent in the order in which they were reported. The router keeps 256 names, moves a name with a later departure to the end, and never discards a departure that is not stored.

--- a/crates/registry/src/departures.rs
+++ b/crates/registry/src/departures.rs
@@ -82,14 +82,16 @@
         changed.iter().map(|e| e.departure.clone()).collect()
     }
 
-    /// Departures that a router has reported.
+    /// Departures that a router has reported, oldest first: it discards the oldest of too many.
     pub fn of(&self, router: SocketAddr) -> Vec<Departure> {
         let start = self
             .entries
             .partition_point(|e| e.departure.router < router);
         let entries = self.entries[start..].iter();
         let entries = entries.take_while(|entry| entry.departure.router == router);
-        entries.map(|entry| entry.departure.clone()).collect()
+        let mut entries: Vec<&Entry> = entries.collect();
+        entries.sort_by_key(|entry| entry.changed);
+        entries.iter().map(|e| e.departure.clone()).collect()
     }
 }
 
--- a/crates/router/src/retired.rs
+++ b/crates/router/src/retired.rs
@@ -5,8 +5,9 @@
 use shallotrill_feed::message::Departure;
 use shallotrill_model::instance;
 
-/// Names that are remembered, so that a late announcement does not reactivate an incarnation.
-const NAMES_MAX: usize = 16;
+/// Names that are remembered, so that a late announcement does not reactivate an incarnation. Announcements arrive late
+/// by seconds; an address does not get as many backend servers in that time.
+const NAMES_MAX: usize = 256;
 
 /// Why an incarnation must not be used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,7 +29,8 @@
     reason: Reason,
 }
 
-/// Retired incarnations. The oldest entries are discarded above `NAMES_MAX`.
+/// Retired incarnations. Above `NAMES_MAX`, the oldest entries are discarded, except for departures that registry
+/// processes have not stored yet: those would otherwise be acknowledged without being stored.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     /// Oldest first; at most one entry for each name.
@@ -38,15 +40,16 @@
 impl List {
     /// Adds the incarnations of a name that started at `start_time_ms` or before.
     pub fn add(&mut self, instance: &instance::Name, start_time_ms: u64, reason: Reason) {
-        let mut known = self.entries.iter_mut();
-        if let Some(known) = known.find(|entry| entry.instance == *instance) {
-            if start_time_ms > known.start_time_ms {
-                known.start_time_ms = start_time_ms;
-                known.reason = reason;
-            } else if start_time_ms == known.start_time_ms {
-                known.reason = known.reason.max(reason);
+        let mut known = self.entries.iter();
+        if let Some(index) = known.position(|entry| entry.instance == *instance) {
+            let known = &mut self.entries[index];
+            if start_time_ms <= known.start_time_ms {
+                if start_time_ms == known.start_time_ms {
+                    known.reason = known.reason.max(reason);
+                }
+                return;
             }
-            return;
+            self.entries.remove(index);
         }
         self.entries.push(Entry {
             instance: instance.clone(),
@@ -54,7 +57,10 @@
             reason,
         });
         if self.entries.len() > NAMES_MAX {
-            self.entries.remove(0);
+            let mut entries = self.entries.iter();
+            if let Some(oldest) = entries.position(|entry| entry.reason != Reason::Departed) {
+                self.entries.remove(oldest);
+            }
         }
     }
 
--- a/crates/router/tests/backend.rs
+++ b/crates/router/tests/backend.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use shallotrill_feed::message::Departure;
 use shallotrill_limits::ticket;
 use shallotrill_limits::ticket::Ticket;
 use shallotrill_model::instance;
@@ -225,6 +226,74 @@
     }
 }
 
+struct History {
+    name: &'static str,
+    /// Departures at this address before the last one, all of them stored.
+    departures: usize,
+    /// Backend servers that were replaced without a departure after it.
+    superseded: usize,
+    /// Whether registry processes have stored the last departure.
+    is_stored: bool,
+}
+
+/// Guards against a departure that is forgotten, or acknowledged without being stored, at an address with a long
+/// history. Its name sorts before all others.
+const HISTORIES: &[History] = &[
+    History {
+        name: "forty departures",
+        departures: 40,
+        superseded: 0,
+        is_stored: true,
+    },
+    History {
+        name: "more departures than are remembered",
+        departures: 1_000,
+        superseded: 0,
+        is_stored: true,
+    },
+    History {
+        name: "an unconfirmed departure, and many later backend servers",
+        departures: 40,
+        superseded: 300,
+        is_stored: false,
+    },
+];
+
+#[test]
+fn the_latest_departure_is_remembered() {
+    let start_time_ms = 10_000;
+    let departure = |instance: &str| Departure {
+        router: ROUTER,
+        instance: name(instance),
+        start_time_ms,
+    };
+    for case in HISTORIES {
+        let mut backend = Backend::default();
+        let earlier = (0..case.departures).map(|number| departure(&format!("i-{number}")));
+        let mut departures: Vec<Departure> = earlier.collect();
+        if case.is_stored {
+            departures.push(departure("a"));
+        }
+        backend.restore(&departures);
+        if !case.is_stored {
+            backend.deregister(&name("a"), Some(start_time_ms), WALL_MS);
+        }
+        for number in 1..=case.superseded {
+            let later = ServerAnnouncement {
+                instance: name(&format!("j-{number}")),
+                ..announcement(("j", number as u64, 1, false))
+            };
+            backend.receive(later, Instant(1));
+        }
+        let unconfirmed = usize::from(!case.is_stored);
+        let seen = backend.unconfirmed(ROUTER).len();
+        assert_eq!(seen, unconfirmed, "{}", case.name);
+        backend.receive(announcement(("a", start_time_ms, 9, false)), Instant(2));
+        let current = backend.current.map(|current| current.announcement.instance);
+        assert_ne!(current, Some(name("a")), "{}", case.name);
+    }
+}
+
 /// Guards against a drain that is acknowledged before the registry processes remember it, and against one that is
 /// reported to them again and again.
 #[test]
