router: a request is in flight until the end of its response

Cause: the list of requests in flight, which names the suspects of a crash, lost a request with the head of its response, and a response that was cut did not make the router check for a crash.

Change: the entry lives as long as the response, and a cut response makes the router check while the entry is there. A request is a suspect for 2 s after the head, so that a response that is read for minutes is not one.

Test: router/tests/path/crashes.rs crashes a backend server before and after the head of its response; without the change the second case fails ("crash 1 is not noted").

Tests of the router pass.

--- a/crates/router/src/crashes.rs
+++ b/crates/router/src/crashes.rs
@@ -33,15 +33,29 @@
 /// Longest wait for the connection of the check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time after the head of its response for which a request is suspected of a crash. A reader may take a response for
+/// minutes, so one that many ask for would be in flight at every crash.
+const SUSPECT_PERIOD: Duration = Duration::from_secs(2);
+
 /// Maximum number of own crash records in the announcement of a router.
 const LOCAL_RECORDS_MAX: usize = 32;
 
+/// A request from its dispatch to the end of its response.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    number: u64,
+    digest: Digest,
+    head_at: Option<Instant>,
+}
+
 /// Crash records of all routers, and the requests in flight here.
 #[derive(Debug)]
 pub struct Crashes {
     table: Table,
     /// Requests in flight at the local backend server.
-    in_flight: Vec<Digest>,
+    in_flight: Vec<InFlight>,
+    /// Number of requests that were sent to it.
+    sent: u64,
     local_records: Vec<(CrashRecord, Instant)>,
 }
 
@@ -50,6 +64,7 @@
         Self {
             table: Table::new(Config::default()),
             in_flight: Vec::new(),
+            sent: 0,
             local_records: Vec::new(),
         }
     }
@@ -73,6 +88,16 @@
         self.table.merge(record.clone(), now);
     }
 
+    /// Requests that may have caused a crash at present.
+    fn suspects(&self, now: Instant) -> Vec<Digest> {
+        let in_flight = self.in_flight.iter();
+        let suspects = in_flight.filter(|request| {
+            let head_at = request.head_at;
+            head_at.is_none_or(|head_at| now.since(head_at) < SUSPECT_PERIOD)
+        });
+        suspects.map(|request| request.digest).collect()
+    }
+
     fn observe(
         &mut self,
         instance: &instance::Name,
@@ -127,34 +152,56 @@
 
 /// Guard of a request in flight at the backend server; dropping it removes the request from the list.
 #[derive(Debug)]
-pub struct InFlightGuard<'state> {
-    state: &'state State,
-    digest: Digest,
+pub struct InFlightGuard {
+    state: Arc<State>,
+    number: u64,
 }
 
-impl<'state> InFlightGuard<'state> {
+impl InFlightGuard {
     /// Records that a request is being sent.
-    pub fn start(state: &'state State, digest: Digest) -> Self {
-        state.crashes.lock().in_flight.push(digest);
-        Self { state, digest }
+    pub fn start(state: &Arc<State>, digest: Digest) -> Self {
+        let mut crashes = state.crashes.lock();
+        let number = crashes.sent;
+        crashes.sent += 1;
+        crashes.in_flight.push(InFlight {
+            number,
+            digest,
+            head_at: None,
+        });
+        Self {
+            state: Arc::clone(state),
+            number,
+        }
+    }
+
+    /// Records that the head of the response has arrived.
+    pub fn record_head(&self) {
+        let now = self.state.now();
+        let mut crashes = self.state.crashes.lock();
+        let mut in_flight = crashes.in_flight.iter_mut();
+        if let Some(request) = in_flight.find(|r| r.number == self.number) {
+            request.head_at = Some(now);
+        }
     }
 }
 
-impl Drop for InFlightGuard<'_> {
+impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let mut crashes = self.state.crashes.lock();
-        if let Some(index) = crashes.in_flight.iter().position(|d| *d == self.digest) {
+        let mut in_flight = crashes.in_flight.iter();
+        if let Some(index) = in_flight.position(|r| r.number == self.number) {
             crashes.in_flight.swap_remove(index);
         }
     }
 }
 
-/// Checks whether the backend server has crashed after it dropped a connection with a request in flight.
+/// Checks whether the backend server has crashed after it dropped a connection with a request in flight, before the
+/// response or during it. To be called while the request is in the list.
 pub fn check_for_crash(state: &Arc<State>, instance: &instance::Name, incarnation: Incarnation) {
     if state.crash_check_running.swap(true, Ordering::Relaxed) {
         return;
     }
-    let in_flight = state.crashes.lock().in_flight.clone();
+    let in_flight = state.crashes.lock().suspects(state.now());
     let (state, instance) = (Arc::clone(state), instance.clone());
     tokio::spawn(async move {
         time::sleep(CHECK_DELAY).await;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -186,7 +186,8 @@
                 let instance = &forwarded.instance;
                 notice::record(state, instance, forwarded.incarnation, head.headers());
             }
-            finish(state, head, slot)
+            in_flight.record_head();
+            finish(state, head, slot, in_flight, forwarded)
         }
         Err(failure) => {
             let denial = denial(&failure);
@@ -272,13 +273,19 @@
     request
 }
 
-fn finish(state: &Arc<State>, head: Head, mut slot: Slot) -> Result<Response<Body>, Denial> {
+fn finish(
+    state: &Arc<State>,
+    head: Head,
+    mut slot: Slot,
+    in_flight: InFlightGuard,
+    forwarded: &Forwarded,
+) -> Result<Response<Body>, Denial> {
     let names = &state.settings.names;
     if head.states_not_run() || head.status() == StatusCode::MISDIRECTED_REQUEST {
         slot.set_outcome(Outcome::Shed);
         let misdirected = head.status() == StatusCode::MISDIRECTED_REQUEST;
         // The response is read to its end in the background, so that its connection can be reused.
-        let rest = head.into_response(Box::new(move |_| drop(slot)));
+        let rest = head.into_response(Box::new(move |_| drop((slot, in_flight))));
         tokio::spawn(async move {
             let read = body::discard(rest.into_body(), REFUSAL_BYTES_MAX, REFUSAL_TIMEOUT).await;
             if let Err(error) = read {
@@ -299,7 +306,13 @@
     };
     let kept = Held::new(slot);
     let finished = Arc::clone(&kept);
+    let (instance, incarnation) = (forwarded.instance.clone(), forwarded.incarnation);
+    let checked = Arc::clone(state);
     let finish = move |end| {
+        if end == End::Truncated {
+            crashes::check_for_crash(&checked, &instance, incarnation);
+        }
+        drop(in_flight);
         finished.release(match end {
             End::Complete => complete,
             End::Truncated => Outcome::Failure,
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod ahead;
 mod allotments;
 mod cold;
+mod crashes;
 mod departures;
 mod downloads;
 mod endless;
