registry, items, limits: resolve the linter's findings in the last changes

Cause: clippy with -D warnings rejects a function of more than 100 lines, an argument that is not consumed, two matches with a single pattern, and two similar names in the changes for the voters and the allotments.

No assertion changes.

--- a/crates/items/tests/cut.rs
+++ b/crates/items/tests/cut.rs
@@ -127,7 +127,7 @@
             if let Some(change) = change.filter(|_| running) {
                 let plan = |reading: &QuorumRead| voters::plan(change.base, &change.list, reading);
                 let first = (change.base == 0).then(|| change.list.clone());
-                self.propose(process, vec![voters::key()], first, &plan);
+                self.propose(process, &[voters::key()], first, &plan);
             }
         }
     }
@@ -136,7 +136,7 @@
     fn propose(
         &mut self,
         process: usize,
-        keys: Vec<Key>,
+        keys: &[Key],
         first: Option<Vec<voters::Voter>>,
         decide: &dyn Fn(&QuorumRead) -> Plan,
     ) -> Option<Plan> {
@@ -160,10 +160,10 @@
                 round: self.round,
                 proposer: Identity(process as u128 + 1),
             };
-            let mut reading = QuorumRead::new(keys.clone());
+            let mut reading = QuorumRead::new(keys.to_vec());
             let mut promises = 0;
             for voter in self.admitted(process, &electors) {
-                if let Ok(promise) = self.processes[voter].replica.prepare(ballot, &keys) {
+                if let Ok(promise) = self.processes[voter].replica.prepare(ballot, keys) {
                     reading.add(promise);
                     promises += 1;
                 }
@@ -171,12 +171,11 @@
             if promises < needed {
                 return None;
             }
-            let (items, plan) = match reading.unsettled(&settled) {
-                Some(items) => (items, None),
-                None => {
-                    let plan = decide(&reading);
-                    (plan.items.clone(), Some(plan))
-                }
+            let (items, plan) = if let Some(items) = reading.unsettled(&settled) {
+                (items, None)
+            } else {
+                let plan = decide(&reading);
+                (plan.items.clone(), Some(plan))
             };
             if !items.is_empty() && !self.accept(process, ballot, &items, &electors, needed) {
                 return None;
@@ -241,7 +240,7 @@
         let change = vec![fixtures::service("s", 1), route.clone()];
         let keys = check::required_keys(&change);
         let plan = |reading: &QuorumRead| proposal::plan(&change, reading);
-        let plan = self.propose(process, keys, None, &plan);
+        let plan = self.propose(process, &keys, None, &plan);
         let is_acknowledged = plan.is_some_and(|plan| plan.refusal.is_none());
         if is_acknowledged {
             self.acknowledged.push(route);
--- a/crates/limits/tests/allotment_replay.rs
+++ b/crates/limits/tests/allotment_replay.rs
@@ -483,12 +483,11 @@
                 let Some(Call { owner, .. }) = state.call.take_if(|c| c.number == number) else {
                     return;
                 };
-                match answer {
-                    Some(answer) => state.share.record_answer(&answer, now),
-                    None => {
-                        state.failed_at[owner] = Some(self.now);
-                        state.share.record_failure();
-                    }
+                if let Some(answer) = answer {
+                    state.share.record_answer(&answer, now);
+                } else {
+                    state.failed_at[owner] = Some(self.now);
+                    state.share.record_failure();
                 }
                 self.resume(router);
             }
--- a/crates/registry/src/maintenance.rs
+++ b/crates/registry/src/maintenance.rs
@@ -78,8 +78,8 @@
         .metrics
         .evacuated_zones
         .set(count(evacuations.count()));
-    let votes = consensus.roster.own().votes;
-    state.metrics.votes.set(i64::from(votes));
+    let is_voter = consensus.roster.own().votes;
+    state.metrics.votes.set(i64::from(is_voter));
     let quorum = consensus.roster.quorum();
     let voters = consensus.roster.voters().len();
     state.metrics.voters.set(count(voters));
--- a/crates/registry/tests/group/main.rs
+++ b/crates/registry/tests/group/main.rs
@@ -100,6 +100,24 @@
     voters.expect("a list is in force")
 }
 
+/// The first step of a proposal, for one process.
+fn prepare(member: &Member, ballot: Ballot, keys: &[Key]) -> Request {
+    Request::Prepare {
+        ballot,
+        keys: keys.to_vec(),
+        voters: voters(member),
+    }
+}
+
+/// The second step of a proposal, for one process.
+fn accept(member: &Member, ballot: Ballot, items: &[Proposed]) -> Request {
+    Request::Accept {
+        ballot,
+        items: items.to_vec(),
+        voters: voters(member),
+    }
+}
+
 /// A request to store departures.
 fn depart(member: &Member, departures: &[Departure]) -> Request {
     Request::Depart {
@@ -440,13 +458,7 @@
     let handle =
         async |member: &Member, request| members::handle(&member.registry.state(), &request).await;
     for member in &members {
-        let keys = keys.clone();
-        let prepare = Request::Prepare {
-            ballot,
-            keys,
-            voters: voters(member),
-        };
-        let promised = handle(member, prepare).await;
+        let promised = handle(member, prepare(member, ballot, &keys)).await;
         assert!(matches!(promised, Reply::Promised(_)), "{promised:?}");
     }
     let previous = [
@@ -463,23 +475,12 @@
     let next = Ballot::above(ballot, Identity(2));
     let key = vec![competing.key.clone()];
     for member in &members[1..4] {
-        let prepare = Request::Prepare {
-            ballot: next,
-            keys: key.clone(),
-            voters: voters(member),
-        };
-        let promised = handle(member, prepare).await;
+        let promised = handle(member, prepare(member, next, &key)).await;
         assert!(matches!(promised, Reply::Promised(_)), "{promised:?}");
     }
     let mut accepted = 0;
     for member in &members {
-        let items = items.clone();
-        let accept = Request::Accept {
-            ballot,
-            items,
-            voters: voters(member),
-        };
-        let reply = handle(member, accept).await;
+        let reply = handle(member, accept(member, ballot, &items)).await;
         accepted += usize::from(matches!(reply, Reply::Done));
     }
     assert_eq!(accepted, 2);
@@ -488,15 +489,7 @@
             item: Arc::new(competing.clone()),
             previous: Arc::new(Item::absent(competing.key.clone())),
         }];
-        let reply = handle(
-            member,
-            Request::Accept {
-                ballot: next,
-                items,
-                voters: voters(member),
-            },
-        )
-        .await;
+        let reply = handle(member, accept(member, next, &items)).await;
         assert!(matches!(reply, Reply::Done), "{reply:?}");
     }
     // The second attempt of the large change is refused.
