router: acknowledge no drain of an incarnation that is not in use

Cause: an announcement with an earlier start than the current one is taken for a late one, is ignored, and is answered with 200.

Change: such a drain, and the deregistration of an incarnation that may be the running one, gets 503 while the address is in use. An incarnation that announces itself for 5 s in which the current one does not replaces it, with a higher incarnation number.

Tests: `a_start_before_the_current_one_is_not_acknowledged_in_vain` (ten cases) fails with the earlier rules. `deregister` of the backend returns what changed instead of a flag; the assertions on it are as strict as before.

Tests of the router and the platform pass.

--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -46,6 +46,10 @@
 /// Service time that the gate assumes before the first request has finished.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(50);
 
+/// Time for which an incarnation with an earlier start announces itself, and the current one does not, until it replaces
+/// the current one. Announcements that are late arrive within seconds.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(5);
+
 /// Announcement in which a backend server reports its state to its router. The router announces itself and this
 /// backend server to the registries with `Announcement` of the feed package.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +75,9 @@
 pub enum AnnouncementError {
     /// The announced service differs from the service that this router is configured for.
     Service(service::Name),
+    /// It states the drain or departure of an incarnation that started before the current one. An acknowledgement would
+    /// promise that the address gets no requests.
+    Earlier,
 }
 
 impl fmt::Display for AnnouncementError {
@@ -79,6 +86,7 @@
             Self::Service(name) => {
                 write!(f, "the service '{name}' is not the one of this instance")
             }
+            Self::Earlier => f.write_str("a later incarnation is in use at this address"),
         }
     }
 }
@@ -106,6 +114,8 @@
     pub(crate) evacuated: bool,
     /// Set when it has announced or stated in a response that it is leaving. An incarnation does not come back.
     leaving: bool,
+    /// When it last announced itself.
+    announced_at: Instant,
 }
 
 /// The limit that the backend server states, and what was sent to it since.
@@ -173,6 +183,17 @@
 /// that, and after a loss of all power every other target is cold too.
 const COLD_SLOW_THRESHOLD_PERCENT: u32 = 2 * SLOW_THRESHOLD_PERCENT;
 
+/// An incarnation that announces itself although it started before the current one: the announcements are late, or the
+/// time of day was set back before it started.
+#[derive(Clone, Debug)]
+struct Earlier {
+    instance: instance::Name,
+    start_time_ms: u64,
+    sequence: u64,
+    /// Since when it announces itself and the current one does not.
+    since: Instant,
+}
+
 /// The local backend server.
 #[derive(Debug, Default)]
 pub struct Backend {
@@ -180,6 +201,7 @@
     pub current: Option<ServerState>,
     /// Incarnations that must not be used again.
     retired: retired::List,
+    earlier: Option<Earlier>,
     /// Whether the departures that earlier processes of this router acknowledged are in `retired`.
     restored: bool,
     /// The latest announcement of a backend server that accepts requests, received before they were.
@@ -199,17 +221,23 @@
     Target,
     /// A new incarnation; connections to the earlier one are closed.
     Incarnation,
+    /// It is not applied and must not be acknowledged.
+    Refused,
 }
 
 impl Backend {
     /// Applies an announcement; a late or repeated one changes nothing.
     pub fn announce(&mut self, announcement: ServerAnnouncement, now: Instant) -> Change {
-        if self
-            .retired
-            .contains(&announcement.instance, announcement.start_time_ms)
-        {
-            return Change::None;
+        let (instance, start_time_ms) = (&announcement.instance, announcement.start_time_ms);
+        let unapplied = if announcement.draining && self.is_other_in_use(instance, start_time_ms) {
+            Change::Refused
+        } else {
+            Change::None
+        };
+        if self.retired.contains(instance, start_time_ms) {
+            return unapplied;
         }
+        let mut incarnation_min = 0;
         if let Some(current) = &mut self.current {
             let known = &current.announcement;
             if known.instance == announcement.instance
@@ -218,6 +246,7 @@
                 if announcement.sequence <= known.sequence {
                     return Change::None;
                 }
+                current.announced_at = now;
                 let mut changed =
                     known.draining != announcement.draining || known.slots != announcement.slots;
                 if announcement.slots != known.slots {
@@ -238,11 +267,25 @@
                 };
             }
             if announcement.start_time_ms < known.start_time_ms {
-                return Change::None;
+                incarnation_min = current.incarnation.0 + 1;
+                if !self.replaces_current(&announcement, now) {
+                    return unapplied;
+                }
+            }
+        }
+        if let Some(ended) = self.end_current() {
+            // A later one of the same name would retire this one too.
+            let is_later = ended.instance == announcement.instance
+                && ended.start_time_ms > announcement.start_time_ms;
+            if !is_later {
+                self.retired
+                    .add(&ended.instance, ended.start_time_ms, Reason::Superseded);
             }
         }
-        self.retire_current();
+        self.earlier = None;
         let mut server = ServerState::new(announcement, now);
+        // Other routers ignore an incarnation that is lower than the one they know.
+        server.incarnation = server.incarnation.max(Incarnation(incarnation_min));
         server.set_rule(self.cold_rule, now);
         if self.evacuated {
             server.set_evacuated(true);
@@ -251,6 +294,45 @@
         Change::Incarnation
     }
 
+    /// Whether an incarnation with an earlier start is the one that runs: it announces itself again and again, and the
+    /// current one has stopped to.
+    fn replaces_current(&mut self, announcement: &ServerAnnouncement, now: Instant) -> bool {
+        let Some(current) = &self.current else {
+            return true;
+        };
+        let known = self.earlier.take().filter(|known| {
+            known.instance == announcement.instance
+                && known.start_time_ms == announcement.start_time_ms
+                && known.since > current.announced_at
+        });
+        let mut earlier = known.unwrap_or_else(|| Earlier {
+            instance: announcement.instance.clone(),
+            start_time_ms: announcement.start_time_ms,
+            sequence: announcement.sequence,
+            since: now,
+        });
+        let is_newer = announcement.sequence > earlier.sequence;
+        let replaces = is_newer && now.since(earlier.since) >= REPLACEMENT_DELAY;
+        earlier.sequence = earlier.sequence.max(announcement.sequence);
+        self.earlier = Some(earlier);
+        replaces
+    }
+
+    /// Whether the address is in use for another incarnation than this one.
+    fn is_other_in_use(&self, instance: &instance::Name, start_time_ms: u64) -> bool {
+        self.current.as_ref().is_some_and(|current| {
+            let known = &current.announcement;
+            let is_same = known.instance == *instance && known.start_time_ms == start_time_ms;
+            !is_same && !current.is_draining()
+        })
+    }
+
+    /// Whether this incarnation may be the one that runs although a later one is current.
+    fn may_replace_current(&self, instance: &instance::Name, start_time_ms: u64) -> bool {
+        let mut earlier = self.earlier.iter();
+        earlier.any(|e| e.instance == *instance && e.start_time_ms == start_time_ms)
+    }
+
     /// Applies an announcement as [`Backend::announce`] does. One of a backend server that accepts requests waits
     /// until the acknowledged departures are restored, because it may have been sent before its departure.
     pub fn receive(&mut self, announcement: ServerAnnouncement, now: Instant) -> Change {
@@ -259,7 +341,7 @@
                 (announcement.instance.clone(), announcement.start_time_ms);
             let draining = announcement.draining;
             let change = self.announce(announcement, now);
-            if draining {
+            if draining && change != Change::Refused {
                 self.retired.add(&instance, start_time_ms, Reason::Departed);
             }
             return change;
@@ -298,8 +380,8 @@
         self.retired.confirm(departures);
     }
 
-    /// Retires the incarnations of `instance` that started at `start_time_ms` or before. Returns whether the current
-    /// one is among them, in which case the target must be published again.
+    /// Retires the incarnations of `instance` that started at `start_time_ms` or before. Returns [`Change::Target`] if
+    /// the current one is among them, in which case the target must be published again.
     ///
     /// Without a stated start these are the known incarnation or, when none is known (the router may have restarted),
     /// all that started before `wall_ms`, the present Unix time in milliseconds.
@@ -308,7 +390,7 @@
         instance: &instance::Name,
         start_time_ms: Option<u64>,
         wall_ms: u64,
-    ) -> bool {
+    ) -> Change {
         let current = self.current.as_ref().map(|current| &current.announcement);
         let known = [current, self.pending.as_ref()];
         let known = known.into_iter().flatten();
@@ -318,21 +400,23 @@
         let departed =
             current.is_some_and(|known| known.instance == *instance && known.start_time_ms <= last);
         if departed {
-            self.retire_current();
+            self.end_current();
         }
+        let refused = self.may_replace_current(instance, last);
         self.retired.add(instance, last, Reason::Departed);
-        departed
+        match (departed, refused) {
+            (true, _) => Change::Target,
+            (false, true) => Change::Refused,
+            (false, false) => Change::None,
+        }
     }
 
-    fn retire_current(&mut self) {
-        let Some(mut current) = self.current.take() else {
-            return;
-        };
+    /// Ends the current incarnation, and returns its last announcement.
+    fn end_current(&mut self) -> Option<ServerAnnouncement> {
+        let mut current = self.current.take()?;
         let effect = current.gate.drain();
         current.notify_waiting(effect);
-        let known = &current.announcement;
-        self.retired
-            .add(&known.instance, known.start_time_ms, Reason::Superseded);
+        Some(current.announcement)
     }
 
     /// The current incarnation, if it has this name and incarnation number.
@@ -382,6 +466,7 @@
             is_cold: false,
             evacuated: false,
             leaving: false,
+            announced_at: now,
         };
         if draining {
             server.leave();
@@ -575,6 +660,9 @@
         state.pace_changed.notify_one();
         cold::report(state, reported.instance.as_str(), is_cold, rate);
     }
+    if change == Change::Refused {
+        return Err(AnnouncementError::Earlier);
+    }
     if change != Change::None {
         info!(
             event = "backend-changed",
@@ -593,16 +681,29 @@
 
 /// Handles the deregistration of the local backend server, which will not come back. `start_time_ms` is the start of
 /// the incarnation, if it is stated.
-pub fn deregister(state: &State, instance: &instance::Name, start_time_ms: Option<u64>) {
+///
+/// # Errors
+///
+/// Returns [`AnnouncementError::Earlier`] when the address stays in use.
+pub fn deregister(
+    state: &State,
+    instance: &instance::Name,
+    start_time_ms: Option<u64>,
+) -> Result<(), AnnouncementError> {
     let wall_ms = state.clock.wall().0;
-    let departed = state
+    let change = state
         .backend
         .lock()
         .deregister(instance, start_time_ms, wall_ms);
-    if departed {
-        info!(event = "backend-left", instance = instance.as_str(); "the local backend server has deregistered");
-        state.publish();
+    match change {
+        Change::Refused => return Err(AnnouncementError::Earlier),
+        Change::None => {}
+        Change::Target | Change::Incarnation => {
+            info!(event = "backend-left", instance = instance.as_str(); "the local backend server has deregistered");
+            state.publish();
+        }
     }
+    Ok(())
 }
 
 /// Adds the departures that earlier processes of this router acknowledged, and applies the announcement that waited
--- a/crates/router/tests/backend.rs
+++ b/crates/router/tests/backend.rs
@@ -128,13 +128,174 @@
 fn a_deregistered_incarnation_is_not_reactivated() {
     let mut backend = Backend::default();
     backend.announce(announcement(("a", 100, 1, false)), Instant(1));
-    assert!(!backend.deregister(&name("b"), None, WALL_MS));
-    assert!(backend.deregister(&name("a"), None, WALL_MS));
+    let other = backend.deregister(&name("b"), None, WALL_MS);
+    assert_eq!(other, Change::None);
+    let own = backend.deregister(&name("a"), None, WALL_MS);
+    assert_eq!(own, Change::Target);
     let change = backend.announce(announcement(("a", 100, 2, false)), Instant(2));
     assert_eq!(change, Change::None);
     assert!(backend.current.is_none());
 }
 
+/// What a backend server reports.
+#[derive(Clone, Copy)]
+enum Report {
+    /// The second at which it arrives, and its content.
+    Announce(u64, ReportedState),
+    /// Its name and start.
+    Deregister(&'static str, u64),
+}
+
+use Report::Announce;
+use Report::Deregister;
+
+struct SetBack {
+    name: &'static str,
+    reports: &'static [Report],
+    /// Expected change by the last report.
+    change: Change,
+    /// Expected current start, and whether it is draining.
+    current: Option<(u64, bool)>,
+}
+
+/// Guards against a drain or departure that is acknowledged although the address stays in use, after the time of day was
+/// set back between two starts, and against late announcements that end a later incarnation.
+const SET_BACK: &[SetBack] = &[
+    SetBack {
+        name: "a drain is not acknowledged while a later start is current",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 96, 1, false)),
+            Announce(2, ("a", 96, 2, true)),
+        ],
+        change: Change::Refused,
+        current: Some((100, false)),
+    },
+    SetBack {
+        name: "the earlier start replaces one that has stopped to announce itself",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 96, 1, false)),
+            Announce(4, ("a", 96, 2, false)),
+            Announce(6, ("a", 96, 3, false)),
+        ],
+        change: Change::Incarnation,
+        current: Some((96, false)),
+    },
+    SetBack {
+        name: "its drain is applied then",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 96, 1, false)),
+            Announce(6, ("a", 96, 2, false)),
+            Announce(7, ("a", 96, 3, true)),
+        ],
+        change: Change::Target,
+        current: Some((96, true)),
+    },
+    SetBack {
+        name: "another name with an earlier start replaces it too",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("b", 96, 1, false)),
+            Announce(6, ("b", 96, 2, false)),
+        ],
+        change: Change::Incarnation,
+        current: Some((96, false)),
+    },
+    SetBack {
+        name: "the later start goes on to announce itself",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 96, 1, false)),
+            Announce(5, ("a", 100, 10, false)),
+            Announce(6, ("a", 96, 2, false)),
+        ],
+        change: Change::None,
+        current: Some((100, false)),
+    },
+    SetBack {
+        name: "an announcement that is repeated is late",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 96, 5, false)),
+            Announce(6, ("a", 96, 5, false)),
+            Announce(7, ("a", 96, 4, false)),
+        ],
+        change: Change::None,
+        current: Some((100, false)),
+    },
+    SetBack {
+        name: "a departure is not acknowledged while a later start is current",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 96, 1, false)),
+            Deregister("a", 96),
+        ],
+        change: Change::Refused,
+        current: Some((100, false)),
+    },
+    SetBack {
+        name: "the departure of an incarnation that was replaced is late",
+        reports: &[
+            Announce(0, ("a", 96, 9, false)),
+            Announce(1, ("a", 100, 1, false)),
+            Deregister("a", 96),
+        ],
+        change: Change::None,
+        current: Some((100, false)),
+    },
+    SetBack {
+        name: "a drain of a name that was replaced is not acknowledged",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("b", 104, 1, false)),
+            Announce(2, ("a", 96, 1, true)),
+        ],
+        change: Change::Refused,
+        current: Some((104, false)),
+    },
+    SetBack {
+        name: "a drain is repeated",
+        reports: &[
+            Announce(0, ("a", 100, 9, false)),
+            Announce(1, ("a", 100, 10, true)),
+            Announce(2, ("a", 100, 11, true)),
+        ],
+        change: Change::None,
+        current: Some((100, true)),
+    },
+];
+
+#[test]
+fn a_start_before_the_current_one_is_not_acknowledged_in_vain() {
+    for case in SET_BACK {
+        let mut backend = Backend::default();
+        backend.restore(&[]);
+        let mut change = Change::None;
+        let mut incarnation = None;
+        for report in case.reports {
+            change = match *report {
+                Announce(at_s, state) => {
+                    let now = Instant(1) + Duration::from_secs(at_s);
+                    backend.receive(announcement(state), now)
+                }
+                Deregister(instance, start_time_ms) => {
+                    backend.deregister(&name(instance), Some(start_time_ms), WALL_MS)
+                }
+            };
+            let next = backend.current.as_ref().map(|current| current.incarnation);
+            // Other routers ignore a lower one.
+            assert!(next >= incarnation, "{}", case.name);
+            incarnation = next;
+        }
+        assert_eq!(change, case.change, "{}", case.name);
+        let current = backend.current.as_ref();
+        let current = current.map(|c| (c.announcement.start_time_ms, c.is_draining()));
+        assert_eq!(current, case.current, "{}", case.name);
+    }
+}
+
 struct Deregistration {
     name: &'static str,
     /// Announcements before the deregistration of `a`.
--- a/crates/router/tests/path/departures.rs
+++ b/crates/router/tests/path/departures.rs
@@ -98,7 +98,7 @@
             announce(&fixture.routers[1], 1, 3, true);
         } else {
             let left = instance::Name::new("i-1").expect("a valid name");
-            backend::deregister(&state, &left, Some(100));
+            backend::deregister(&state, &left, Some(100)).expect("the address is in no other use");
         }
         assert_eq!(departure::confirm(&state).await, Ok(()), "{name}");
         if case.restart != Restart::Before {
@@ -135,7 +135,7 @@
     fixture.registry.stop();
     let state = fixture.routers[0].state();
     let left = instance::Name::new("i-0").expect("a valid name");
-    backend::deregister(&state, &left, None);
+    backend::deregister(&state, &left, None).expect("the address is in no other use");
     let outcome = departure::confirm(&state).await;
     assert_eq!(outcome.map_err(|unconfirmed| unconfirmed.needed), Err(1));
     assert_eq!(fixture.get("/a/b").await.0, 503);
--- a/crates/router/tests/path/gates.rs
+++ b/crates/router/tests/path/gates.rs
@@ -81,7 +81,8 @@
         name: "it has left",
         withdraw: |router| {
             let name = instance::Name::new("i-0").expect("a valid name");
-            backend::deregister(&router.state(), &name, None);
+            backend::deregister(&router.state(), &name, None)
+                .expect("the address is in no other use");
         },
     },
     WithdrawalCase {
