--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -186,7 +186,7 @@
 /// An incarnation that announces itself although it started before the current one: the announcements are late, or the
 /// time of day was set back before it started.
 #[derive(Clone, Debug)]
-struct Earlier {
+struct Candidate {
     instance: instance::Name,
     start_time_ms: u64,
     sequence: u64,
@@ -201,7 +201,7 @@
     pub current: Option<ServerState>,
     /// Incarnations that must not be used again.
     retired: retired::List,
-    earlier: Option<Earlier>,
+    candidate: Option<Candidate>,
     /// Whether the departures that earlier processes of this router acknowledged are in `retired`.
     restored: bool,
     /// The latest announcement of a backend server that accepts requests, received before they were.
@@ -282,7 +282,7 @@
                     .add(&ended.instance, ended.start_time_ms, Reason::Superseded);
             }
         }
-        self.earlier = None;
+        self.candidate = None;
         let mut server = ServerState::new(announcement, now);
         // Other routers ignore an incarnation that is lower than the one they know.
         server.incarnation = server.incarnation.max(Incarnation(incarnation_min));
@@ -300,21 +300,21 @@
         let Some(current) = &self.current else {
             return true;
         };
-        let known = self.earlier.take().filter(|known| {
+        let known = self.candidate.take().filter(|known| {
             known.instance == announcement.instance
                 && known.start_time_ms == announcement.start_time_ms
                 && known.since > current.announced_at
         });
-        let mut earlier = known.unwrap_or_else(|| Earlier {
+        let mut candidate = known.unwrap_or_else(|| Candidate {
             instance: announcement.instance.clone(),
             start_time_ms: announcement.start_time_ms,
             sequence: announcement.sequence,
             since: now,
         });
-        let is_newer = announcement.sequence > earlier.sequence;
-        let replaces = is_newer && now.since(earlier.since) >= REPLACEMENT_DELAY;
-        earlier.sequence = earlier.sequence.max(announcement.sequence);
-        self.earlier = Some(earlier);
+        let is_newer = announcement.sequence > candidate.sequence;
+        let replaces = is_newer && now.since(candidate.since) >= REPLACEMENT_DELAY;
+        candidate.sequence = candidate.sequence.max(announcement.sequence);
+        self.candidate = Some(candidate);
         replaces
     }
 
@@ -329,8 +329,8 @@
 
     /// Whether this incarnation may be the one that runs although a later one is current.
     fn may_replace_current(&self, instance: &instance::Name, start_time_ms: u64) -> bool {
-        let mut earlier = self.earlier.iter();
-        earlier.any(|e| e.instance == *instance && e.start_time_ms == start_time_ms)
+        let mut candidate = self.candidate.iter();
+        candidate.any(|c| c.instance == *instance && c.start_time_ms == start_time_ms)
     }
 
     /// Applies an announcement as [`Backend::announce`] does. One of a backend server that accepts requests waits
