items: no link to a private item in the documentation

Cause: rustdoc with -D warnings rejects the link of Roster::next_change to a private constant.

Change: the bound is stated in words.

Measured: cargo doc with -D warnings has no finding.

--- a/crates/items/src/roster.rs
+++ b/crates/items/src/roster.rs
@@ -280,7 +280,7 @@
     }
 
     /// The change of the voters that the local process should propose now, if any. `seeds` are those of the settings in
-    /// force. To be called at an interval well below [`SUSPENSION_MIN`].
+    /// force. To be called at an interval well below a second, from which on the process counts as suspended.
     ///
     /// A process that is no voter removes the entry of its own earlier disk, joins when there is room, or else removes a
     /// voter that it has not heard from. No voter is removed without a process that is ready to replace it.
