--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -268,8 +268,8 @@
     Overtaken(Ballot),
     /// The request wants a quorum of an earlier version of the voters; contains the one in force.
     Outdated(Accepted),
-    /// The process cannot execute the request: it is not a voter, its disk rejects writes, or the session of the
-    /// router has ended.
+    /// The process cannot execute the request: it is not a voter, its disk rejects writes, the session of the router has
+    /// ended, or it may grant no credit.
     Unable,
     /// Reply to [`Request::Credit`], in the order of the requests; `None` for a workspace of whose allotment the
     /// process does not know.
